--- /dev/null
+++ b/crates/drill/src/wire.rs
@@ -0,0 +1,324 @@
+//! Decodes a batch line by line, hands each event to its instance, pulls the orders and encodes them.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+use std::str::FromStr;
+
+use ravenspar_steward::{from_seconds, Health, IdTable, Order, Scope, Settings, Steward, Time, SECOND};
+
+/// One steward with the id tables of its own door. Instances share nothing.
+struct Instance {
+    steward: Steward,
+    bes: IdTable<u32>,
+    kinds: IdTable<String>,
+    slices: usize,
+}
+
+#[derive(Default)]
+pub struct Drill {
+    instances: BTreeMap<u32, Instance>,
+    /// The numbered lists as their lines came; an event that names one decodes it for its instance.
+    sheets: BTreeMap<u8, Vec<String>>,
+    filling: Option<u8>,
+    /// Instances with an event in this batch, in order.
+    turns: Vec<u32>,
+    /// Instances that can't do without the setting named.
+    refused: BTreeMap<u32, &'static str>,
+}
+
+/// The fields of one line.
+struct Line<'a> {
+    name: &'a str,
+    fields: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Line<'a> {
+    fn read(text: &'a str) -> Line<'a> {
+        let mut parts = text.split(' ').filter(|part| !part.is_empty());
+        let name = parts.next().unwrap_or("");
+        Line { name, fields: parts.filter_map(|part| part.split_once('=')).collect() }
+    }
+
+    fn text(&self, field: &str) -> Result<&'a str, String> {
+        let found = self.fields.iter().find(|(name, _)| *name == field);
+        found.map(|(_, value)| *value).ok_or_else(|| format!("{}: field {field} is missing", self.name))
+    }
+
+    fn get<T: FromStr>(&self, field: &str) -> Result<T, String> {
+        let value = self.text(field)?;
+        value.parse().map_err(|_| format!("{}: field {field} can't be read: {value:.80}", self.name))
+    }
+
+    fn number(&self, field: &str) -> Result<f64, String> {
+        let value: f64 = self.get(field)?;
+        if value.is_finite() && value.abs() < 1e12 {
+            Ok(value)
+        } else {
+            Err(format!("{}: field {field} is out of range: {value}", self.name))
+        }
+    }
+
+    fn time(&self, field: &str) -> Result<Time, String> {
+        self.number(field).map(from_seconds)
+    }
+
+    fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.text(field)? {
+            "1" | "true" => Ok(true),
+            "0" | "false" => Ok(false),
+            value => Err(format!("{}: field {field} can't be read: {value:.80}", self.name)),
+        }
+    }
+
+    fn instance(&self) -> Result<u32, String> {
+        let value = self.text("i")?;
+        let number = value.strip_prefix("steward-").and_then(|number| number.parse().ok());
+        number.ok_or_else(|| format!("{}: field i can't be read: {value:.80}", self.name))
+    }
+}
+
+impl Drill {
+    /// Answers batches until the input ends; complaints about single lines go to `complain`.
+    pub fn run(
+        &mut self,
+        input: impl BufRead,
+        mut out: impl Write,
+        mut complain: impl FnMut(&str),
+    ) -> io::Result<()> {
+        let mut batch: Option<(Time, u64)> = None;
+        for line in input.split(b'\n') {
+            let bytes = line?;
+            let text = String::from_utf8_lossy(&bytes);
+            let text = text.trim_end_matches('\r');
+            let line = Line::read(text);
+            let result = match (line.name, batch) {
+                ("", _) => Ok(()),
+                ("BEGIN_BATCH", open) => {
+                    if open.is_some() {
+                        complain("BEGIN_BATCH: the batch before it has no YOUR_TURN");
+                    }
+                    self.turns.clear();
+                    self.filling = None;
+                    line.time("ts_s").and_then(|now| line.get("seq").map(|seq| batch = Some((now, seq))))
+                }
+                (name, None) => Err(format!("{name:.80}: outside a batch")),
+                ("YOUR_TURN", Some((now, seq))) => {
+                    let reply = self.reply(now, seq);
+                    out.write_all(reply.as_bytes())?;
+                    out.flush()?;
+                    batch = None;
+                    Ok(())
+                }
+                (_, Some((now, _))) => self.event(now, &line, text),
+            };
+            if let Err(complaint) = result {
+                complain(&complaint);
+            }
+        }
+        match batch {
+            None => Ok(()),
+            Some(_) => Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the input ends within a batch")),
+        }
+    }
+
+    fn event(&mut self, now: Time, line: &Line, text: &str) -> Result<(), String> {
+        if line.name == "M" {
+            let sheet = self.filling.ok_or("M: no SNAPSHOT_ROWS before it")?;
+            self.sheets.entry(sheet).or_default().push(text.to_owned());
+            return Ok(());
+        }
+        self.filling = None;
+        if line.name == "SNAPSHOT_ROWS" {
+            let sheet = line.get("sheet")?;
+            if sheet > 15 {
+                return Err(format!("SNAPSHOT_ROWS: field sheet is out of range: {sheet}"));
+            }
+            self.filling = Some(sheet);
+            self.sheets.insert(sheet, Vec::new());
+            return line.get::<usize>("hosts").map(|_| ());
+        }
+        let number = line.instance()?;
+        if line.name == "BEGIN" {
+            self.instances.remove(&number);
+            self.turn_of(number);
+            return self.begin(now, number, line);
+        }
+        if line.name == "STOP" {
+            self.turns.retain(|&turn| turn != number);
+            return match self.instances.remove(&number) {
+                Some(_) => Ok(()),
+                None => Err(format!("STOP: steward-{number} was never started")),
+            };
+        }
+        let instance = self
+            .instances
+            .get_mut(&number)
+            .ok_or_else(|| format!("{}: steward-{number} was never started", line.name))?;
+        instance.take(now, line, &self.sheets)?;
+        self.turn_of(number);
+        Ok(())
+    }
+
+    fn turn_of(&mut self, number: u32) {
+        if !self.turns.contains(&number) {
+            self.turns.push(number);
+        }
+    }
+
+    fn begin(&mut self, now: Time, number: u32, line: &Line) -> Result<(), String> {
+        let seed = line.get("rng_seed")?;
+        let mut settings = Settings::default();
+        line.fields.iter().for_each(|(name, value)| settings.set(name, value));
+        let mut kinds = IdTable::default();
+        for k in 0..settings.number("classes.count").unwrap_or(0.0).clamp(0.0, 31.0) as usize {
+            let name = settings.text(&format!("classes.{k}.name")).unwrap_or("").to_owned();
+            kinds.index(&name);
+        }
+        let slices = settings.number("family_info.ranges").unwrap_or(0.0) as usize;
+        match Steward::new(now, seed, settings) {
+            Ok(steward) => {
+                self.instances.insert(number, Instance { steward, bes: IdTable::default(), kinds, slices });
+            }
+            Err(name) => {
+                self.refused.insert(number, name);
+            }
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, now: Time, seq: u64) -> String {
+        let mut reply = String::new();
+        for number in self.turns.drain(..) {
+            if let Some(name) = self.refused.remove(&number) {
+                let _ = writeln!(reply, "GIVE_IN i=steward-{number} words=the setting {name} is missing");
+            }
+            if let Some(instance) = self.instances.get_mut(&number) {
+                while let Some(order) = instance.steward.next_order(now) {
+                    instance.put(number, &order, &mut reply);
+                }
+            }
+        }
+        let _ = writeln!(reply, "FINISHED seq={seq}");
+        reply
+    }
+}
+
+impl Instance {
+    fn be(&mut self, line: &Line) -> Result<usize, String> {
+        Ok(self.bes.index(&line.get("host")?))
+    }
+
+    fn slice(&self, line: &Line) -> Result<usize, String> {
+        let slice = line.get("map_id")?;
+        if slice < self.slices {
+            Ok(slice)
+        } else {
+            Err(format!("{}: field map_id is out of range: {slice}", line.name))
+        }
+    }
+
+    fn take(&mut self, now: Time, line: &Line, sheets: &BTreeMap<u8, Vec<String>>) -> Result<(), String> {
+        let proxy = |line: &Line| line.get::<u16>("client_lb").map(usize::from);
+        match line.name {
+            "MEMBERSHIP" => self.list(now, line, sheets)?,
+            "JOINED" => self.steward.joined(proxy(line)?),
+            "STREAM_DOWN" => self.steward.stream_down(now, proxy(line)?),
+            "INSTALLED" => self.steward.installed(proxy(line)?, line.get("number")?),
+            "GIVEN" => {
+                let slice = self.slice(line)?;
+                match line.flag("active")? {
+                    true => self.steward.given(now, slice),
+                    false => self.steward.taken(slice),
+                }
+            }
+            "ON_RECORD" => {
+                let slice = self.slice(line)?;
+                let be = self.be(line)?;
+                self.steward.on_record(slice, be);
+            }
+            "TRAFFIC_REPORT" => {
+                let (count, failed) = (line.number("tries_n")?, line.number("failed")?);
+                let window = line.time("window_s")?;
+                let be = self.be(line)?;
+                self.steward.traffic(now, be, count, failed, window);
+            }
+            "HOTNESS" => {
+                let name = line.text("qos")?;
+                let kind = self.kinds.find(&name.to_owned());
+                let kind = kind.ok_or_else(|| format!("HOTNESS: field qos is unknown: {name:.80}"))?;
+                let (slice, count) = (self.slice(line)?, line.number("tries_n")?);
+                self.steward.heat(now, slice, kind, count, line.time("window_s")?);
+            }
+            "REMINDER" => self.steward.reminder(),
+            "TRAFFIC" | "HEARD" | "PING_RESULT" => {}
+            name => return Err(format!("{name:.80}: unknown message")),
+        }
+        Ok(())
+    }
+
+    fn list(&mut self, now: Time, line: &Line, sheets: &BTreeMap<u8, Vec<String>>) -> Result<(), String> {
+        let scope = match line.text("scope")? {
+            "error" => {
+                self.steward.list_failed(now);
+                return Ok(());
+            }
+            "diff" => Scope::Changes,
+            "snapshot" => Scope::Whole,
+            "disk" => Scope::Kept,
+            value => return Err(format!("MEMBERSHIP: field scope can't be read: {value:.80}")),
+        };
+        let sheet: u8 = line.get("sheet")?;
+        let rows =
+            sheets.get(&sheet).ok_or_else(|| format!("MEMBERSHIP: field sheet is unknown: {sheet}"))?;
+        let mut complaint = Ok(());
+        self.steward.list_begin(now, scope);
+        for row in rows {
+            complaint = complaint.and(self.list_entry(now, &Line::read(row)));
+        }
+        self.steward.list_end(scope);
+        if scope != Scope::Kept {
+            self.steward.list_answered();
+        }
+        complaint
+    }
+
+    fn list_entry(&mut self, now: Time, row: &Line) -> Result<(), String> {
+        let health = match row.text("health")? {
+            "healthy" => Health::Ready,
+            "cordoned" => Health::Draining,
+            "deregistered" => Health::Gone,
+            value => return Err(format!("M: field health can't be read: {value:.80}")),
+        };
+        let boot = if row.text("boot_time_s").is_ok() { row.time("boot_time_s")? } else { 0 };
+        let be = self.be(row)?;
+        self.steward.list_entry(now, be, health, boot);
+        Ok(())
+    }
+
+    /// Writes one order as a line of the reply. Indices come from this instance's own tables.
+    fn put(&self, number: u32, order: &Order, reply: &mut String) {
+        let host = |be: &usize| self.bes.id(*be).copied().unwrap_or_default();
+        let i = format!("i=steward-{number}");
+        // Writing to a string can't fail.
+        let _ = match order {
+            Order::SetLine { slice, be } => {
+                writeln!(reply, "SET_LINE {i} map_id={slice} heft=1 host={}", host(be))
+            }
+            Order::DropLines { slice } => writeln!(reply, "DROP_LINES {i} map_id={slice}"),
+            Order::Level { slice, kinds, share } => {
+                let table = slice.unwrap_or(65_535);
+                writeln!(reply, "RATION {i} quota={share} only={kinds} retry_mode=0 map_id={table}")
+            }
+            Order::Withdraw { be, out } => {
+                writeln!(reply, "WITHDRAW {i} host={} active={}", host(be), u8::from(*out))
+            }
+            Order::Stamp { number } => writeln!(reply, "STAMP {i} number={number} active=1"),
+            Order::Watch => writeln!(reply, "STREAM_CHANGES {i} active=1"),
+            Order::Probe { be } => writeln!(reply, "HEALTH_CHECK {i} host={}", host(be)),
+            Order::Remind { at } => {
+                writeln!(reply, "REMIND {i} ctx=1 time_s={}.{:04}", at / SECOND, at % SECOND)
+            }
+        };
+    }
+}
--- /dev/null
+++ b/crates/steward/src/lib.rs
@@ -0,0 +1,133 @@
+//! The interface of the steward: what its host (a program, or the drill) hands in and gets back.
+//!
+//! All decisions are in [`rebalance`]. A host maps outside ids to small indices with [`IdTable`], calls one
+//! input method of [`Steward`] for each thing it learns, then pulls [`Order`]s until there is none.
+
+mod rebalance;
+
+use std::collections::HashMap;
+
+pub use rebalance::Steward;
+
+/// A time or a span, in whole tenths of a millisecond.
+pub type Time = i64;
+
+pub const SECOND: Time = 10_000;
+
+/// Seconds as they stand in settings and messages, as a [`Time`].
+pub fn from_seconds(seconds: f64) -> Time {
+    (seconds * SECOND as f64).round() as Time
+}
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How much of the server list a change brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Just the changed entries.
+    Changes,
+    /// The complete list.
+    Whole,
+    /// The complete list as last seen before a restart.
+    Kept,
+}
+
+/// One thing that the host is to carry out. Servers, slices and proxies are indices.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    SetLine {
+        slice: usize,
+        be: usize,
+    },
+    DropLines {
+        slice: usize,
+    },
+    /// The share of some request kinds (a bit each) let in; all slices where `slice` is `None`.
+    Level {
+        slice: Option<usize>,
+        kinds: u32,
+        share: f64,
+    },
+    Withdraw {
+        be: usize,
+        out: bool,
+    },
+    /// Ask every joined proxy to answer with this number.
+    Stamp {
+        number: u16,
+    },
+    /// Subscribe to the changes of the server list.
+    Watch,
+    /// Ask one server how it is.
+    Probe {
+        be: usize,
+    },
+    /// Call again at this time.
+    Remind {
+        at: Time,
+    },
+}
+
+/// The settings of a deployment: a plain map of names to values.
+#[derive(Clone, Debug, Default)]
+pub struct Settings(HashMap<String, String>);
+
+impl Settings {
+    pub fn set(&mut self, name: &str, value: &str) {
+        self.0.insert(name.to_owned(), value.to_owned());
+    }
+
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.0.get(name).map(String::as_str)
+    }
+
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.text(name)?.parse().ok().filter(|n: &f64| n.is_finite())
+    }
+
+    pub fn time(&self, name: &str) -> Option<Time> {
+        self.number(name).map(from_seconds)
+    }
+
+    pub fn flag(&self, name: &str) -> bool {
+        matches!(self.text(name), Some("true" | "1"))
+    }
+}
+
+/// Maps outside ids to small indices, in the order in which they are first met.
+#[derive(Clone, Debug)]
+pub struct IdTable<K> {
+    index: HashMap<K, usize>,
+    ids: Vec<K>,
+}
+
+impl<K> Default for IdTable<K> {
+    fn default() -> Self {
+        IdTable { index: HashMap::new(), ids: Vec::new() }
+    }
+}
+
+impl<K: Clone + Eq + std::hash::Hash> IdTable<K> {
+    pub fn index(&mut self, id: &K) -> usize {
+        if let Some(&known) = self.index.get(id) {
+            return known;
+        }
+        self.index.insert(id.clone(), self.ids.len());
+        self.ids.push(id.clone());
+        self.ids.len() - 1
+    }
+
+    pub fn find(&self, id: &K) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    pub fn id(&self, index: usize) -> Option<&K> {
+        self.ids.get(index)
+    }
+}
--- /dev/null
+++ b/crates/steward/src/rebalance.rs
@@ -0,0 +1,584 @@
+//! The decisions of a steward: which server owns each slice, and how a slice moves.
+//!
+//! The host builds a [`Steward`] with its settings, calls one input method for each thing it learns (these only
+//! update what is known), then pulls [`Order`]s with [`Steward::next_order`] until there is none. Types, settings
+//! and id tables are in `lib.rs`; `docs/design.md` tells what is kept of the source and when exceptions act.
+
+use std::collections::VecDeque;
+
+use crate::{Health, Order, Scope, Settings, Time, SECOND};
+
+#[derive(Clone, Debug)]
+struct Be {
+    listed: bool,
+    health: Health,
+    boot: Time,
+    /// When this steward learned that it drains, is gone or has restarted.
+    told: Time,
+    /// Slices of this steward that it held at the first map or take-over; moves compare with that.
+    start: usize,
+    /// When it was last granted a slice.
+    granted: Time,
+    tries: VecDeque<Tries>,
+    suspect_until: Time,
+}
+
+/// One report of what proxies met at a server, or of what came for a slice.
+#[derive(Clone, Debug)]
+struct Tries {
+    at: Time,
+    kind: usize,
+    count: f64,
+    failed: f64,
+    window: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Proxy {
+    joined: bool,
+    /// When its stream broke, or, unseen so far, when this steward started.
+    down: Time,
+    /// The last mark written to it on this stream.
+    marked: u64,
+    answered: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Owned,
+    HandingOff { mark: u64, waiting: Vec<usize> },
+    Settling,
+}
+
+#[derive(Clone, Debug)]
+struct Slice {
+    mine: bool,
+    given: Time,
+    owner: Option<usize>,
+    state: State,
+    /// No write of an earlier owner is in hand from here on; `None` until every proxy has answered.
+    quiet: Option<Time>,
+    /// Its owner restarted: whatever it held has stopped.
+    stopped: bool,
+    heat: VecDeque<Tries>,
+}
+
+/// One turn in the ledger: when, the lines it put into the channel, and its mark.
+#[derive(Clone, Debug)]
+struct Turn {
+    at: Time,
+    lines: f64,
+    mark: u64,
+}
+
+pub struct Steward {
+    cfg: Settings,
+    rng: fastrand::Rng,
+    bes: Vec<Be>,
+    proxies: Vec<Proxy>,
+    slices: Vec<Slice>,
+    turns: VecDeque<Turn>,
+    mark: u64,
+    out: VecDeque<Order>,
+    news: bool,
+    started: Time,
+    wake: Time,
+    tick: Time,
+    /// The list has been heard of since the start, beyond what was kept from before.
+    fresh_list: bool,
+    watching: bool,
+    ask_at: Time,
+}
+
+impl Steward {
+    /// Fails with the name of a setting that it can't do without.
+    pub fn new(now: Time, seed: u64, cfg: Settings) -> Result<Steward, &'static str> {
+        let slices = cfg.number("family_info.ranges").ok_or("family_info.ranges")? as usize;
+        let needed = ["family_info.write_lease_s", "family_info.settle_s", "family_info.channel_rate"];
+        if let Some(name) = needed.into_iter().find(|name| slices > 0 && cfg.time(name).is_none()) {
+            return Err(name);
+        }
+        let slice = Slice {
+            mine: false,
+            given: now,
+            owner: None,
+            state: State::Settling,
+            quiet: None,
+            stopped: false,
+            heat: VecDeque::new(),
+        };
+        let mut steward = Steward {
+            rng: fastrand::Rng::with_seed(seed),
+            bes: Vec::new(),
+            proxies: Vec::new(),
+            slices: vec![slice; slices.min(65_535)],
+            turns: VecDeque::new(),
+            mark: 0,
+            out: VecDeque::new(),
+            news: true,
+            started: now,
+            wake: now,
+            tick: now,
+            fresh_list: false,
+            watching: cfg.text("discovery") != Some("on_request"),
+            ask_at: now,
+            cfg,
+        };
+        let expected = steward.cfg.number("family_info.proxy_count").unwrap_or(0.0) as usize;
+        if let Some(last) = expected.min(65_536).checked_sub(1) {
+            steward.proxy(last);
+        }
+        Ok(steward)
+    }
+
+    fn be(&mut self, be: usize) -> &mut Be {
+        while self.bes.len() <= be {
+            self.bes.push(Be {
+                listed: false,
+                health: Health::Gone,
+                boot: 0,
+                told: self.started,
+                start: 0,
+                granted: Time::MIN / 2,
+                tries: VecDeque::new(),
+                suspect_until: Time::MIN,
+            });
+        }
+        &mut self.bes[be]
+    }
+
+    fn proxy(&mut self, proxy: usize) -> &mut Proxy {
+        while self.proxies.len() <= proxy {
+            self.proxies.push(Proxy { joined: false, down: self.started, marked: 0, answered: 0 });
+        }
+        &mut self.proxies[proxy]
+    }
+
+    /// The list follows, entry by entry; `list_end` closes it.
+    pub fn list_begin(&mut self, now: Time, scope: Scope) {
+        self.news = true;
+        if scope == Scope::Changes {
+            return;
+        }
+        // A server absent from a complete list is gone; those still there follow at once.
+        for be in self.bes.iter_mut().filter(|be| be.listed) {
+            be.listed = false;
+            if be.health == Health::Ready {
+                be.told = now;
+            }
+        }
+    }
+
+    pub fn list_entry(&mut self, now: Time, be: usize, health: Health, boot: Time) {
+        let entry = self.be(be);
+        if health != Health::Ready && entry.health == Health::Ready {
+            entry.told = now;
+        }
+        // A restart stops what the server held, whether or not the list ever showed it gone.
+        let restarted = boot > entry.boot && entry.health == Health::Ready;
+        entry.listed = true;
+        entry.health = health;
+        entry.boot = boot;
+        if restarted {
+            self.be(be).told = now;
+            self.slices
+                .iter_mut()
+                .filter(|slice| slice.owner == Some(be))
+                .for_each(|slice| slice.stopped = true);
+        }
+    }
+
+    pub fn list_end(&mut self, scope: Scope) {
+        for be in self.bes.iter_mut().filter(|be| !be.listed) {
+            be.health = Health::Gone;
+        }
+        if scope != Scope::Kept {
+            self.fresh_list = true;
+        }
+    }
+
+    pub fn list_answered(&mut self) {
+        self.news = true;
+        self.watching = true;
+    }
+
+    pub fn list_failed(&mut self, now: Time) {
+        self.news = true;
+        // Asks again soon, spread so that stewards that failed together don't all come back at once; well
+        // under the time after which the rules take a silent steward as told.
+        self.watching = self.cfg.text("discovery") != Some("on_request");
+        self.ask_at = now + SECOND / 4 + self.rng.i64(0..SECOND / 2);
+    }
+
+    pub fn joined(&mut self, proxy: usize) {
+        self.news = true;
+        let entry = self.proxy(proxy);
+        entry.joined = true;
+        entry.marked = 0;
+    }
+
+    pub fn stream_down(&mut self, now: Time, proxy: usize) {
+        self.news = true;
+        let entry = self.proxy(proxy);
+        entry.joined = false;
+        entry.down = now;
+    }
+
+    pub fn installed(&mut self, proxy: usize, number: u16) {
+        self.news = true;
+        // Marks travel modulo 65536: the answer is to the latest mark with this number.
+        let back = self.mark.wrapping_sub(u64::from(number)) % 65_536;
+        let mark = self.mark.saturating_sub(back);
+        let entry = self.proxy(proxy);
+        entry.answered = entry.answered.max(mark);
+    }
+
+    pub fn given(&mut self, now: Time, slice: usize) {
+        self.news = true;
+        if let Some(entry) = self.slices.get_mut(slice) {
+            entry.mine = true;
+            entry.given = now;
+            entry.owner = None;
+            entry.state = State::Settling;
+            entry.stopped = false;
+            // An empty record was mid-move under a steward before us: wait one lease, then let it settle.
+            let wait = self.cfg.time("family_info.write_lease_s").unwrap_or(0)
+                + self.cfg.time("family_info.settle_s").unwrap_or(0);
+            entry.quiet = Some(now + wait);
+        }
+    }
+
+    pub fn on_record(&mut self, slice: usize, be: usize) {
+        self.be(be).start += 1;
+        if let Some(entry) = self.slices.get_mut(slice) {
+            entry.owner = Some(be);
+            entry.state = State::Owned;
+        }
+    }
+
+    pub fn taken(&mut self, slice: usize) {
+        self.news = true;
+        if let Some(entry) = self.slices.get_mut(slice) {
+            entry.mine = false;
+            if let Some(owner) = entry.owner.take() {
+                self.bes[owner].start = self.bes[owner].start.saturating_sub(1);
+            }
+        }
+    }
+
+    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, window: Time) {
+        self.news = true;
+        let tries = &mut self.be(be).tries;
+        tries.push_back(Tries { at: now, kind: 0, count, failed, window });
+        // The last dozen: some seconds of reports from every zone.
+        if tries.len() > 12 {
+            tries.pop_front();
+        }
+    }
+
+    pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
+        self.news = true;
+        if let Some(entry) = self.slices.get_mut(slice) {
+            entry.heat.push_back(Tries { at: now, kind, count, failed: 0.0, window });
+            // A few samples of each request kind.
+            if entry.heat.len() > 8 {
+                entry.heat.pop_front();
+            }
+        }
+    }
+
+    pub fn reminder(&mut self) {
+        self.news = true;
+    }
+
+    /// The next thing to carry out, or none for now.
+    pub fn next_order(&mut self, now: Time) -> Option<Order> {
+        if self.out.is_empty() && self.news {
+            self.news = false;
+            self.decide(now);
+        }
+        self.out.pop_front()
+    }
+
+    fn decide(&mut self, now: Time) {
+        // Deadlines (leases, settling, the ledger's window) are looked at this often.
+        const BEAT: Time = SECOND / 10;
+        if now >= self.wake {
+            self.wake = now + BEAT;
+            self.out.push_back(Order::Remind { at: self.wake });
+        }
+        if !self.watching && now >= self.ask_at {
+            self.out.push_back(Order::Watch);
+            // Unless answered by then it asks once more.
+            self.ask_at = now + self.cfg.time("safety.ask_within_s").unwrap_or(10 * SECOND);
+        }
+        self.suspect(now);
+        self.settle(now);
+        let orders = self.turn(now);
+        self.out.extend(orders);
+    }
+
+    /// Hand-overs that every proxy has answered, or whose lease has run out, begin to settle.
+    fn settle(&mut self, now: Time) {
+        let lease = self.cfg.time("family_info.write_lease_s").unwrap_or(0);
+        let settle = self.cfg.time("family_info.settle_s").unwrap_or(0);
+        for slice in self.slices.iter_mut().filter(|slice| slice.mine) {
+            let State::HandingOff { mark, waiting } = &mut slice.state else { continue };
+            waiting.retain(|&proxy| {
+                let proxy = &self.proxies[proxy];
+                let broke = !proxy.joined && now >= proxy.down.max(slice.given) + lease;
+                proxy.answered < *mark && !broke
+            });
+            if waiting.is_empty() {
+                slice.state = State::Settling;
+                // A slice that was open to reads alone has had no write since the earlier hand-over.
+                slice.quiet = Some(slice.quiet.unwrap_or(now + settle));
+            }
+        }
+    }
+
+    /// A server at which nothing succeeds any more, though the list still shows it.
+    fn suspect(&mut self, now: Time) {
+        for be in &mut self.bes {
+            // Three seconds hold several reports; eight tries make chance failures unlikely.
+            let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < 3 * SECOND).collect();
+            let count: f64 = recent.iter().map(|t| t.count).sum();
+            let failed: f64 = recent.iter().map(|t| t.failed).sum();
+            if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count {
+                // As long as the list usually needs to notice a silent machine.
+                be.suspect_until = now + 15 * SECOND;
+            }
+        }
+    }
+
+    fn suspects(&self, now: Time) -> usize {
+        self.bes.iter().filter(|be| be.health == Health::Ready && now < be.suspect_until).count()
+    }
+
+    fn ready(&self) -> usize {
+        self.bes.iter().filter(|be| be.health == Health::Ready).count()
+    }
+
+    fn held(&self, be: usize) -> usize {
+        self.slices.iter().filter(|slice| slice.mine && slice.owner == Some(be)).count()
+    }
+
+    /// Reqs a second that come for a slice.
+    fn rate(&self, slice: usize) -> f64 {
+        let (mut count, mut window) = ([0.0; 32], [0; 32]);
+        for sample in self.slices[slice].heat.iter().filter(|sample| sample.kind < 32) {
+            count[sample.kind] += sample.count;
+            window[sample.kind] += sample.window;
+        }
+        (0..32).filter(|&k| window[k] > 0).map(|k| count[k] * SECOND as f64 / window[k] as f64).sum()
+    }
+
+    /// The share of its capacity that a server has at least, from when it started.
+    fn present(&self, be: usize, now: Time) -> f64 {
+        let from = self.cfg.number("safety.cold_from").unwrap_or(1.0);
+        let ramp = self.cfg.time("safety.cold_s").unwrap_or(0).max(1);
+        match self.bes[be].boot {
+            0 => 1.0,
+            boot => (from + (1.0 - from) * (now - boot) as f64 / ramp as f64).clamp(from, 1.0),
+        }
+    }
+
+    /// Request kinds that write, a bit each.
+    fn writing(&self) -> u32 {
+        let flags = self.cfg.text("family_info.mutating").unwrap_or("");
+        flags.split(',').enumerate().filter(|(k, flag)| *k < 32 && *flag == "true").map(|(k, _)| 1 << k).sum()
+    }
+
+    /// The server to grant a slice to: the one with the fewest slices of this steward among those fit for it.
+    fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
+        let ready: Vec<usize> =
+            (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready).collect();
+        let total: f64 = (0..self.slices.len()).filter(|&s| self.slices[s].mine).map(|s| self.rate(s)).sum();
+        let mean = total / ready.len().max(1) as f64;
+        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
+        let multiple = self.cfg.number("safety.fall_multiple").unwrap_or(1.0);
+        let warm = |be: usize| {
+            let present = self.present(be, now);
+            if present >= 1.0 {
+                return true;
+            }
+            // A started server gets one slice a tick, and never more than half of what it can stand: its
+            // capacity is taken as the mean traffic of a server, all stewards together filling it.
+            let load: f64 = (0..self.slices.len())
+                .filter(|&s| self.slices[s].mine && self.slices[s].owner == Some(be))
+                .map(|s| self.rate(s))
+                .sum();
+            let budget = 0.5 * multiple * present * mean / stewards;
+            now - self.bes[be].granted >= Self::TICK && load + self.rate(slice) <= budget
+        };
+        let trusted = |be: usize| now >= self.bes[be].suspect_until;
+        let pick = |fit: &dyn Fn(usize) -> bool| {
+            ready.iter().copied().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
+        };
+        // Never empties the fleet: a doubtful server is better than none.
+        pick(&|be| warm(be) && trusted(be))
+            .or_else(|| pick(&warm))
+            .or_else(|| pick(&trusted))
+            .or_else(|| pick(&|_| true))
+    }
+
+    /// The guide's strategy tick.
+    const TICK: Time = 2 * SECOND;
+
+    /// Slices that are to leave their owners, the ones that can't wait first, and how many of those there are.
+    fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
+        let held = |slice: &Slice| slice.mine && !matches!(slice.state, State::HandingOff { .. });
+        let mut leaving: Vec<usize> = (0..self.slices.len())
+            .filter(|&s| {
+                let slice = &self.slices[s];
+                let unfit = |be: usize| {
+                    self.bes[be].health != Health::Ready && (self.bes[be].listed || self.fresh_list)
+                };
+                held(slice) && slice.owner.is_some_and(|be| slice.stopped || unfit(be))
+            })
+            .collect();
+        let urgent = leaving.len();
+        // Many suspects at once point to a bad view rather than bad servers: then nothing moves.
+        if self.suspects(now) * 4 <= self.ready() {
+            leaving.extend((0..self.slices.len()).filter(|&s| {
+                let slice = &self.slices[s];
+                held(slice)
+                    && slice.owner.is_some_and(|be| {
+                        let be = &self.bes[be];
+                        be.health == Health::Ready && now < be.suspect_until
+                    })
+            }));
+        }
+        if now - self.tick >= Self::TICK && leaving.is_empty() {
+            self.tick = now;
+            leaving.extend(self.imbalance(now));
+        }
+        (leaving, urgent)
+    }
+
+    /// Moves one slice off a server that gained some, toward one below its start.
+    fn imbalance(&self, now: Time) -> Option<usize> {
+        // The design's starting values: threshold 2 slices, 3 moves in flight.
+        const THRESHOLD: isize = 2;
+        const IN_FLIGHT: usize = 3;
+        let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
+        if moving >= IN_FLIGHT {
+            return None;
+        }
+        let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
+        let fit = |be: &usize| {
+            let entry = &self.bes[*be];
+            entry.health == Health::Ready && now >= entry.suspect_until && self.present(*be, now) >= 1.0
+        };
+        let below = (0..self.bes.len()).filter(fit).min_by_key(|&be| (gain(be), be))?;
+        let above = (0..self.bes.len()).filter(fit).max_by_key(|&be| (gain(be), be))?;
+        if gain(below) >= 0 || gain(above) <= 0 || gain(above) - gain(below) < THRESHOLD {
+            return None;
+        }
+        let mut slices = (0..self.slices.len()).filter(|&s| {
+            self.slices[s].mine && self.slices[s].owner == Some(above) && self.slices[s].state == State::Owned
+        });
+        slices.next()
+    }
+
+    /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
+    fn turn(&mut self, now: Time) -> Vec<Order> {
+        let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
+        let (leaving, urgent) = self.leaving(now);
+        let room = self.room(now, joined, urgent > 0);
+        let mut orders = Vec::new();
+        if room == 0 {
+            return orders;
+        }
+        let lease = self.cfg.time("family_info.write_lease_s").unwrap_or(0);
+        let writing = self.writing();
+        let mark = self.mark + 1;
+        let mut moving = 0;
+        for s in leaving.into_iter().take(room / 2) {
+            moving += 1;
+            let slice = &mut self.slices[s];
+            // What was open to reads alone keeps the end of its earlier settling.
+            if slice.state == State::Owned {
+                slice.quiet = None;
+            }
+            slice.owner = None;
+            slice.stopped = false;
+            slice.state = State::HandingOff { mark, waiting: (0..self.proxies.len()).collect() };
+            orders.push(Order::DropLines { slice: s });
+        }
+        for s in 0..self.slices.len() {
+            if orders.len() + 2 > room {
+                break;
+            }
+            let slice = &self.slices[s];
+            if !slice.mine || slice.state != State::Settling {
+                continue;
+            }
+            let quiet = slice.quiet.is_some_and(|at| now >= at);
+            if slice.owner.is_none() {
+                // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
+                let reads = writing != 0 && self.cfg.text("family_info.admit") != Some("none");
+                if !quiet && (!reads || now < slice.given + lease) {
+                    continue;
+                }
+                let Some(be) = self.fewest(now, s) else { continue };
+                self.bes[be].granted = now;
+                self.slices[s].owner = Some(be);
+                orders.push(Order::SetLine { slice: s, be });
+                if !quiet {
+                    orders.push(Order::Level { slice: Some(s), kinds: writing, share: 0.0 });
+                }
+            } else if quiet {
+                orders.push(Order::Level { slice: Some(s), kinds: writing, share: 1.0 });
+            }
+            if quiet {
+                self.slices[s].state = State::Owned;
+                self.slices[s].quiet = None;
+            }
+        }
+        // A proxy that rejoined with an answer still due gets a fresh mark.
+        let due = |slice: &Slice| match &slice.state {
+            State::HandingOff { mark, waiting } => waiting.iter().any(|&p| {
+                let proxy = &self.proxies[p];
+                proxy.joined && proxy.marked < *mark && moving == 0
+            }),
+            _ => false,
+        };
+        if !orders.is_empty() || self.slices.iter().any(|slice| slice.mine && due(slice)) {
+            self.mark = mark;
+            orders.push(Order::Stamp { number: (mark % 65_536) as u16 });
+            let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
+            self.turns.push_back(Turn { at: now, lines: joined as f64 * (head + orders.len() as f64), mark });
+            self.proxies.iter_mut().filter(|proxy| proxy.joined).for_each(|proxy| proxy.marked = mark);
+        }
+        orders
+    }
+
+    /// The one ledger: lines a proxy that a turn may write now.
+    fn room(&mut self, now: Time, joined: usize, urgent: bool) -> usize {
+        let window = self.cfg.time("family_info.update_window_s").unwrap_or(10 * SECOND) + SECOND / 10;
+        while self.turns.front().is_some_and(|turn| now - turn.at >= window) {
+            self.turns.pop_front();
+        }
+        let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
+        if allowed > 0 {
+            // A third is kept for drains; the rest is spread so that a burst doesn't use it up.
+            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= window / allowed as i64 / 2);
+            let most = if urgent { allowed } else { allowed - allowed / 3 };
+            if self.turns.len() >= most || !(urgent || spaced) {
+                return 0;
+            }
+        }
+        // Whatever was answered has left the channel, and all before it; the rest counts as waiting.
+        let answered = self.proxies.iter().map(|proxy| proxy.answered).max().unwrap_or(0);
+        let waiting: f64 = self.turns.iter().filter(|turn| turn.mark > answered).map(|turn| turn.lines).sum();
+        let most = self.cfg.number("family_info.pending_max").unwrap_or(f64::INFINITY);
+        let share = if urgent { 0.9 } else { 0.5 };
+        let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
+        let room = (share * most - waiting) / joined.max(1) as f64 - head - 1.0;
+        room.clamp(0.0, 65_535.0) as usize
+    }
+}
+
+#[cfg(test)]
+mod tests;
