--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -239,9 +239,9 @@
             }
             "TRAFFIC_REPORT" => {
                 let (count, failed) = (line.number("tries_n")?, line.number("failed")?);
-                let window = line.time("window_s")?;
+                let (took, window) = (line.time("took_s")?, line.time("window_s")?);
                 let be = self.be(line)?;
-                self.steward.traffic(now, be, count, failed, window);
+                self.steward.traffic(now, be, count, failed, took, window);
             }
             "HOTNESS" => {
                 let name = line.text("qos")?;
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -21,6 +21,8 @@
     granted: Time,
     tries: VecDeque<Tries>,
     suspect_until: Time,
+    /// The share of the reqs for its slices that is let in.
+    level: f64,
 }
 
 /// One report of what proxies met at a server, or of what came for a slice.
@@ -30,6 +32,7 @@
     kind: usize,
     count: f64,
     failed: f64,
+    took: Time,
     window: Time,
 }
 
@@ -61,8 +64,13 @@
     /// Its owner restarted: whatever it held has stopped.
     stopped: bool,
     heat: VecDeque<Tries>,
+    /// The share let in of each request kind, as last ordered; those not named are open.
+    levels: [f64; KINDS],
 }
 
+/// Request kinds told apart, as many as the wire's masks hold.
+const KINDS: usize = 32;
+
 /// One turn in the ledger: when, the lines it put into the channel, and its mark.
 #[derive(Clone, Debug)]
 struct Turn {
@@ -106,6 +114,7 @@
             quiet: None,
             stopped: false,
             heat: VecDeque::new(),
+            levels: [1.0; KINDS],
         };
         let mut steward = Steward {
             rng: fastrand::Rng::with_seed(seed),
@@ -142,6 +151,7 @@
                 granted: Time::MIN / 2,
                 tries: VecDeque::new(),
                 suspect_until: Time::MIN,
+                level: 1.0,
             });
         }
         &mut self.bes[be]
@@ -245,6 +255,7 @@
             let wait = self.cfg.time("family_info.write_lease_s").unwrap_or(0)
                 + self.cfg.time("family_info.settle_s").unwrap_or(0);
             entry.quiet = Some(now + wait);
+            entry.levels = [1.0; KINDS];
         }
     }
 
@@ -266,10 +277,10 @@
         }
     }
 
-    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, window: Time) {
+    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, window: Time) {
         self.news = true;
         let tries = &mut self.be(be).tries;
-        tries.push_back(Tries { at: now, kind: 0, count, failed, window });
+        tries.push_back(Tries { at: now, kind: 0, count, failed, took, window });
         // The last dozen: some seconds of reports from every zone.
         if tries.len() > 12 {
             tries.pop_front();
@@ -279,7 +290,7 @@
     pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
         self.news = true;
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.heat.push_back(Tries { at: now, kind, count, failed: 0.0, window });
+            entry.heat.push_back(Tries { at: now, kind, count, failed: 0.0, took: 0, window });
             // A few samples of each request kind.
             if entry.heat.len() > 8 {
                 entry.heat.pop_front();
@@ -363,14 +374,68 @@
         self.slices.iter().filter(|slice| slice.mine && slice.owner == Some(be)).count()
     }
 
-    /// Reqs a second that come for a slice.
-    fn rate(&self, slice: usize) -> f64 {
-        let (mut count, mut window) = ([0.0; 32], [0; 32]);
-        for sample in self.slices[slice].heat.iter().filter(|sample| sample.kind < 32) {
+    /// Reqs a second that come for a slice, of each request kind.
+    fn rates(&self, slice: usize) -> [f64; KINDS] {
+        let (mut count, mut window) = ([0.0; KINDS], [0; KINDS]);
+        for sample in self.slices[slice].heat.iter().filter(|sample| sample.kind < KINDS) {
             count[sample.kind] += sample.count;
             window[sample.kind] += sample.window;
         }
-        (0..32).filter(|&k| window[k] > 0).map(|k| count[k] * SECOND as f64 / window[k] as f64).sum()
+        std::array::from_fn(|k| count[k] * SECOND as f64 / window[k].max(1) as f64)
+    }
+
+    fn rate(&self, slice: usize) -> f64 {
+        self.rates(slice).iter().sum()
+    }
+
+    fn kinds(&self) -> usize {
+        self.cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize
+    }
+
+    /// Each tick: a server whose good answers come late is sent less, one that answers in time more.
+    fn levels(&mut self, now: Time) {
+        let target = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s"))).min();
+        let Some(target) = target.filter(|_| self.cfg.text("family_info.admit") == Some("ratio")) else {
+            return;
+        };
+        let span = self.cfg.time("family_info.cycle_s").unwrap_or(0) + Self::TICK;
+        for be in &mut self.bes {
+            let recent = || be.tries.iter().filter(|t| now - t.at < span);
+            let good: f64 = recent().map(|t| t.count - t.failed).sum();
+            let took: f64 = recent().map(|t| (t.count - t.failed) * t.took as f64).sum();
+            if good > 0.0 && took > 0.5 * good * target as f64 {
+                be.level = (be.level * 0.75).max(0.1);
+            } else if took < 0.35 * good * target as f64 || good == 0.0 {
+                be.level = (be.level + 0.1).min(1.0);
+            }
+        }
+    }
+
+    /// The share of each request kind that a slice should let in.
+    fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
+        let mut wanted = [1.0; KINDS];
+        let kinds = self.kinds();
+        let level = self.slices[slice].owner.map_or(1.0, |be| self.bes[be].level);
+        if level < 1.0 {
+            // The dearest credit is let in first, the cheapest gets what is left.
+            let credit = |k: usize| self.cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
+            let mut order: Vec<usize> = (0..kinds).collect();
+            order.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
+            let rates = self.rates(slice);
+            let mut left = level * rates.iter().sum::<f64>();
+            for k in order {
+                // In twentieths, so that small changes write no lines.
+                wanted[k] = if rates[k] > 0.0 {
+                    (left / rates[k] * 20.0).floor().clamp(0.0, 20.0) / 20.0
+                } else {
+                    1.0
+                };
+                left = (left - rates[k]).max(0.0);
+            }
+        }
+        let writing = self.writing();
+        (0..kinds).filter(|k| !quiet && writing & (1 << k) != 0).for_each(|k| wanted[k] = 0.0);
+        wanted
     }
 
     /// The share of its capacity that a server has at least, from when it started.
@@ -449,9 +514,12 @@
                     })
             }));
         }
-        if now - self.tick >= Self::TICK && leaving.is_empty() {
+        if now - self.tick >= Self::TICK {
             self.tick = now;
-            leaving.extend(self.imbalance(now));
+            self.levels(now);
+            if leaving.is_empty() {
+                leaving.extend(self.imbalance(now));
+            }
         }
         (leaving, urgent)
     }
@@ -507,14 +575,14 @@
             orders.push(Order::DropLines { slice: s });
         }
         for s in 0..self.slices.len() {
-            if orders.len() + 2 > room {
+            if orders.len() + 1 + self.kinds() > room {
                 break;
             }
             let slice = &self.slices[s];
-            if !slice.mine || slice.state != State::Settling {
+            if !slice.mine || matches!(slice.state, State::HandingOff { .. }) {
                 continue;
             }
-            let quiet = slice.quiet.is_some_and(|at| now >= at);
+            let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
                 let reads = writing != 0 && self.cfg.text("family_info.admit") != Some("none");
@@ -524,13 +592,14 @@
                 let Some(be) = self.fewest(now, s) else { continue };
                 self.bes[be].granted = now;
                 self.slices[s].owner = Some(be);
+                self.slices[s].levels = [1.0; KINDS];
                 orders.push(Order::SetLine { slice: s, be });
-                if !quiet {
-                    orders.push(Order::Level { slice: Some(s), kinds: writing, share: 0.0 });
-                }
-            } else if quiet {
-                orders.push(Order::Level { slice: Some(s), kinds: writing, share: 1.0 });
             }
+            let wanted = self.wanted(s, quiet);
+            for k in (0..self.kinds()).filter(|&k| wanted[k] != self.slices[s].levels[k]) {
+                orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share: wanted[k] });
+            }
+            self.slices[s].levels = wanted;
             if quiet {
                 self.slices[s].state = State::Owned;
                 self.slices[s].quiet = None;
