Mark a line open to reads alone on record, so a restarted steward closes writes again

Cause: the steward restarted 0.5 to 1.5 s after a read grant; the store resets levels, so writes opened inside the settling pause. Told apart from a too short settling pause by the record: the level order was lost, the line was not. Change: the line's weight below 1 says 'reads alone'; on GIVEN the steward closes writes in the same reply and settles anew. Also guards take-overs by another steward; harms by one more settling pause for slices that were about to open.

--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -234,8 +234,9 @@
             }
             "ON_RECORD" => {
                 let slice = self.slice(line)?;
+                let weight = line.number("heft")?;
                 let be = self.be(line)?;
-                self.steward.on_record(slice, be);
+                self.steward.on_record(now, slice, be, weight);
             }
             "TRAFFIC_REPORT" => {
                 let (count, failed) = (line.number("tries_n")?, line.number("failed")?);
@@ -302,8 +303,8 @@
         let i = format!("i=steward-{number}");
         // Writing to a string can't fail.
         let _ = match order {
-            Order::SetLine { slice, be } => {
-                writeln!(reply, "SET_LINE {i} map_id={slice} heft=1 host={}", host(be))
+            Order::SetLine { slice, be, weight } => {
+                writeln!(reply, "SET_LINE {i} map_id={slice} heft={weight} host={}", host(be))
             }
             Order::DropLines { slice } => writeln!(reply, "DROP_LINES {i} map_id={slice}"),
             Order::Level { slice, kinds, share } => {
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -41,9 +41,11 @@
 /// One thing that the host is to carry out. Servers, slices and proxies are indices.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
+    /// Grants a slice. A weight below 1 stays on record with it: open to reads alone.
     SetLine {
         slice: usize,
         be: usize,
+        weight: f64,
     },
     DropLines {
         slice: usize,
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -259,11 +259,15 @@
         }
     }
 
-    pub fn on_record(&mut self, slice: usize, be: usize) {
+    pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
+        let settle = self.cfg.time("family_info.settle_s").unwrap_or(0);
         self.be(be).start += 1;
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.owner = Some(be);
-            entry.state = State::Owned;
+            // Guards against a steward that starts over while a slice settles: the store resets the levels that
+            // kept writes from the new owner, but the line's weight still tells.
+            (entry.state, entry.quiet) =
+                if weight < 1.0 { (State::Settling, Some(now + settle)) } else { (State::Owned, None) };
         }
     }
 
@@ -401,11 +405,13 @@
         let span = self.cfg.time("family_info.cycle_s").unwrap_or(0) + Self::TICK;
         for be in &mut self.bes {
             let recent = || be.tries.iter().filter(|t| now - t.at < span);
+            let count: f64 = recent().map(|t| t.count).sum();
             let good: f64 = recent().map(|t| t.count - t.failed).sum();
             let took: f64 = recent().map(|t| (t.count - t.failed) * t.took as f64).sum();
-            if good > 0.0 && took > 0.5 * good * target as f64 {
-                be.level = (be.level * 0.75).max(0.1);
-            } else if took < 0.35 * good * target as f64 || good == 0.0 {
+            // A full server turns reqs away at once and answers the rest late: both count as too much.
+            if count > 0.0 && (took > 0.5 * good * target as f64 || good < 0.7 * count) {
+                be.level = (be.level * (good / count).clamp(0.5, 0.75)).max(0.1);
+            } else if took < 0.35 * good * target as f64 || count == 0.0 {
                 be.level = (be.level + 0.1).min(1.0);
             }
         }
@@ -553,13 +559,20 @@
     fn turn(&mut self, now: Time) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
         let (leaving, urgent) = self.leaving(now);
-        let room = self.room(now, joined, urgent > 0);
+        let writing = self.writing();
+        let open = |slice: &Slice| {
+            let writes = (0..KINDS).any(|k| writing & (1 << k) != 0 && slice.levels[k] > 0.0);
+            slice.mine && slice.state == State::Settling && slice.owner.is_some() && writes
+        };
+        let urgent = urgent > 0 || self.slices.iter().any(open);
+        let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
             return orders;
         }
         let lease = self.cfg.time("family_info.write_lease_s").unwrap_or(0);
-        let writing = self.writing();
+        // The weight of a line that is open to reads alone; any below 1 serves, as a table has one line.
+        const READS_ONLY: f64 = 0.5;
         let mark = self.mark + 1;
         let mut moving = 0;
         for s in leaving.into_iter().take(room / 2) {
@@ -575,7 +588,7 @@
             orders.push(Order::DropLines { slice: s });
         }
         for s in 0..self.slices.len() {
-            if orders.len() + 1 + self.kinds() > room {
+            if orders.len() + 2 + self.kinds() > room {
                 break;
             }
             let slice = &self.slices[s];
@@ -593,7 +606,9 @@
                 self.bes[be].granted = now;
                 self.slices[s].owner = Some(be);
                 self.slices[s].levels = [1.0; KINDS];
-                orders.push(Order::SetLine { slice: s, be });
+                orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
+            } else if quiet && slice.state == State::Settling {
+                orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
             let wanted = self.wanted(s, quiet);
             for k in (0..self.kinds()).filter(|&k| wanted[k] != self.slices[s].levels[k]) {
