--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -285,8 +285,8 @@
         self.news = true;
         let tries = &mut self.be(be).tries;
         tries.push_back(Tries { at: now, kind: 0, count, failed, took, window });
-        // The last dozen: some seconds of reports from every zone.
-        if tries.len() > 12 {
+        // Some seconds of reports from every zone.
+        if tries.len() > 24 {
             tries.pop_front();
         }
     }
@@ -402,8 +402,10 @@
         let Some(target) = target.filter(|_| self.cfg.text("family_info.admit") == Some("ratio")) else {
             return;
         };
-        let span = self.cfg.time("family_info.cycle_s").unwrap_or(0) + Self::TICK;
-        for be in &mut self.bes {
+        let span = self.span();
+        for b in 0..self.bes.len() {
+            let cap = self.cap(b, now);
+            let be = &mut self.bes[b];
             let recent = || be.tries.iter().filter(|t| now - t.at < span);
             let count: f64 = recent().map(|t| t.count).sum();
             let good: f64 = recent().map(|t| t.count - t.failed).sum();
@@ -414,6 +416,7 @@
             } else if took < 0.35 * good * target as f64 || count == 0.0 {
                 be.level = (be.level + 0.1).min(1.0);
             }
+            be.level = be.level.min(cap);
         }
     }
 
@@ -464,33 +467,48 @@
     fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
         let ready: Vec<usize> =
             (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready).collect();
-        let total: f64 = (0..self.slices.len()).filter(|&s| self.slices[s].mine).map(|s| self.rate(s)).sum();
-        let mean = total / ready.len().max(1) as f64;
-        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
-        let multiple = self.cfg.number("safety.fall_multiple").unwrap_or(1.0);
+        // A started server gets one slice a tick, within what it can stand.
         let warm = |be: usize| {
-            let present = self.present(be, now);
-            if present >= 1.0 {
-                return true;
-            }
-            // A started server gets one slice a tick, and never more than half of what it can stand: its
-            // capacity is taken as the mean traffic of a server, all stewards together filling it.
-            let load: f64 = (0..self.slices.len())
-                .filter(|&s| self.slices[s].mine && self.slices[s].owner == Some(be))
-                .map(|s| self.rate(s))
-                .sum();
-            let budget = 0.5 * multiple * present * mean / stewards;
-            now - self.bes[be].granted >= Self::TICK && load + self.rate(slice) <= budget
+            let budget = self.budget(be, now);
+            budget.is_infinite()
+                || now - self.bes[be].granted >= Self::TICK && self.load(be) + self.rate(slice) <= budget
         };
-        let trusted = |be: usize| now >= self.bes[be].suspect_until;
+        let trusted = |be: usize| now >= self.bes[be].suspect_until && self.bes[be].level >= 1.0;
         let pick = |fit: &dyn Fn(usize) -> bool| {
             ready.iter().copied().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
-        // Never empties the fleet: a doubtful server is better than none.
-        pick(&|be| warm(be) && trusted(be))
-            .or_else(|| pick(&warm))
-            .or_else(|| pick(&trusted))
-            .or_else(|| pick(&|_| true))
+        // Never empties the fleet: a doubtful server is better than none, a cold one the last resort.
+        pick(&|be| warm(be) && trusted(be)).or_else(|| pick(&warm)).or_else(|| pick(&|_| true))
+    }
+
+    /// Reqs a second that come for the slices of this steward at a server.
+    fn load(&self, be: usize) -> f64 {
+        let held = |&s: &usize| self.slices[s].mine && self.slices[s].owner == Some(be);
+        (0..self.slices.len()).filter(held).map(|s| self.rate(s)).sum()
+    }
+
+    /// Reqs a second that a cold server may be brought. Half of what would push it over, as its keys are new to it
+    /// and cost more; its full capacity is taken as no more than what servers get done on average now.
+    fn budget(&self, be: usize, now: Time) -> f64 {
+        let present = self.present(be, now);
+        if present >= 1.0 {
+            return f64::INFINITY;
+        }
+        let span = self.span();
+        let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
+        let done: f64 = recent.map(|t| t.count - t.failed).sum();
+        let mean = done * SECOND as f64 / span as f64 / self.ready().max(1) as f64;
+        0.5 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * mean
+    }
+
+    /// How far back reports are looked at: a tick of them, whatever the time between two.
+    fn span(&self) -> Time {
+        self.cfg.time("family_info.cycle_s").unwrap_or(0) + Self::TICK
+    }
+
+    /// The share of its reqs that keeps a cold server within its budget.
+    fn cap(&self, be: usize, now: Time) -> f64 {
+        (self.budget(be, now) / self.load(be).max(1e-6)).min(1.0)
     }
 
     /// The guide's strategy tick.
@@ -605,6 +623,7 @@
                 let Some(be) = self.fewest(now, s) else { continue };
                 self.bes[be].granted = now;
                 self.slices[s].owner = Some(be);
+                self.bes[be].level = self.bes[be].level.min(self.cap(be, now));
                 self.slices[s].levels = [1.0; KINDS];
                 orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
             } else if quiet && slice.state == State::Settling {
