--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -240,16 +240,21 @@
             }
             "TRAFFIC_REPORT" => {
                 let (count, failed) = (line.number("tries_n")?, line.number("failed")?);
-                let (took, window) = (line.time("took_s")?, line.time("window_s")?);
+                let took = line.time("took_s")?;
+                let loads = line.text("feedback").unwrap_or("").split(',');
+                let util =
+                    loads.filter_map(|load| load.split_once(':')).find(|(name, _)| *name == "cpu_share");
+                let util =
+                    util.and_then(|(_, value)| value.parse().ok()).filter(|util: &f64| util.is_finite());
                 let be = self.be(line)?;
-                self.steward.traffic(now, be, count, failed, took, window);
+                self.steward.traffic(now, be, count, failed, took, util);
             }
             "HOTNESS" => {
                 let name = line.text("qos")?;
                 let kind = self.kinds.find(&name.to_owned());
                 let kind = kind.ok_or_else(|| format!("HOTNESS: field qos is unknown: {name:.80}"))?;
                 let (slice, count) = (self.slice(line)?, line.number("tries_n")?);
-                self.steward.heat(now, slice, kind, count, line.time("window_s")?);
+                self.steward.heat(slice, kind, count, line.time("window_s")?);
             }
             "REMINDER" => self.steward.reminder(),
             "TRAFFIC" | "HEARD" | "PING_RESULT" => {}
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -25,14 +25,21 @@
     level: f64,
 }
 
-/// One report of what proxies met at a server, or of what came for a slice.
+/// One report of what proxies met at a server.
 #[derive(Clone, Debug)]
 struct Tries {
     at: Time,
-    kind: usize,
     count: f64,
     failed: f64,
     took: Time,
+    util: Option<f64>,
+}
+
+/// One report of what came for a slice.
+#[derive(Clone, Debug)]
+struct Heat {
+    kind: usize,
+    count: f64,
     window: Time,
 }
 
@@ -63,7 +70,7 @@
     quiet: Option<Time>,
     /// Its owner restarted: whatever it held has stopped.
     stopped: bool,
-    heat: VecDeque<Tries>,
+    heat: VecDeque<Heat>,
     /// The share let in of each request kind, as last ordered; those not named are open.
     levels: [f64; KINDS],
 }
@@ -281,20 +288,20 @@
         }
     }
 
-    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, window: Time) {
+    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
         let tries = &mut self.be(be).tries;
-        tries.push_back(Tries { at: now, kind: 0, count, failed, took, window });
+        tries.push_back(Tries { at: now, count, failed, took, util });
         // Some seconds of reports from every zone.
         if tries.len() > 24 {
             tries.pop_front();
         }
     }
 
-    pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
+    pub fn heat(&mut self, slice: usize, kind: usize, count: f64, window: Time) {
         self.news = true;
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.heat.push_back(Tries { at: now, kind, count, failed: 0.0, took: 0, window });
+            entry.heat.push_back(Heat { kind, count, window });
             // A few samples of each request kind.
             if entry.heat.len() > 8 {
                 entry.heat.pop_front();
@@ -396,27 +403,42 @@
         self.cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize
     }
 
-    /// Each tick: a server whose good answers come late is sent less, one that answers in time more.
+    /// How hard a server works: above 1 it has too much.
+    fn strain(&self, be: usize, now: Time) -> Option<f64> {
+        let targets = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s")));
+        let target = targets.min().unwrap_or(SECOND) as f64;
+        let span = self.span();
+        let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
+        let count: f64 = recent().map(|t| t.count).sum();
+        let good: f64 = recent().map(|t| t.count - t.failed).sum();
+        if count <= 0.0 {
+            return None;
+        }
+        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far over.
+        // 0.85 and 0.6 leave room for chance and for a queue that is still short.
+        let utils: Vec<f64> = recent().filter_map(|t| t.util).collect();
+        let util = utils.iter().sum::<f64>() / utils.len() as f64 / 0.85;
+        if util < 1.0 {
+            return Some(util);
+        }
+        let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
+        // A full server turns reqs away at once and answers the rest late.
+        let full = if good < 0.7 * count { 2.0 } else { 0.0 };
+        Some((took / (0.6 * target)).max(full).max(if util.is_nan() { 0.0 } else { util }))
+    }
+
+    /// Each tick: a server that has too much is sent less, one that has room more.
     fn levels(&mut self, now: Time) {
-        let target = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s"))).min();
-        let Some(target) = target.filter(|_| self.cfg.text("family_info.admit") == Some("ratio")) else {
+        if self.cfg.text("family_info.admit") != Some("ratio") {
             return;
-        };
-        let span = self.span();
-        for b in 0..self.bes.len() {
-            let cap = self.cap(b, now);
-            let be = &mut self.bes[b];
-            let recent = || be.tries.iter().filter(|t| now - t.at < span);
-            let count: f64 = recent().map(|t| t.count).sum();
-            let good: f64 = recent().map(|t| t.count - t.failed).sum();
-            let took: f64 = recent().map(|t| (t.count - t.failed) * t.took as f64).sum();
-            // A full server turns reqs away at once and answers the rest late: both count as too much.
-            if count > 0.0 && (took > 0.5 * good * target as f64 || good < 0.7 * count) {
-                be.level = (be.level * (good / count).clamp(0.5, 0.75)).max(0.1);
-            } else if took < 0.35 * good * target as f64 || count == 0.0 {
-                be.level = (be.level + 0.1).min(1.0);
-            }
-            be.level = be.level.min(cap);
+        }
+        for be in 0..self.bes.len() {
+            let step = match self.strain(be, now) {
+                Some(strain) if strain > 1.0 => (1.0 / strain).clamp(0.6, 0.95),
+                Some(strain) if strain > 0.9 => 1.0,
+                strain => 1.0 / strain.unwrap_or(0.8).max(0.8),
+            };
+            self.bes[be].level = (self.bes[be].level * step).clamp(0.1, 1.0).min(self.cap(be, now));
         }
     }
 
@@ -548,7 +570,7 @@
         (leaving, urgent)
     }
 
-    /// Moves one slice off a server that gained some, toward one below its start.
+    /// Moves one slice a tick: off a server that gained some, toward one below its start.
     fn imbalance(&self, now: Time) -> Option<usize> {
         // The design's starting values: threshold 2 slices, 3 moves in flight.
         const THRESHOLD: isize = 2;
@@ -562,15 +584,37 @@
             let entry = &self.bes[*be];
             entry.health == Health::Ready && now >= entry.suspect_until && self.present(*be, now) >= 1.0
         };
+        let owned = |be: usize| {
+            (0..self.slices.len()).filter(move |&s| {
+                self.slices[s].mine
+                    && self.slices[s].owner == Some(be)
+                    && self.slices[s].state == State::Owned
+            })
+        };
+        let strain = |be: usize| self.strain(be, now).unwrap_or(0.0);
+        let most = (0..self.bes.len()).filter(fit).max_by(|&a, &b| strain(a).total_cmp(&strain(b)))?;
+        if strain(most) > 1.0 {
+            // Exception: a server that has too much gives its hottest slice that another can well take.
+            let room = |&be: &usize| {
+                let (strain, load) = (strain(be), self.load(be));
+                if strain < 0.8 {
+                    load / strain.max(0.1) * 0.9 - load
+                } else {
+                    0.0
+                }
+            };
+            let room = (0..self.bes.len()).filter(fit).map(|be| room(&be)).fold(0.0, f64::max);
+            // New keys cost a server half as much again.
+            let hot = owned(most).filter(|&s| 1.5 * self.rate(s) < room);
+            return hot.max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b)));
+        }
         let below = (0..self.bes.len()).filter(fit).min_by_key(|&be| (gain(be), be))?;
         let above = (0..self.bes.len()).filter(fit).max_by_key(|&be| (gain(be), be))?;
         if gain(below) >= 0 || gain(above) <= 0 || gain(above) - gain(below) < THRESHOLD {
             return None;
         }
-        let mut slices = (0..self.slices.len()).filter(|&s| {
-            self.slices[s].mine && self.slices[s].owner == Some(above) && self.slices[s].state == State::Owned
-        });
-        slices.next()
+        let slice = owned(above).next();
+        slice
     }
 
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
