--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -424,7 +424,7 @@
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
         let full = if good < 0.7 * count { 2.0 } else { 0.0 };
-        Some((took / (0.6 * target)).max(full).max(if util.is_nan() { 0.0 } else { util }))
+        Some((took / (0.6 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
