Tell a jam from a death, cut levels by the share answered, grant only where there is room

Cause found: full servers failed all tries, were taken for dead, and their slices jammed the servers with the fewest slices in turn. Told apart from a death by late answers and busy cores just before. Harm: a busy server that dies is suspected up to 6 s later, where the list is slower still.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -23,6 +23,10 @@
     suspect_until: Time,
     /// The share of the reqs for its slices that is let in.
     level: f64,
+    /// Reqs a second that it can well take, as worked out at the last tick.
+    capacity: f64,
+    /// When a good answer last came late or its cores were busy.
+    strained: Time,
 }
 
 /// One report of what proxies met at a server.
@@ -159,6 +163,8 @@
                 tries: VecDeque::new(),
                 suspect_until: Time::MIN,
                 level: 1.0,
+                capacity: f64::INFINITY,
+                strained: Time::MIN / 2,
             });
         }
         &mut self.bes[be]
@@ -290,10 +296,15 @@
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
-        let tries = &mut self.be(be).tries;
+        let late = took as f64 > 0.6 * self.target();
+        let entry = self.be(be);
+        if late || util.is_some_and(|util| util >= 0.85) {
+            entry.strained = now;
+        }
+        let tries = &mut entry.tries;
         tries.push_back(Tries { at: now, count, failed, took, util });
         // Some seconds of reports from every zone.
-        if tries.len() > 24 {
+        if tries.len() > 32 {
             tries.pop_front();
         }
     }
@@ -366,7 +377,10 @@
             let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < 3 * SECOND).collect();
             let count: f64 = recent.iter().map(|t| t.count).sum();
             let failed: f64 = recent.iter().map(|t| t.failed).sum();
-            if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count {
+            // Guards against taking a jam for a death: a full server fails everything too, but was busy or late
+            // just before. Its level falls first; moving its slices would only jam the next one.
+            let jammed = now - be.strained < 6 * SECOND && be.level > 0.1;
+            if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count && !jammed {
                 // As long as the list usually needs to notice a silent machine.
                 be.suspect_until = now + 15 * SECOND;
             }
@@ -403,10 +417,15 @@
         self.cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize
     }
 
+    /// The shortest response target.
+    fn target(&self) -> f64 {
+        let targets = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s")));
+        targets.min().unwrap_or(SECOND) as f64
+    }
+
     /// How hard a server works: above 1 it has too much.
     fn strain(&self, be: usize, now: Time) -> Option<f64> {
-        let targets = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s")));
-        let target = targets.min().unwrap_or(SECOND) as f64;
+        let target = self.target();
         let span = self.span();
         let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
         let count: f64 = recent().map(|t| t.count).sum();
@@ -423,25 +442,36 @@
         }
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
-        let full = if good < 0.7 * count { 2.0 } else { 0.0 };
+        let full = if good < 0.7 * count { count / good.max(1.0) } else { 0.0 };
         Some((took / (0.6 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
     fn levels(&mut self, now: Time) {
-        if self.cfg.text("family_info.admit") != Some("ratio") {
-            return;
-        }
+        let span = self.span();
         for be in 0..self.bes.len() {
-            let step = match self.strain(be, now) {
-                Some(strain) if strain > 1.0 => (1.0 / strain).clamp(0.6, 0.95),
-                Some(strain) if strain > 0.9 => 1.0,
-                strain => 1.0 / strain.unwrap_or(0.8).max(0.8),
+            let strain = self.strain(be, now);
+            let tried: f64 = self.bes[be].tries.iter().filter(|t| now - t.at < span).map(|t| t.count).sum();
+            if let Some(strain) = strain {
+                self.bes[be].capacity = tried * SECOND as f64 / span as f64 / strain.max(0.2);
+            }
+            let step = match strain.unwrap_or(0.8) {
+                strain if strain > 1.0 => (1.0 / strain).clamp(0.3, 0.95),
+                strain if strain > 0.9 => 1.0,
+                strain => 1.0 / strain.max(0.7),
             };
-            self.bes[be].level = (self.bes[be].level * step).clamp(0.1, 1.0).min(self.cap(be, now));
+            if self.cfg.text("family_info.admit") == Some("ratio") {
+                self.bes[be].level = (self.bes[be].level * step).clamp(0.1, 1.0).min(self.cap(be, now));
+            }
         }
     }
 
+    /// Reqs a second that a server can take besides what comes for the slices it holds.
+    fn room_at(&self, be: usize, now: Time) -> f64 {
+        let budget = self.budget(be, now);
+        (if budget.is_finite() { budget } else { 0.9 * self.bes[be].capacity }) - self.load(be)
+    }
+
     /// The share of each request kind that a slice should let in.
     fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
         let mut wanted = [1.0; KINDS];
@@ -489,18 +519,19 @@
     fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
         let ready: Vec<usize> =
             (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready).collect();
-        // A started server gets one slice a tick, within what it can stand.
-        let warm = |be: usize| {
-            let budget = self.budget(be, now);
-            budget.is_infinite()
-                || now - self.bes[be].granted >= Self::TICK && self.load(be) + self.rate(slice) <= budget
-        };
-        let trusted = |be: usize| now >= self.bes[be].suspect_until && self.bes[be].level >= 1.0;
+        // A started server gets one slice a tick.
+        let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
+        let trusted = |be: usize| now >= self.bes[be].suspect_until;
+        // Exception: a server that would have too much with it is passed over. New keys cost half as much again.
+        let able = |be: usize| 1.5 * self.rate(slice) <= self.room_at(be, now);
         let pick = |fit: &dyn Fn(usize) -> bool| {
             ready.iter().copied().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
         // Never empties the fleet: a doubtful server is better than none, a cold one the last resort.
-        pick(&|be| warm(be) && trusted(be)).or_else(|| pick(&warm)).or_else(|| pick(&|_| true))
+        pick(&|be| warm(be) && trusted(be) && able(be))
+            .or_else(|| pick(&|be| self.present(be, now) >= 1.0 && trusted(be)))
+            .or_else(|| pick(&warm))
+            .or_else(|| pick(&|_| true))
     }
 
     /// Reqs a second that come for the slices of this steward at a server.
@@ -595,16 +626,7 @@
         let most = (0..self.bes.len()).filter(fit).max_by(|&a, &b| strain(a).total_cmp(&strain(b)))?;
         if strain(most) > 1.0 {
             // Exception: a server that has too much gives its hottest slice that another can well take.
-            let room = |&be: &usize| {
-                let (strain, load) = (strain(be), self.load(be));
-                if strain < 0.8 {
-                    load / strain.max(0.1) * 0.9 - load
-                } else {
-                    0.0
-                }
-            };
-            let room = (0..self.bes.len()).filter(fit).map(|be| room(&be)).fold(0.0, f64::max);
-            // New keys cost a server half as much again.
+            let room = (0..self.bes.len()).filter(fit).map(|be| self.room_at(be, now)).fold(0.0, f64::max);
             let hot = owned(most).filter(|&s| 1.5 * self.rate(s) < room);
             return hot.max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b)));
         }
