--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -565,7 +565,7 @@
     }
 
     /// The guide's strategy tick.
-    const TICK: Time = 2 * SECOND;
+    const TICK: Time = SECOND;
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many of those there are.
     fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
