--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -79,6 +79,9 @@
     levels: [f64; KINDS],
 }
 
+/// What reqs with keys that are new to a server cost it; the gain from met keys is about a third to a half.
+const NEW_KEYS: f64 = 1.5;
+
 /// Request kinds told apart, as many as the wire's masks hold.
 const KINDS: usize = 32;
 
@@ -522,8 +525,8 @@
         // A started server gets one slice a tick.
         let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
         let trusted = |be: usize| now >= self.bes[be].suspect_until;
-        // Exception: a server that would have too much with it is passed over. New keys cost half as much again.
-        let able = |be: usize| 1.5 * self.rate(slice) <= self.room_at(be, now);
+        // Exception: a server that would have too much with it is passed over.
+        let able = |be: usize| NEW_KEYS * self.rate(slice) <= self.room_at(be, now);
         let pick = |fit: &dyn Fn(usize) -> bool| {
             ready.iter().copied().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
@@ -565,7 +568,7 @@
     }
 
     /// The guide's strategy tick.
-    const TICK: Time = SECOND;
+    const TICK: Time = 2 * SECOND;
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many of those there are.
     fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
@@ -601,15 +604,13 @@
         (leaving, urgent)
     }
 
-    /// Moves one slice a tick: off a server that gained some, toward one below its start.
-    fn imbalance(&self, now: Time) -> Option<usize> {
+    /// Each tick moves slices off servers that gained some, toward those below their start.
+    fn imbalance(&self, now: Time) -> Vec<usize> {
         // The design's starting values: threshold 2 slices, 3 moves in flight.
         const THRESHOLD: isize = 2;
         const IN_FLIGHT: usize = 3;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
-        if moving >= IN_FLIGHT {
-            return None;
-        }
+        let free = IN_FLIGHT.saturating_sub(moving);
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
         let fit = |be: &usize| {
             let entry = &self.bes[*be];
@@ -622,21 +623,31 @@
                     && self.slices[s].state == State::Owned
             })
         };
+        // Exception: a server that has too much gives its hottest slice that another can well take.
         let strain = |be: usize| self.strain(be, now).unwrap_or(0.0);
-        let most = (0..self.bes.len()).filter(fit).max_by(|&a, &b| strain(a).total_cmp(&strain(b)))?;
-        if strain(most) > 1.0 {
-            // Exception: a server that has too much gives its hottest slice that another can well take.
-            let room = (0..self.bes.len()).filter(fit).map(|be| self.room_at(be, now)).fold(0.0, f64::max);
-            let hot = owned(most).filter(|&s| 1.5 * self.rate(s) < room);
-            return hot.max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b)));
-        }
-        let below = (0..self.bes.len()).filter(fit).min_by_key(|&be| (gain(be), be))?;
-        let above = (0..self.bes.len()).filter(fit).max_by_key(|&be| (gain(be), be))?;
-        if gain(below) >= 0 || gain(above) <= 0 || gain(above) - gain(below) < THRESHOLD {
-            return None;
+        let mut strained: Vec<usize> =
+            (0..self.bes.len()).filter(|be| fit(be) && strain(*be) > 1.0).collect();
+        strained.sort_by(|&a, &b| strain(b).total_cmp(&strain(a)));
+        let mut rooms: Vec<f64> = (0..self.bes.len()).filter(fit).map(|be| self.room_at(be, now)).collect();
+        let mut moves = Vec::new();
+        for be in strained.into_iter().take(free) {
+            rooms.sort_by(f64::total_cmp);
+            let Some(room) = rooms.last_mut() else { break };
+            let hot = owned(be).filter(|&s| NEW_KEYS * self.rate(s) < *room);
+            if let Some(slice) = hot.max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))) {
+                *room -= NEW_KEYS * self.rate(slice);
+                moves.push(slice);
+            }
+        }
+        let below = (0..self.bes.len()).filter(fit).min_by_key(|&be| (gain(be), be));
+        let above = (0..self.bes.len()).filter(fit).max_by_key(|&be| (gain(be), be));
+        if let (Some(below), Some(above)) = (below, above) {
+            let uneven = gain(below) < 0 && gain(above) > 0 && gain(above) - gain(below) >= THRESHOLD;
+            if uneven && moves.len() < free {
+                moves.extend(owned(above).find(|slice| !moves.contains(slice)));
+            }
         }
-        let slice = owned(above).next();
-        slice
+        moves
     }
 
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
