Set a strained server's level straight to what it gets done

Cause: steps of a level added up while reports lagged, so jams cleared late and levels stayed low after.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -454,17 +454,22 @@
         let span = self.span();
         for be in 0..self.bes.len() {
             let strain = self.strain(be, now);
-            let tried: f64 = self.bes[be].tries.iter().filter(|t| now - t.at < span).map(|t| t.count).sum();
+            let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
+            let a_second = |count: f64| count * SECOND as f64 / span as f64;
+            let tried = a_second(recent().map(|t| t.count).sum());
+            let good = a_second(recent().map(|t| t.count - t.failed).sum());
+            let level = self.bes[be].level;
+            // Straight to what it gets done, less a part for the queue to empty: steps would add up while reports lag.
+            let level = match strain.unwrap_or(0.8) {
+                strain if strain > 1.0 => (0.8 * good / self.load(be).max(1e-6)).min(0.95 * level),
+                strain if strain > 0.9 => level,
+                strain => level / strain.max(0.7),
+            };
             if let Some(strain) = strain {
-                self.bes[be].capacity = tried * SECOND as f64 / span as f64 / strain.max(0.2);
+                self.bes[be].capacity = tried / strain.max(0.2);
             }
-            let step = match strain.unwrap_or(0.8) {
-                strain if strain > 1.0 => (1.0 / strain).clamp(0.3, 0.95),
-                strain if strain > 0.9 => 1.0,
-                strain => 1.0 / strain.max(0.7),
-            };
             if self.cfg.text("family_info.admit") == Some("ratio") {
-                self.bes[be].level = (self.bes[be].level * step).clamp(0.1, 1.0).min(self.cap(be, now));
+                self.bes[be].level = level.clamp(0.1, 1.0).min(self.cap(be, now));
             }
         }
     }
