Space messages by how much of the window's allowance is used

Cause: turns came in bursts of eight and then none for four to six seconds, as the window's ordinary share was spent; told apart from a wrong level by replaying the tap: the level was worked out, no turn could carry it. Guards any scarce window; harms single urgent-looking level changes by up to a second.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -748,8 +748,9 @@
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
             // A third is kept for drains; the rest is spread so that a burst doesn't use it up.
-            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= window / allowed as i64 / 2);
             let most = if urgent { allowed } else { allowed - allowed / 3 };
+            let gap = window * self.turns.len() as Time / (most * most) as Time;
+            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= gap);
             if self.turns.len() >= most || !(urgent || spaced) {
                 return 0;
             }
