Judge cold budgets by the most seen done, and let cold servers take moved slices

Cause: while servers jam little gets done, so the budget of returning servers fell to nothing and they stayed empty.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -106,6 +106,8 @@
     started: Time,
     wake: Time,
     tick: Time,
+    /// The most reqs a second that a server got done on average, over any tick so far.
+    done: f64,
     /// The list has been heard of since the start, beyond what was kept from before.
     fresh_list: bool,
     watching: bool,
@@ -142,6 +144,7 @@
             started: now,
             wake: now,
             tick: now,
+            done: 0.0,
             fresh_list: false,
             watching: cfg.text("discovery") != Some("on_request"),
             ask_at: now,
@@ -452,6 +455,9 @@
     /// Each tick: a server that has too much is sent less, one that has room more.
     fn levels(&mut self, now: Time) {
         let span = self.span();
+        let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
+        let done: f64 = recent.map(|t| t.count - t.failed).sum();
+        self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().max(1) as f64);
         for be in 0..self.bes.len() {
             let strain = self.strain(be, now);
             let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
@@ -549,17 +555,13 @@
     }
 
     /// Reqs a second that a cold server may be brought. Half of what would push it over, as its keys are new to it
-    /// and cost more; its full capacity is taken as no more than what servers get done on average now.
+    /// and cost more; its full capacity is taken as the most that servers got done on average so far.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
         if present >= 1.0 {
             return f64::INFINITY;
         }
-        let span = self.span();
-        let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
-        let done: f64 = recent.map(|t| t.count - t.failed).sum();
-        let mean = done * SECOND as f64 / span as f64 / self.ready().max(1) as f64;
-        0.5 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * mean
+        0.5 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * self.done
     }
 
     /// How far back reports are looked at: a tick of them, whatever the time between two.
@@ -619,7 +621,7 @@
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
         let fit = |be: &usize| {
             let entry = &self.bes[*be];
-            entry.health == Health::Ready && now >= entry.suspect_until && self.present(*be, now) >= 1.0
+            entry.health == Health::Ready && now >= entry.suspect_until
         };
         let owned = |be: usize| {
             (0..self.slices.len()).filter(move |&s| {
