--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -385,7 +385,7 @@
             let failed: f64 = recent.iter().map(|t| t.failed).sum();
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or late
             // just before. Its level falls first; moving its slices would only jam the next one.
-            let jammed = now - be.strained < 6 * SECOND && be.level > 0.1;
+            let jammed = now - be.strained < 6 * SECOND;
             if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count && !jammed {
                 // As long as the list usually needs to notice a silent machine.
                 be.suspect_until = now + 15 * SECOND;
@@ -469,7 +469,7 @@
             let level = match strain.unwrap_or(0.8) {
                 strain if strain > 1.0 => (0.8 * good / self.load(be).max(1e-6)).min(0.95 * level),
                 strain if strain > 0.9 => level,
-                strain => level / strain.max(0.7),
+                strain => level / strain.max(0.5),
             };
             if let Some(strain) = strain {
                 self.bes[be].capacity = tried / strain.max(0.2);
