Judge a slice's heat by the last reports alone, and tighten the cold budget

Cause: the slice's rate was a mean over up to eight seconds while clients' repeats tripled it. Change: rates over the last tick's reports, cold budget 0.5 to 0.4 of the fall multiple.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -42,6 +42,7 @@
 /// One report of what came for a slice.
 #[derive(Clone, Debug)]
 struct Heat {
+    at: Time,
     kind: usize,
     count: f64,
     window: Time,
@@ -103,6 +104,7 @@
     mark: u64,
     out: VecDeque<Order>,
     news: bool,
+    now: Time,
     started: Time,
     wake: Time,
     tick: Time,
@@ -141,6 +143,7 @@
             mark: 0,
             out: VecDeque::new(),
             news: true,
+            now,
             started: now,
             wake: now,
             tick: now,
@@ -315,12 +318,12 @@
         }
     }
 
-    pub fn heat(&mut self, slice: usize, kind: usize, count: f64, window: Time) {
+    pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
         self.news = true;
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.heat.push_back(Heat { kind, count, window });
-            // A few samples of each request kind.
-            if entry.heat.len() > 8 {
+            entry.heat.push_back(Heat { at: now, kind, count, window });
+            // More than `rates` looks back on, at the shortest time between reports.
+            if entry.heat.len() > 16 {
                 entry.heat.pop_front();
             }
         }
@@ -333,6 +336,7 @@
     /// The next thing to carry out, or none for now.
     pub fn next_order(&mut self, now: Time) -> Option<Order> {
         if self.out.is_empty() && self.news {
+            self.now = now;
             self.news = false;
             self.decide(now);
         }
@@ -408,7 +412,8 @@
     /// Reqs a second that come for a slice, of each request kind.
     fn rates(&self, slice: usize) -> [f64; KINDS] {
         let (mut count, mut window) = ([0.0; KINDS], [0; KINDS]);
-        for sample in self.slices[slice].heat.iter().filter(|sample| sample.kind < KINDS) {
+        let recent = |sample: &&Heat| sample.kind < KINDS && self.now - sample.at < self.span();
+        for sample in self.slices[slice].heat.iter().filter(recent) {
             count[sample.kind] += sample.count;
             window[sample.kind] += sample.window;
         }
@@ -554,14 +559,14 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate(s)).sum()
     }
 
-    /// Reqs a second that a cold server may be brought. Half of what would push it over, as its keys are new to it
+    /// Reqs a second that a cold server may be brought. Under half of what would push it over, as its keys are new to it
     /// and cost more; its full capacity is taken as the most that servers got done on average so far.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
         if present >= 1.0 {
             return f64::INFINITY;
         }
-        0.5 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * self.done
+        0.4 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * self.done
     }
 
     /// How far back reports are looked at: a tick of them, whatever the time between two.
