Lower a cold server's level between ticks and send it at once

Cause: its strain showed at 35.5 s, the level went out at 37.6 s, after tick and spacing, while clients' repeats grew tenfold. Also guards a warm-looking start that slows; costs a message of the drains' share when a cold server falls behind.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -105,6 +105,8 @@
     out: VecDeque<Order>,
     news: bool,
     now: Time,
+    /// A cold server has much too much: the next turn can't wait.
+    hurry: bool,
     started: Time,
     wake: Time,
     tick: Time,
@@ -144,6 +146,7 @@
             out: VecDeque::new(),
             news: true,
             now,
+            hurry: false,
             started: now,
             wake: now,
             tick: now,
@@ -437,7 +440,8 @@
     /// How hard a server works: above 1 it has too much.
     fn strain(&self, be: usize, now: Time) -> Option<f64> {
         let target = self.target();
-        let span = self.span();
+        // A cold server can't wait for a tick's worth of reports.
+        let span = if self.present(be, now) < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
         let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
         let count: f64 = recent().map(|t| t.count).sum();
         let good: f64 = recent().map(|t| t.count - t.failed).sum();
@@ -458,12 +462,17 @@
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
-    fn levels(&mut self, now: Time) {
+    fn levels(&mut self, now: Time, tick: bool) {
         let span = self.span();
         let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
         let done: f64 = recent.map(|t| t.count - t.failed).sum();
         self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().max(1) as f64);
         for be in 0..self.bes.len() {
+            // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can push it
+            // over within a tick.
+            if !tick && self.present(be, now) >= 1.0 {
+                continue;
+            }
             let strain = self.strain(be, now);
             let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
             let a_second = |count: f64| count * SECOND as f64 / span as f64;
@@ -476,6 +485,9 @@
                 strain if strain > 0.9 => level,
                 strain => level / strain.max(0.5),
             };
+            let level = if tick { level } else { level.min(self.bes[be].level) };
+            self.hurry |=
+                self.present(be, now) < 1.0 && self.load(be) > 0.0 && level < 0.8 * self.bes[be].level;
             if let Some(strain) = strain {
                 self.bes[be].capacity = tried / strain.max(0.2);
             }
@@ -606,9 +618,10 @@
                     })
             }));
         }
-        if now - self.tick >= Self::TICK {
+        let tick = now - self.tick >= Self::TICK;
+        self.levels(now, tick);
+        if tick {
             self.tick = now;
-            self.levels(now);
             if leaving.is_empty() {
                 leaving.extend(self.imbalance(now));
             }
@@ -671,7 +684,7 @@
             let writes = (0..KINDS).any(|k| writing & (1 << k) != 0 && slice.levels[k] > 0.0);
             slice.mine && slice.state == State::Settling && slice.owner.is_some() && writes
         };
-        let urgent = urgent > 0 || self.slices.iter().any(open);
+        let urgent = urgent > 0 || self.hurry || self.slices.iter().any(open);
         let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
@@ -738,6 +751,7 @@
         };
         if !orders.is_empty() || self.slices.iter().any(|slice| slice.mine && due(slice)) {
             self.mark = mark;
+            self.hurry = false;
             orders.push(Order::Stamp { number: (mark % 65_536) as u16 });
             let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
             self.turns.push_back(Turn { at: now, lines: joined as f64 * (head + orders.len() as f64), mark });
