--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -633,7 +633,7 @@
     fn imbalance(&self, now: Time) -> Vec<usize> {
         // The design's starting values: threshold 2 slices, 3 moves in flight.
         const THRESHOLD: isize = 2;
-        const IN_FLIGHT: usize = 3;
+        const IN_FLIGHT: usize = 6;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
         let free = IN_FLIGHT.saturating_sub(moving);
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
