Change levels by a tenth at least

Cause: small level changes filled the channel, so proxies answered late; told apart from silent proxies by all answers coming, late.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -633,7 +633,7 @@
     fn imbalance(&self, now: Time) -> Vec<usize> {
         // The design's starting values: threshold 2 slices, 3 moves in flight.
         const THRESHOLD: isize = 2;
-        const IN_FLIGHT: usize = 6;
+        const IN_FLIGHT: usize = 3;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
         let free = IN_FLIGHT.saturating_sub(moving);
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
@@ -732,10 +732,14 @@
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
             let wanted = self.wanted(s, quiet);
-            for k in (0..self.kinds()).filter(|&k| wanted[k] != self.slices[s].levels[k]) {
-                orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share: wanted[k] });
+            for k in 0..self.kinds() {
+                // Small changes would fill the channel: a tenth, or all or nothing.
+                let change = (wanted[k] - self.slices[s].levels[k]).abs();
+                if change >= 0.1 || change > 0.0 && (wanted[k] <= 0.0 || wanted[k] >= 1.0) {
+                    orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share: wanted[k] });
+                    self.slices[s].levels[k] = wanted[k];
+                }
             }
-            self.slices[s].levels = wanted;
             if quiet {
                 self.slices[s].state = State::Owned;
                 self.slices[s].quiet = None;
