--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -278,18 +278,15 @@
         let rows =
             sheets.get(&sheet).ok_or_else(|| format!("MEMBERSHIP: field sheet is unknown: {sheet}"))?;
         let mut complaint = Ok(());
-        self.steward.list_begin(now, scope);
+        self.steward.list_begin(scope);
         for row in rows {
-            complaint = complaint.and(self.list_entry(now, &Line::read(row)));
+            complaint = complaint.and(self.list_entry(&Line::read(row)));
         }
         self.steward.list_end(scope);
-        if scope != Scope::Kept {
-            self.steward.list_answered();
-        }
         complaint
     }
 
-    fn list_entry(&mut self, now: Time, row: &Line) -> Result<(), String> {
+    fn list_entry(&mut self, row: &Line) -> Result<(), String> {
         let health = match row.text("health")? {
             "healthy" => Health::Ready,
             "cordoned" => Health::Draining,
@@ -298,7 +295,7 @@
         };
         let boot = if row.text("boot_time_s").is_ok() { row.time("boot_time_s")? } else { 0 };
         let be = self.be(row)?;
-        self.steward.list_entry(now, be, health, boot);
+        self.steward.list_entry(be, health, boot);
         Ok(())
     }
 
@@ -321,7 +318,6 @@
             }
             Order::Stamp { number } => writeln!(reply, "STAMP {i} number={number} active=1"),
             Order::Watch => writeln!(reply, "STREAM_CHANGES {i} active=1"),
-            Order::Probe { be } => writeln!(reply, "HEALTH_CHECK {i} host={}", host(be)),
             Order::Remind { at } => {
                 writeln!(reply, "REMIND {i} ctx=1 time_s={}.{:04}", at / SECOND, at % SECOND)
             }
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -66,10 +66,6 @@
     },
     /// Subscribe to the changes of the server list.
     Watch,
-    /// Ask one server how it is.
-    Probe {
-        be: usize,
-    },
     /// Call again at this time.
     Remind {
         at: Time,
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -10,11 +10,11 @@
 
 #[derive(Clone, Debug)]
 struct Be {
+    seen: bool,
     listed: bool,
+    withdrawn: bool,
     health: Health,
     boot: Time,
-    /// When this steward learned that it drains, is gone or has restarted.
-    told: Time,
     /// Slices of this steward that it held at the first map or take-over; moves compare with that.
     start: usize,
     /// When it was last granted a slice.
@@ -80,6 +80,25 @@
     levels: [f64; KINDS],
 }
 
+impl Slice {
+    fn new() -> Slice {
+        Slice {
+            mine: false,
+            given: 0,
+            owner: None,
+            state: State::Settling,
+            quiet: None,
+            stopped: false,
+            heat: VecDeque::new(),
+            levels: [1.0; KINDS],
+        }
+    }
+
+    fn handing_off(&self) -> bool {
+        matches!(self.state, State::HandingOff { .. })
+    }
+}
+
 /// What reqs with keys that are new to a server cost it; the gain from met keys is about a third to a half.
 const NEW_KEYS: f64 = 1.5;
 
@@ -126,21 +145,11 @@
         if let Some(name) = needed.into_iter().find(|name| slices > 0 && cfg.time(name).is_none()) {
             return Err(name);
         }
-        let slice = Slice {
-            mine: false,
-            given: now,
-            owner: None,
-            state: State::Settling,
-            quiet: None,
-            stopped: false,
-            heat: VecDeque::new(),
-            levels: [1.0; KINDS],
-        };
         let mut steward = Steward {
             rng: fastrand::Rng::with_seed(seed),
             bes: Vec::new(),
             proxies: Vec::new(),
-            slices: vec![slice; slices.min(65_535)],
+            slices: vec![Slice::new(); slices.min(65_535)],
             turns: VecDeque::new(),
             mark: 0,
             out: VecDeque::new(),
@@ -163,13 +172,18 @@
         Ok(steward)
     }
 
+    fn time(&self, name: &str) -> Time {
+        self.cfg.time(name).unwrap_or(0)
+    }
+
     fn be(&mut self, be: usize) -> &mut Be {
         while self.bes.len() <= be {
             self.bes.push(Be {
+                seen: false,
                 listed: false,
+                withdrawn: false,
                 health: Health::Gone,
                 boot: 0,
-                told: self.started,
                 start: 0,
                 granted: Time::MIN / 2,
                 tries: VecDeque::new(),
@@ -190,36 +204,23 @@
     }
 
     /// The list follows, entry by entry; `list_end` closes it.
-    pub fn list_begin(&mut self, now: Time, scope: Scope) {
+    pub fn list_begin(&mut self, scope: Scope) {
         self.news = true;
         if scope == Scope::Changes {
             return;
         }
         // A server absent from a complete list is gone; those still there follow at once.
-        for be in self.bes.iter_mut().filter(|be| be.listed) {
-            be.listed = false;
-            if be.health == Health::Ready {
-                be.told = now;
-            }
-        }
+        self.bes.iter_mut().for_each(|be| be.listed = false);
     }
 
-    pub fn list_entry(&mut self, now: Time, be: usize, health: Health, boot: Time) {
+    pub fn list_entry(&mut self, be: usize, health: Health, boot: Time) {
         let entry = self.be(be);
-        if health != Health::Ready && entry.health == Health::Ready {
-            entry.told = now;
-        }
         // A restart stops what the server held, whether or not the list ever showed it gone.
         let restarted = boot > entry.boot && entry.health == Health::Ready;
-        entry.listed = true;
-        entry.health = health;
-        entry.boot = boot;
+        (entry.seen, entry.listed, entry.health, entry.boot) = (true, true, health, boot);
         if restarted {
-            self.be(be).told = now;
-            self.slices
-                .iter_mut()
-                .filter(|slice| slice.owner == Some(be))
-                .for_each(|slice| slice.stopped = true);
+            let held = self.slices.iter_mut().filter(|slice| slice.owner == Some(be));
+            held.for_each(|slice| slice.stopped = true);
         }
     }
 
@@ -228,15 +229,10 @@
             be.health = Health::Gone;
         }
         if scope != Scope::Kept {
-            self.fresh_list = true;
+            (self.fresh_list, self.watching) = (true, true);
         }
     }
 
-    pub fn list_answered(&mut self) {
-        self.news = true;
-        self.watching = true;
-    }
-
     pub fn list_failed(&mut self, now: Time) {
         self.news = true;
         // Asks again soon, spread so that stewards that failed together don't all come back at once; well
@@ -270,29 +266,23 @@
 
     pub fn given(&mut self, now: Time, slice: usize) {
         self.news = true;
+        // An empty record was mid-move under a steward before us: wait one lease, then let it settle.
+        let quiet = Some(now + self.time("family_info.write_lease_s") + self.time("family_info.settle_s"));
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.mine = true;
-            entry.given = now;
-            entry.owner = None;
-            entry.state = State::Settling;
-            entry.stopped = false;
-            // An empty record was mid-move under a steward before us: wait one lease, then let it settle.
-            let wait = self.cfg.time("family_info.write_lease_s").unwrap_or(0)
-                + self.cfg.time("family_info.settle_s").unwrap_or(0);
-            entry.quiet = Some(now + wait);
-            entry.levels = [1.0; KINDS];
+            let heat = std::mem::take(&mut entry.heat);
+            *entry = Slice { mine: true, given: now, quiet, heat, ..Slice::new() };
         }
     }
 
     pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
-        let settle = self.cfg.time("family_info.settle_s").unwrap_or(0);
+        let settled = now + self.time("family_info.settle_s");
         self.be(be).start += 1;
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.owner = Some(be);
             // Guards against a steward that starts over while a slice settles: the store resets the levels that
             // kept writes from the new owner, but the line's weight still tells.
             (entry.state, entry.quiet) =
-                if weight < 1.0 { (State::Settling, Some(now + settle)) } else { (State::Owned, None) };
+                if weight < 1.0 { (State::Settling, Some(settled)) } else { (State::Owned, None) };
         }
     }
 
@@ -366,8 +356,8 @@
 
     /// Hand-overs that every proxy has answered, or whose lease has run out, begin to settle.
     fn settle(&mut self, now: Time) {
-        let lease = self.cfg.time("family_info.write_lease_s").unwrap_or(0);
-        let settle = self.cfg.time("family_info.settle_s").unwrap_or(0);
+        let lease = self.time("family_info.write_lease_s");
+        let settle = self.time("family_info.settle_s");
         for slice in self.slices.iter_mut().filter(|slice| slice.mine) {
             let State::HandingOff { mark, waiting } = &mut slice.state else { continue };
             waiting.retain(|&proxy| {
@@ -400,12 +390,13 @@
         }
     }
 
-    fn suspects(&self, now: Time) -> usize {
-        self.bes.iter().filter(|be| be.health == Health::Ready && now < be.suspect_until).count()
+    /// Servers listed as ready.
+    fn ready(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready)
     }
 
-    fn ready(&self) -> usize {
-        self.bes.iter().filter(|be| be.health == Health::Ready).count()
+    fn trusted(&self, be: usize, now: Time) -> bool {
+        now >= self.bes[be].suspect_until
     }
 
     fn held(&self, be: usize) -> usize {
@@ -466,7 +457,7 @@
         let span = self.span();
         let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
         let done: f64 = recent.map(|t| t.count - t.failed).sum();
-        self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().max(1) as f64);
+        self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().count().max(1) as f64);
         for be in 0..self.bes.len() {
             // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can push it
             // over within a tick.
@@ -503,37 +494,32 @@
         (if budget.is_finite() { budget } else { 0.9 * self.bes[be].capacity }) - self.load(be)
     }
 
-    /// The share of each request kind that a slice should let in.
+    /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets what
+    /// is left. Kinds that write are closed until the slice is quiet.
     fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
-        let mut wanted = [1.0; KINDS];
-        let kinds = self.kinds();
+        let credit = |k: usize| self.cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
+        let mut kinds: Vec<usize> = (0..self.kinds()).collect();
+        kinds.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
+        let rates = self.rates(slice);
         let level = self.slices[slice].owner.map_or(1.0, |be| self.bes[be].level);
-        if level < 1.0 {
-            // The dearest credit is let in first, the cheapest gets what is left.
-            let credit = |k: usize| self.cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
-            let mut order: Vec<usize> = (0..kinds).collect();
-            order.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
-            let rates = self.rates(slice);
-            let mut left = level * rates.iter().sum::<f64>();
-            for k in order {
-                // In twentieths, so that small changes write no lines.
-                wanted[k] = if rates[k] > 0.0 {
-                    (left / rates[k] * 20.0).floor().clamp(0.0, 20.0) / 20.0
-                } else {
-                    1.0
-                };
+        let mut left = level * rates.iter().sum::<f64>();
+        let mut wanted = [1.0; KINDS];
+        for k in kinds {
+            if !quiet && self.writing() & (1 << k) != 0 {
+                wanted[k] = 0.0;
+            } else if level < 1.0 && rates[k] > 0.0 {
+                // In twentieths, so that no lines are written for less.
+                wanted[k] = (left / rates[k] * 20.0).floor().clamp(0.0, 20.0) / 20.0;
                 left = (left - rates[k]).max(0.0);
             }
         }
-        let writing = self.writing();
-        (0..kinds).filter(|k| !quiet && writing & (1 << k) != 0).for_each(|k| wanted[k] = 0.0);
         wanted
     }
 
     /// The share of its capacity that a server has at least, from when it started.
     fn present(&self, be: usize, now: Time) -> f64 {
         let from = self.cfg.number("safety.cold_from").unwrap_or(1.0);
-        let ramp = self.cfg.time("safety.cold_s").unwrap_or(0).max(1);
+        let ramp = self.time("safety.cold_s").max(1);
         match self.bes[be].boot {
             0 => 1.0,
             boot => (from + (1.0 - from) * (now - boot) as f64 / ramp as f64).clamp(from, 1.0),
@@ -548,19 +534,16 @@
 
     /// The server to grant a slice to: the one with the fewest slices of this steward among those fit for it.
     fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
-        let ready: Vec<usize> =
-            (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready).collect();
         // A started server gets one slice a tick.
         let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
-        let trusted = |be: usize| now >= self.bes[be].suspect_until;
         // Exception: a server that would have too much with it is passed over.
         let able = |be: usize| NEW_KEYS * self.rate(slice) <= self.room_at(be, now);
         let pick = |fit: &dyn Fn(usize) -> bool| {
-            ready.iter().copied().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
+            self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
         // Never empties the fleet: a doubtful server is better than none, a cold one the last resort.
-        pick(&|be| warm(be) && trusted(be) && able(be))
-            .or_else(|| pick(&|be| self.present(be, now) >= 1.0 && trusted(be)))
+        pick(&|be| warm(be) && self.trusted(be, now) && able(be))
+            .or_else(|| pick(&|be| self.present(be, now) >= 1.0 && self.trusted(be, now)))
             .or_else(|| pick(&warm))
             .or_else(|| pick(&|_| true))
     }
@@ -583,7 +566,7 @@
 
     /// How far back reports are looked at: a tick of them, whatever the time between two.
     fn span(&self) -> Time {
-        self.cfg.time("family_info.cycle_s").unwrap_or(0) + Self::TICK
+        self.time("family_info.cycle_s") + Self::TICK
     }
 
     /// The share of its reqs that keeps a cold server within its budget.
@@ -596,27 +579,20 @@
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many of those there are.
     fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
-        let held = |slice: &Slice| slice.mine && !matches!(slice.state, State::HandingOff { .. });
-        let mut leaving: Vec<usize> = (0..self.slices.len())
-            .filter(|&s| {
-                let slice = &self.slices[s];
-                let unfit = |be: usize| {
-                    self.bes[be].health != Health::Ready && (self.bes[be].listed || self.fresh_list)
-                };
-                held(slice) && slice.owner.is_some_and(|be| slice.stopped || unfit(be))
-            })
-            .collect();
+        let holding = |fit: &dyn Fn(&Slice, usize) -> bool| {
+            let leaves = |slice: &Slice| slice.owner.is_some_and(|be| fit(slice, be));
+            let held =
+                |&s: &usize| self.slices[s].mine && !self.slices[s].handing_off() && leaves(&self.slices[s]);
+            (0..self.slices.len()).filter(held).collect::<Vec<usize>>()
+        };
+        // A list kept from before a restart may lack servers that have come since.
+        let known = |be: usize| self.bes[be].seen || self.fresh_list;
+        let ready = |be: usize| self.bes[be].health == Health::Ready;
+        let mut leaving = holding(&|slice, be| slice.stopped || !ready(be) && known(be));
         let urgent = leaving.len();
         // Many suspects at once point to a bad view rather than bad servers: then nothing moves.
-        if self.suspects(now) * 4 <= self.ready() {
-            leaving.extend((0..self.slices.len()).filter(|&s| {
-                let slice = &self.slices[s];
-                held(slice)
-                    && slice.owner.is_some_and(|be| {
-                        let be = &self.bes[be];
-                        be.health == Health::Ready && now < be.suspect_until
-                    })
-            }));
+        if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
+            leaving.extend(holding(&|slice, be| !slice.stopped && ready(be) && !self.trusted(be, now)));
         }
         let tick = now - self.tick >= Self::TICK;
         self.levels(now, tick);
@@ -637,23 +613,18 @@
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
         let free = IN_FLIGHT.saturating_sub(moving);
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
-        let fit = |be: &usize| {
-            let entry = &self.bes[*be];
-            entry.health == Health::Ready && now >= entry.suspect_until
-        };
+        let fit: Vec<usize> = self.ready().filter(|&be| self.trusted(be, now)).collect();
         let owned = |be: usize| {
             (0..self.slices.len()).filter(move |&s| {
-                self.slices[s].mine
-                    && self.slices[s].owner == Some(be)
-                    && self.slices[s].state == State::Owned
+                let slice = &self.slices[s];
+                slice.mine && slice.owner == Some(be) && slice.state == State::Owned
             })
         };
         // Exception: a server that has too much gives its hottest slice that another can well take.
         let strain = |be: usize| self.strain(be, now).unwrap_or(0.0);
-        let mut strained: Vec<usize> =
-            (0..self.bes.len()).filter(|be| fit(be) && strain(*be) > 1.0).collect();
+        let mut strained: Vec<usize> = fit.iter().copied().filter(|&be| strain(be) > 1.0).collect();
         strained.sort_by(|&a, &b| strain(b).total_cmp(&strain(a)));
-        let mut rooms: Vec<f64> = (0..self.bes.len()).filter(fit).map(|be| self.room_at(be, now)).collect();
+        let mut rooms: Vec<f64> = fit.iter().map(|&be| self.room_at(be, now)).collect();
         let mut moves = Vec::new();
         for be in strained.into_iter().take(free) {
             rooms.sort_by(f64::total_cmp);
@@ -664,8 +635,8 @@
                 moves.push(slice);
             }
         }
-        let below = (0..self.bes.len()).filter(fit).min_by_key(|&be| (gain(be), be));
-        let above = (0..self.bes.len()).filter(fit).max_by_key(|&be| (gain(be), be));
+        let below = fit.iter().copied().min_by_key(|&be| (gain(be), be));
+        let above = fit.iter().copied().max_by_key(|&be| (gain(be), be));
         if let (Some(below), Some(above)) = (below, above) {
             let uneven = gain(below) < 0 && gain(above) > 0 && gain(above) - gain(below) >= THRESHOLD;
             if uneven && moves.len() < free {
@@ -684,13 +655,15 @@
             let writes = (0..KINDS).any(|k| writing & (1 << k) != 0 && slice.levels[k] > 0.0);
             slice.mine && slice.state == State::Settling && slice.owner.is_some() && writes
         };
-        let urgent = urgent > 0 || self.hurry || self.slices.iter().any(open);
+        let leavers = self.slices.is_empty()
+            && self.bes.iter().any(|be| be.seen && be.withdrawn == (be.health == Health::Ready));
+        let urgent = urgent > 0 || leavers || self.hurry || self.slices.iter().any(open);
         let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
             return orders;
         }
-        let lease = self.cfg.time("family_info.write_lease_s").unwrap_or(0);
+        let lease = self.time("family_info.write_lease_s");
         // The weight of a line that is open to reads alone; any below 1 serves, as a table has one line.
         const READS_ONLY: f64 = 0.5;
         let mark = self.mark + 1;
@@ -712,7 +685,7 @@
                 break;
             }
             let slice = &self.slices[s];
-            if !slice.mine || matches!(slice.state, State::HandingOff { .. }) {
+            if !slice.mine || slice.handing_off() {
                 continue;
             }
             let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
@@ -732,12 +705,12 @@
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
             let wanted = self.wanted(s, quiet);
-            for k in 0..self.kinds() {
+            for (k, &share) in wanted.iter().enumerate().take(self.kinds()) {
                 // Small changes would fill the channel: a tenth, or all or nothing.
-                let change = (wanted[k] - self.slices[s].levels[k]).abs();
-                if change >= 0.1 || change > 0.0 && (wanted[k] <= 0.0 || wanted[k] >= 1.0) {
-                    orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share: wanted[k] });
-                    self.slices[s].levels[k] = wanted[k];
+                let change = (share - self.slices[s].levels[k]).abs();
+                if change >= 0.1 || change > 0.0 && (share <= 0.0 || share >= 1.0) {
+                    orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share });
+                    self.slices[s].levels[k] = share;
                 }
             }
             if quiet {
@@ -745,6 +718,15 @@
                 self.slices[s].quiet = None;
             }
         }
+        if self.slices.is_empty() && self.ready().next().is_some() {
+            // Standing tables are the proxies' own: all a steward keeps there is that nothing goes to what left.
+            for (be, entry) in self.bes.iter_mut().enumerate().filter(|(_, entry)| entry.seen) {
+                let out = entry.health != Health::Ready;
+                if out != std::mem::replace(&mut entry.withdrawn, out) {
+                    orders.push(Order::Withdraw { be, out });
+                }
+            }
+        }
         // A proxy that rejoined with an answer still due gets a fresh mark.
         let due = |slice: &Slice| match &slice.state {
             State::HandingOff { mark, waiting } => waiting.iter().any(|&p| {
