--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -324,3 +324,6 @@
         };
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -1,6 +1,393 @@
 use super::*;
 
+const LEASE: Time = 4 * SECOND;
+const SETTLE: Time = 5 * SECOND;
+
+/// A steward of some slices, all owned by server 0 of `bes` ready ones, with `proxies` joined.
+fn steward(slices: usize, bes: usize, proxies: usize) -> Steward {
+    let mut cfg = Settings::default();
+    for (name, value) in [
+        ("family_info.write_lease_s", "4"),
+        ("family_info.settle_s", "5"),
+        ("family_info.channel_rate", "3000"),
+        ("family_info.pending_max", "6000"),
+        ("family_info.fixed_cost", "10"),
+        ("family_info.pushes_allowed", "12"),
+        ("family_info.mutating", "false,true"),
+        ("family_info.admit", "ratio"),
+        ("classes.count", "2"),
+        ("classes.0.worth", "1"),
+        ("classes.1.worth", "2"),
+        ("safety.cold_from", "0.2"),
+        ("safety.cold_s", "10"),
+        ("safety.fall_multiple", "2.5"),
+    ] {
+        cfg.set(name, value);
+    }
+    cfg.set("family_info.ranges", &slices.to_string());
+    cfg.set("family_info.proxy_count", &proxies.to_string());
+    let mut steward = Steward::new(0, 7, cfg).expect("all settings are there");
+    steward.list_begin(Scope::Whole);
+    (0..bes).for_each(|be| steward.list_entry(be, Health::Ready, 0));
+    steward.list_end(Scope::Whole);
+    (0..proxies).for_each(|proxy| steward.joined(proxy));
+    for slice in 0..slices {
+        steward.given(0, slice);
+        steward.on_record(0, slice, 0, 1.0);
+    }
+    steward
+}
+
+fn list(steward: &mut Steward, be: usize, health: Health, boot: Time) {
+    steward.list_begin(Scope::Changes);
+    steward.list_entry(be, health, boot);
+    steward.list_end(Scope::Changes);
+}
+
+/// All orders at a time but for the reminders.
+fn orders(steward: &mut Steward, now: Time) -> Vec<Order> {
+    steward.news = true;
+    let all = std::iter::from_fn(|| steward.next_order(now));
+    all.filter(|order| !matches!(order, Order::Remind { .. })).collect()
+}
+
+/// Puts slice 0 into a hand-over under mark 1 that waits for these proxies.
+fn hand_off(steward: &mut Steward, waiting: &[usize]) {
+    steward.mark = 1;
+    steward.slices[0].owner = None;
+    steward.slices[0].state = State::HandingOff { mark: 1, waiting: waiting.to_vec() };
+}
+
+fn settle(steward: &mut Steward, quiet: Time) {
+    steward.slices[0].owner = None;
+    (steward.slices[0].state, steward.slices[0].quiet) = (State::Settling, Some(quiet));
+}
+
+fn tries(now: Time, count: f64, failed: f64, took: Time, util: Option<f64>) -> VecDeque<Tries> {
+    (0..4).map(|_| Tries { at: now, count, failed, took, util }).collect()
+}
+
 #[test]
 fn a_missing_setting_is_named() {
     assert_eq!(Steward::new(0, 1, Settings::default()).err(), Some("family_info.ranges"));
+    let mut cfg = Settings::default();
+    cfg.set("family_info.ranges", "4");
+    assert_eq!(Steward::new(0, 1, cfg).err(), Some("family_info.write_lease_s"));
+}
+
+#[test]
+fn a_quiet_steward_writes_nothing() {
+    assert_eq!(orders(&mut steward(4, 2, 2), 1), []);
+}
+
+#[test]
+fn a_draining_owner_loses_its_slices_at_once_under_a_mark() {
+    let mut steward = steward(2, 2, 2);
+    list(&mut steward, 0, Health::Draining, 0);
+    let drops = [Order::DropLines { slice: 0 }, Order::DropLines { slice: 1 }, Order::Stamp { number: 1 }];
+    assert_eq!(orders(&mut steward, 1), drops);
+    assert!(steward.slices.iter().all(Slice::handing_off));
+}
+
+#[test]
+fn a_restarted_owner_has_stopped_what_it_held() {
+    let mut steward = steward(1, 2, 1);
+    list(&mut steward, 0, Health::Ready, SECOND);
+    assert_eq!(orders(&mut steward, 2 * SECOND)[0], Order::DropLines { slice: 0 });
+}
+
+#[test]
+fn a_server_missing_from_a_whole_list_is_gone() {
+    let mut steward = steward(1, 2, 1);
+    steward.list_begin(Scope::Whole);
+    steward.list_entry(1, Health::Ready, 0);
+    steward.list_end(Scope::Whole);
+    assert_eq!(orders(&mut steward, 1)[0], Order::DropLines { slice: 0 });
+}
+
+#[test]
+fn a_stale_list_moves_nothing_off_a_server_it_lacks() {
+    let mut steward = steward(1, 2, 1);
+    steward.on_record(0, 0, 9, 1.0);
+    steward.fresh_list = false;
+    assert_eq!(steward.leaving(1).0, []);
+    steward.fresh_list = true;
+    assert_eq!(steward.leaving(1).0, [0]);
+}
+
+#[test]
+fn a_hand_over_waits_for_every_answer() {
+    let mut steward = steward(1, 2, 2);
+    hand_off(&mut steward, &[0, 1]);
+    steward.installed(0, 1);
+    steward.settle(SECOND);
+    assert!(steward.slices[0].handing_off());
+    steward.installed(1, 1);
+    steward.settle(SECOND);
+    assert_eq!(steward.slices[0].state, State::Settling);
+    assert_eq!(steward.slices[0].quiet, Some(SECOND + SETTLE));
+}
+
+#[test]
+fn a_silent_joined_proxy_holds_a_hand_over_past_any_lease() {
+    let mut steward = steward(1, 2, 1);
+    hand_off(&mut steward, &[0]);
+    steward.settle(100 * LEASE);
+    assert!(steward.slices[0].handing_off());
+}
+
+#[test]
+fn a_broken_proxy_counts_its_lease_from_the_break() {
+    let mut steward = steward(1, 2, 1);
+    hand_off(&mut steward, &[0]);
+    steward.stream_down(SECOND, 0);
+    steward.settle(SECOND + LEASE - 1);
+    assert!(steward.slices[0].handing_off());
+    steward.settle(SECOND + LEASE);
+    assert_eq!(steward.slices[0].state, State::Settling);
+}
+
+#[test]
+fn a_proxy_never_seen_counts_as_broken_when_the_slice_was_given() {
+    let mut steward = steward(1, 2, 1);
+    steward.proxy(1);
+    hand_off(&mut steward, &[1]);
+    steward.slices[0].given = SECOND;
+    steward.settle(SECOND + LEASE - 1);
+    assert!(steward.slices[0].handing_off());
+    steward.settle(SECOND + LEASE);
+    assert!(!steward.slices[0].handing_off());
+}
+
+#[test]
+fn a_proxy_that_rejoins_gets_a_fresh_mark() {
+    let mut steward = steward(1, 2, 1);
+    hand_off(&mut steward, &[0]);
+    steward.proxies[0].marked = 1;
+    assert_eq!(orders(&mut steward, 1), []);
+    steward.stream_down(2, 0);
+    steward.joined(0);
+    assert_eq!(orders(&mut steward, 3 * SECOND), [Order::Stamp { number: 2 }]);
+}
+
+#[test]
+fn a_slice_in_a_hand_over_ignores_new_moves() {
+    let mut steward = steward(1, 3, 1);
+    hand_off(&mut steward, &[0]);
+    list(&mut steward, 0, Health::Gone, 0);
+    assert_eq!(steward.leaving(1), (vec![], 0));
+}
+
+#[test]
+fn a_settling_slice_is_granted_for_reads_and_says_so_on_record() {
+    let mut steward = steward(1, 2, 1);
+    settle(&mut steward, 9 * SECOND);
+    let grant = [
+        Order::SetLine { slice: 0, be: 0, weight: 0.5 },
+        Order::Level { slice: Some(0), kinds: 2, share: 0.0 },
+        Order::Stamp { number: 1 },
+    ];
+    assert_eq!(orders(&mut steward, 5 * SECOND), grant);
+    assert_eq!(steward.slices[0].state, State::Settling);
+}
+
+#[test]
+fn writes_open_only_once_a_slice_is_quiet() {
+    let mut steward = steward(1, 2, 1);
+    settle(&mut steward, 9 * SECOND);
+    steward.slices[0].owner = Some(1);
+    steward.slices[0].levels[1] = 0.0;
+    assert_eq!(orders(&mut steward, 9 * SECOND - 1), []);
+    let open = [
+        Order::SetLine { slice: 0, be: 1, weight: 1.0 },
+        Order::Level { slice: Some(0), kinds: 2, share: 1.0 },
+        Order::Stamp { number: 1 },
+    ];
+    assert_eq!(orders(&mut steward, 9 * SECOND), open);
+    assert_eq!(steward.slices[0].state, State::Owned);
+}
+
+#[test]
+fn an_owner_lost_while_settling_keeps_the_end_of_the_settling() {
+    let mut steward = steward(1, 3, 1);
+    settle(&mut steward, 9 * SECOND);
+    (steward.slices[0].owner, steward.slices[0].levels[1]) = (Some(1), 0.0);
+    list(&mut steward, 1, Health::Draining, 0);
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::DropLines { slice: 0 });
+    steward.installed(0, 1);
+    steward.settle(2 * SECOND);
+    assert_eq!(steward.slices[0].quiet, Some(9 * SECOND));
+}
+
+#[test]
+fn a_steward_that_starts_over_closes_writes_of_a_slice_open_to_reads_alone() {
+    let mut steward = steward(1, 2, 1);
+    steward.given(SECOND, 0);
+    steward.on_record(SECOND, 0, 1, 0.5);
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::Level { slice: Some(0), kinds: 2, share: 0.0 });
+    assert_eq!(steward.slices[0].quiet, Some(SECOND + SETTLE));
+}
+
+#[test]
+fn an_empty_record_waits_one_lease_before_its_grant() {
+    let mut steward = steward(1, 2, 1);
+    steward.given(SECOND, 0);
+    assert_eq!(orders(&mut steward, SECOND + LEASE - 1), []);
+    assert!(matches!(orders(&mut steward, SECOND + LEASE)[0], Order::SetLine { weight: 0.5, .. }));
+}
+
+#[test]
+fn a_slice_taken_away_in_a_hand_over_is_left_alone() {
+    let mut steward = steward(1, 2, 1);
+    hand_off(&mut steward, &[0]);
+    steward.taken(0);
+    steward.installed(0, 1);
+    assert_eq!(orders(&mut steward, 9 * LEASE), []);
+}
+
+#[test]
+fn no_host_fit_leaves_a_slice_ownerless_until_one_is_ready() {
+    let mut steward = steward(1, 1, 1);
+    settle(&mut steward, 0);
+    list(&mut steward, 0, Health::Gone, 0);
+    assert_eq!(orders(&mut steward, SECOND), []);
+    list(&mut steward, 0, Health::Ready, SECOND);
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
+}
+
+#[test]
+fn a_grant_goes_to_the_fewest_slices_passing_over_doubtful_servers() {
+    let mut steward = steward(3, 3, 1);
+    steward.slices[1].owner = Some(1);
+    settle(&mut steward, 0);
+    assert_eq!(steward.fewest(SECOND, 0), Some(2));
+    steward.bes[2].suspect_until = 2 * SECOND;
+    assert_eq!(steward.fewest(SECOND, 0), Some(0));
+    steward.bes.iter_mut().for_each(|be| be.suspect_until = 2 * SECOND);
+    assert_eq!(steward.fewest(SECOND, 0), Some(2), "never empties the fleet");
+}
+
+#[test]
+fn a_started_server_gets_one_slice_a_tick() {
+    let mut steward = steward(4, 2, 1);
+    (steward.bes[1].boot, steward.done) = (1, 10.0);
+    assert_eq!(steward.fewest(SECOND, 0), Some(1));
+    steward.bes[1].granted = SECOND;
+    assert_eq!(steward.fewest(2 * SECOND, 0), Some(0));
+}
+
+#[test]
+fn a_cold_server_is_let_in_within_its_budget() {
+    let mut steward = steward(1, 1, 1);
+    (steward.bes[0].boot, steward.done) = (1, 10.0);
+    steward.heat(0, 0, 0, 40.0, SECOND);
+    // 0.4 x 2.5 x 0.2 x 10 a second of the 40 that come.
+    assert!((steward.cap(0, 1) - 0.05).abs() < 1e-6);
+    assert_eq!(steward.cap(0, 11 * SECOND), 1.0);
+}
+
+#[test]
+fn a_cold_server_that_falls_behind_is_cut_between_ticks() {
+    let mut steward = steward(1, 1, 1);
+    (steward.bes[0].boot, steward.done, steward.tick) = (1, 1000.0, SECOND);
+    steward.heat(SECOND, 0, 0, 10.0, SECOND);
+    steward.bes[0].tries = tries(SECOND, 10.0, 9.0, 3 * SECOND, Some(1.0));
+    steward.levels(SECOND, false);
+    assert!(steward.bes[0].level < 0.5 && steward.hurry);
+}
+
+#[test]
+fn a_dead_server_is_suspected_and_a_jammed_one_is_not() {
+    let mut steward = steward(1, 8, 1);
+    steward.bes[0].tries = tries(SECOND, 5.0, 5.0, 0, None);
+    steward.suspect(SECOND);
+    assert!(!steward.trusted(0, SECOND));
+    steward.bes[1].tries = tries(SECOND, 5.0, 5.0, 0, None);
+    steward.bes[1].strained = SECOND;
+    steward.suspect(SECOND);
+    assert!(steward.trusted(1, SECOND));
+}
+
+#[test]
+fn many_suspects_at_once_are_a_bad_view() {
+    let mut steward = steward(2, 8, 1);
+    steward.bes[0].suspect_until = 9 * SECOND;
+    assert_eq!(steward.leaving(1).0, [0, 1]);
+    steward.bes.iter_mut().for_each(|be| be.suspect_until = 9 * SECOND);
+    assert_eq!(steward.leaving(1).0, []);
+}
+
+#[test]
+fn strain_asks_for_late_answers_besides_busy_cores() {
+    let mut steward = steward(1, 2, 1);
+    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(1.0));
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
+    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(0.5));
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
+    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(1.0));
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain > 2.0));
+}
+
+#[test]
+fn a_level_lets_in_the_dearest_credit_first() {
+    let mut steward = steward(1, 1, 1);
+    steward.heat(0, 0, 0, 10.0, SECOND);
+    steward.heat(0, 0, 1, 10.0, SECOND);
+    steward.bes[0].level = 0.75;
+    assert_eq!(steward.wanted(0, true)[..2], [0.5, 1.0]);
+    steward.bes[0].level = 0.25;
+    assert_eq!(steward.wanted(0, true)[..2], [0.0, 0.5]);
+    assert_eq!(steward.wanted(0, false)[1], 0.0, "writes stay closed while settling");
+}
+
+#[test]
+fn a_strained_server_gives_a_slice_that_another_has_room_for() {
+    let mut steward = steward(3, 2, 1);
+    (0..3).for_each(|s| steward.heat(SECOND, s, 0, 2.0 + s as f64, SECOND));
+    steward.bes[0].tries = tries(SECOND, 10.0, 5.0, 3 * SECOND, Some(1.0));
+    steward.bes[0].capacity = 1.0;
+    steward.bes[1].capacity = 5.5;
+    assert_eq!(steward.imbalance(SECOND), [1], "the hottest that fits");
+}
+
+#[test]
+fn a_slice_returns_from_a_server_that_gained_to_one_below_its_start() {
+    let mut steward = steward(3, 2, 1);
+    assert_eq!(steward.imbalance(SECOND), []);
+    (steward.bes[0].start, steward.bes[1].start) = (1, 2);
+    assert_eq!(steward.imbalance(SECOND), [0]);
+}
+
+#[test]
+fn the_ledger_keeps_messages_for_drains_and_lines_within_the_queue() {
+    let mut steward = steward(1, 1, 10);
+    let turn = |at, mark, lines| Turn { at, lines, mark };
+    steward.turns = (1..=8).map(|mark| turn(SECOND, mark, 0.0)).collect();
+    assert_eq!(steward.room(9 * SECOND, 10, false), 0);
+    assert!(steward.room(9 * SECOND, 10, true) > 0);
+    steward.turns.extend((9..=12).map(|mark| turn(SECOND, mark, 0.0)));
+    assert_eq!(steward.room(9 * SECOND, 10, true), 0);
+    steward.turns = VecDeque::from([turn(0, 1, 5_400.0)]);
+    assert_eq!(steward.room(5 * SECOND, 10, true), 0);
+    steward.mark = 1;
+    steward.installed(0, 1);
+    assert!(steward.room(5 * SECOND, 10, true) > 0);
+}
+
+#[test]
+fn a_failed_subscription_is_asked_for_again_soon() {
+    let mut steward = steward(1, 1, 1);
+    steward.cfg.set("discovery", "on_request");
+    steward.list_failed(SECOND);
+    assert_eq!(orders(&mut steward, SECOND), []);
+    assert_eq!(orders(&mut steward, 2 * SECOND), [Order::Watch]);
+}
+
+#[test]
+fn without_slices_leavers_are_withdrawn_and_let_in_again() {
+    let mut steward = steward(0, 2, 1);
+    list(&mut steward, 0, Health::Draining, 0);
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::Withdraw { be: 0, out: true });
+    list(&mut steward, 0, Health::Ready, 2 * SECOND);
+    assert_eq!(orders(&mut steward, 3 * SECOND)[0], Order::Withdraw { be: 0, out: false });
 }
