--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -657,7 +657,7 @@
         };
         let leavers = self.slices.is_empty()
             && self.bes.iter().any(|be| be.seen && be.withdrawn == (be.health == Health::Ready));
-        let urgent = urgent > 0 || leavers || self.hurry || self.slices.iter().any(open);
+        let urgent = urgent > 0 || leavers || self.slices.iter().any(open);
         let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
@@ -757,7 +757,7 @@
             // A third is kept for drains; the rest is spread so that a burst doesn't use it up.
             let most = if urgent { allowed } else { allowed - allowed / 3 };
             let gap = window * self.turns.len() as Time / (most * most) as Time;
-            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= gap);
+            let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
             if self.turns.len() >= most || !(urgent || spaced) {
                 return 0;
             }
