Relieve toward whoever would deny much less, and grant to cold servers before an overfull warm one

Cause: the last resort of a grant was the one warm server, and relief asked for room for a slice at its full rate, which clients' repeats inflate; told apart from lost orders by the turns going out. Guards any lopsided map; could move slices needlessly where levels are low for a moment.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -488,10 +488,10 @@
         }
     }
 
-    /// Reqs a second that a server can take besides what comes for the slices it holds.
-    fn room_at(&self, be: usize, now: Time) -> f64 {
-        let budget = self.budget(be, now);
-        (if budget.is_finite() { budget } else { 0.9 * self.bes[be].capacity }) - self.load(be)
+    /// The share of its reqs that a server could well take with one slice more.
+    fn share_with(&self, be: usize, slice: usize, now: Time) -> f64 {
+        let capacity = self.budget(be, now).min(0.9 * self.bes[be].capacity);
+        capacity / (self.load(be) + NEW_KEYS * self.rate(slice)).max(1e-6)
     }
 
     /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets what
@@ -537,13 +537,13 @@
         // A started server gets one slice a tick.
         let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
         // Exception: a server that would have too much with it is passed over.
-        let able = |be: usize| NEW_KEYS * self.rate(slice) <= self.room_at(be, now);
+        let able = |be: usize| self.share_with(be, slice, now) >= 1.0;
         let pick = |fit: &dyn Fn(usize) -> bool| {
             self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
-        // Never empties the fleet: a doubtful server is better than none, a cold one the last resort.
+        // Never empties the fleet: a doubtful server is better than none.
         pick(&|be| warm(be) && self.trusted(be, now) && able(be))
-            .or_else(|| pick(&|be| self.present(be, now) >= 1.0 && self.trusted(be, now)))
+            .or_else(|| pick(&|be| warm(be) && self.trusted(be, now)))
             .or_else(|| pick(&warm))
             .or_else(|| pick(&|_| true))
     }
@@ -624,16 +624,12 @@
         let strain = |be: usize| self.strain(be, now).unwrap_or(0.0);
         let mut strained: Vec<usize> = fit.iter().copied().filter(|&be| strain(be) > 1.0).collect();
         strained.sort_by(|&a, &b| strain(b).total_cmp(&strain(a)));
-        let mut rooms: Vec<f64> = fit.iter().map(|&be| self.room_at(be, now)).collect();
         let mut moves = Vec::new();
         for be in strained.into_iter().take(free) {
-            rooms.sort_by(f64::total_cmp);
-            let Some(room) = rooms.last_mut() else { break };
-            let hot = owned(be).filter(|&s| NEW_KEYS * self.rate(s) < *room);
-            if let Some(slice) = hot.max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))) {
-                *room -= NEW_KEYS * self.rate(slice);
-                moves.push(slice);
-            }
+            // Where it already denies much, another that would deny much less will do.
+            let least = (1.5 * self.bes[be].level).min(1.0);
+            let fits = |&s: &usize| fit.iter().any(|&to| to != be && self.share_with(to, s, now) >= least);
+            moves.extend(owned(be).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
         }
         let below = fit.iter().copied().min_by_key(|&be| (gain(be), be));
         let above = fit.iter().copied().max_by_key(|&be| (gain(be), be));
