Let a started server take as many slices as its budget holds

Cause: in a release each wave of drained slices went to the few servers still warm, as a started one got one slice a tick however cold-safe more would have been; those were drained next. Harm: a server that ramps slower than evenly would be brought more; its level is watched between ticks.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -534,7 +534,7 @@
 
     /// The server to grant a slice to: the one with the fewest slices of this steward among those fit for it.
     fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
-        // A started server gets one slice a tick.
+        // A started server gets what its budget holds, and past that one slice a tick.
         let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
         // Exception: a server that would have too much with it is passed over.
         let able = |be: usize| self.share_with(be, slice, now) >= 1.0;
@@ -542,7 +542,7 @@
             self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
         // Never empties the fleet: a doubtful server is better than none.
-        pick(&|be| warm(be) && self.trusted(be, now) && able(be))
+        pick(&|be| self.trusted(be, now) && able(be))
             .or_else(|| pick(&|be| warm(be) && self.trusted(be, now)))
             .or_else(|| pick(&warm))
             .or_else(|| pick(&|_| true))
