--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -222,7 +222,7 @@
         let proxy = |line: &Line| line.get::<u16>("client_lb").map(usize::from);
         match line.name {
             "MEMBERSHIP" => self.list(now, line, sheets)?,
-            "JOINED" => self.steward.joined(proxy(line)?),
+            "JOINED" => self.steward.joined(proxy(line)?, line.number("heft").unwrap_or(0.0)),
             "STREAM_DOWN" => self.steward.stream_down(now, proxy(line)?),
             "INSTALLED" => self.steward.installed(proxy(line)?, line.get("number")?),
             "GIVEN" => {
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -56,6 +56,8 @@
     /// The last mark written to it on this stream.
     marked: u64,
     answered: u64,
+    /// Reqs a second that it usually gets.
+    usual: f64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -198,7 +200,13 @@
 
     fn proxy(&mut self, proxy: usize) -> &mut Proxy {
         while self.proxies.len() <= proxy {
-            self.proxies.push(Proxy { joined: false, down: self.started, marked: 0, answered: 0 });
+            self.proxies.push(Proxy {
+                joined: false,
+                down: self.started,
+                marked: 0,
+                answered: 0,
+                usual: 0.0,
+            });
         }
         &mut self.proxies[proxy]
     }
@@ -241,11 +249,10 @@
         self.ask_at = now + SECOND / 4 + self.rng.i64(0..SECOND / 2);
     }
 
-    pub fn joined(&mut self, proxy: usize) {
+    pub fn joined(&mut self, proxy: usize, usual: f64) {
         self.news = true;
         let entry = self.proxy(proxy);
-        entry.joined = true;
-        entry.marked = 0;
+        (entry.joined, entry.marked, entry.usual) = (true, 0, usual);
     }
 
     pub fn stream_down(&mut self, now: Time, proxy: usize) {
@@ -403,9 +410,18 @@
         self.slices.iter().filter(|slice| slice.mine && slice.owner == Some(be)).count()
     }
 
-    /// Reqs a second that come for a slice, of each request kind.
+    /// Reqs a second that usually come, to all slices of all stewards.
+    fn usual(&self) -> f64 {
+        self.proxies.iter().map(|proxy| proxy.usual).sum()
+    }
+
+    /// Reqs a second that come for a slice, of each request kind; an even part of the usual ones until heard of.
     fn rates(&self, slice: usize) -> [f64; KINDS] {
         let (mut count, mut window) = ([0.0; KINDS], [0; KINDS]);
+        if self.slices[slice].heat.is_empty() {
+            let even = self.usual() / (self.slices.len() * self.kinds().max(1)) as f64;
+            return std::array::from_fn(|k| if k < self.kinds() { even } else { 0.0 });
+        }
         let recent = |sample: &&Heat| sample.kind < KINDS && self.now - sample.at < self.span();
         for sample in self.slices[slice].heat.iter().filter(recent) {
             count[sample.kind] += sample.count;
@@ -555,13 +571,16 @@
     }
 
     /// Reqs a second that a cold server may be brought. Under half of what would push it over, as its keys are new to it
-    /// and cost more; its full capacity is taken as the most that servers got done on average so far.
+    /// and cost more; its full capacity is taken as the most that servers got done on average so far, or usually get.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
         if present >= 1.0 {
             return f64::INFINITY;
         }
-        0.4 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * self.done
+        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
+        let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
+        let full = self.done.max(self.usual() / stewards / seen);
+        0.3 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * full
     }
 
     /// How far back reports are looked at: a tick of them, whatever the time between two.
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -30,7 +30,7 @@
     steward.list_begin(Scope::Whole);
     (0..bes).for_each(|be| steward.list_entry(be, Health::Ready, 0));
     steward.list_end(Scope::Whole);
-    (0..proxies).for_each(|proxy| steward.joined(proxy));
+    (0..proxies).for_each(|proxy| steward.joined(proxy, 0.0));
     for slice in 0..slices {
         steward.given(0, slice);
         steward.on_record(0, slice, 0, 1.0);
@@ -166,7 +166,7 @@
     steward.proxies[0].marked = 1;
     assert_eq!(orders(&mut steward, 1), []);
     steward.stream_down(2, 0);
-    steward.joined(0);
+    steward.joined(0, 0.0);
     assert_eq!(orders(&mut steward, 3 * SECOND), [Order::Stamp { number: 2 }]);
 }
 
@@ -283,8 +283,8 @@
     let mut steward = steward(1, 1, 1);
     (steward.bes[0].boot, steward.done) = (1, 10.0);
     steward.heat(0, 0, 0, 40.0, SECOND);
-    // 0.4 x 2.5 x 0.2 x 10 a second of the 40 that come.
-    assert!((steward.cap(0, 1) - 0.05).abs() < 1e-6);
+    // 0.2 x 2.5 x 0.2 x 10 a second of the 40 that come.
+    assert!((steward.cap(0, 1) - 0.025).abs() < 1e-6);
     assert_eq!(steward.cap(0, 11 * SECOND), 1.0);
 }
 
@@ -298,6 +298,16 @@
     assert!(steward.bes[0].level < 0.5 && steward.hurry);
 }
 
+#[test]
+fn a_steward_that_has_heard_nothing_yet_goes_by_what_usually_comes() {
+    let mut steward = steward(4, 2, 2);
+    (0..2).for_each(|proxy| steward.joined(proxy, 20.0));
+    assert_eq!(steward.rate(0), 10.0);
+    steward.bes[0].boot = 1;
+    // All four slices are there: 0.2 x 2.5 x 0.2 of the 20 a second that are usual at each of two servers.
+    assert!((steward.cap(0, 1) - 0.05).abs() < 1e-6);
+}
+
 #[test]
 fn a_dead_server_is_suspected_and_a_jammed_one_is_not() {
     let mut steward = steward(1, 8, 1);
