--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -704,6 +704,7 @@
                 continue;
             }
             let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
+            let mut flood = false;
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
                 let reads = writing != 0 && self.cfg.text("family_info.admit") != Some("none");
@@ -715,11 +716,17 @@
                 self.slices[s].owner = Some(be);
                 self.bes[be].level = self.bes[be].level.min(self.cap(be, now));
                 self.slices[s].levels = [1.0; KINDS];
+                // Guards a cold server against what proxies held while the slice had no owner: a level of 0 stops
+                // that, and the next turn opens.
+                flood = self.bes[be].level < 1.0 && self.present(be, now) < 1.0;
                 orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
             } else if quiet && slice.state == State::Settling {
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
-            let wanted = self.wanted(s, quiet);
+            let mut wanted = self.wanted(s, quiet);
+            if flood {
+                wanted = [0.0; KINDS];
+            }
             for (k, &share) in wanted.iter().enumerate().take(self.kinds()) {
                 // Small changes would fill the channel: a tenth, or all or nothing.
                 let change = (share - self.slices[s].levels[k]).abs();
