--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -305,7 +305,7 @@
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
-        let late = took as f64 > 0.6 * self.target();
+        let late = took as f64 > 0.45 * self.target();
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
             entry.strained = now;
@@ -465,7 +465,7 @@
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
         let full = if good < 0.7 * count { count / good.max(1.0) } else { 0.0 };
-        Some((took / (0.6 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
+        Some((took / (0.45 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
