Judge strain by the mean response target

Cause: with one short response target among several, servers that answer in time for most reqs counted as strained.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -305,7 +305,7 @@
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
-        let late = took as f64 > 0.45 * self.target();
+        let late = took as f64 > 0.4 * self.target();
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
             entry.strained = now;
@@ -438,10 +438,10 @@
         self.cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize
     }
 
-    /// The shortest response target.
+    /// The mean response target.
     fn target(&self) -> f64 {
         let targets = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s")));
-        targets.min().unwrap_or(SECOND) as f64
+        targets.sum::<Time>().max(1) as f64 / self.kinds().max(1) as f64
     }
 
     /// How hard a server works: above 1 it has too much.
@@ -465,7 +465,7 @@
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
         let full = if good < 0.7 * count { count / good.max(1.0) } else { 0.0 };
-        Some((took / (0.45 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
+        Some((took / (0.4 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
