--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -630,9 +630,11 @@
         const THRESHOLD: isize = 2;
         const IN_FLIGHT: usize = 3;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
-        let free = IN_FLIGHT.saturating_sub(moving);
         let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
         let fit: Vec<usize> = self.ready().filter(|&be| self.trusted(be, now)).collect();
+        // Exception: after an enlargement each server that holds nothing may be getting a slice.
+        let empty = fit.iter().filter(|&&be| self.held(be) == 0).count();
+        let free = IN_FLIGHT.max(empty).saturating_sub(moving);
         let owned = |be: usize| {
             (0..self.slices.len()).filter(move |&s| {
                 let slice = &self.slices[s];
