--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -21,8 +21,8 @@
     granted: Time,
     tries: VecDeque<Tries>,
     suspect_until: Time,
-    /// Reqs a second for its slices that are let in.
-    allowed: f64,
+    /// The share of the reqs for its slices that is let in.
+    level: f64,
     /// Reqs a second that it can well take, as worked out at the last tick.
     capacity: f64,
     /// When a good answer last came late or its cores were busy.
@@ -131,6 +131,8 @@
     started: Time,
     wake: Time,
     tick: Time,
+    /// When servers were last reported on.
+    heard: Time,
     /// The most reqs a second that a server got done on average, over any tick so far.
     done: f64,
     /// The list has been heard of since the start, beyond what was kept from before.
@@ -161,6 +163,7 @@
             started: now,
             wake: now,
             tick: now,
+            heard: now,
             done: 0.0,
             fresh_list: false,
             watching: cfg.text("discovery") != Some("on_request"),
@@ -190,7 +193,7 @@
                 granted: Time::MIN / 2,
                 tries: VecDeque::new(),
                 suspect_until: Time::MIN,
-                allowed: f64::INFINITY,
+                level: 1.0,
                 capacity: f64::INFINITY,
                 strained: Time::MIN / 2,
             });
@@ -305,6 +308,7 @@
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
+        self.heard = now;
         let late = took as f64 > 0.4 * self.target();
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
@@ -485,32 +489,25 @@
             let a_second = |count: f64| count * SECOND as f64 / span as f64;
             let tried = a_second(recent().map(|t| t.count).sum());
             let good = a_second(recent().map(|t| t.count - t.failed).sum());
-            let (before, load) = (self.bes[be].allowed, self.load(be));
-            // Straight to what it gets done, less a part for the queue to empty: steps would add up while reports
-            // lag. Reqs a second rather than a share, so that clients' repeats don't raise it. A tenth of what others
-            // get done keeps word coming from a server that gets nothing done.
-            let allowed = match strain.unwrap_or(0.8) {
+            let level = self.bes[be].level;
+            // Straight to what it gets done, less a part for the queue to empty: steps would add up while reports lag.
+            let level = match strain.unwrap_or(0.8) {
                 strain if strain > 1.0 => {
-                    ((1.0 / strain).max(0.8) * good).max(0.1 * self.done).min(0.95 * before)
+                    ((1.0 / strain).max(0.8) * good / self.load(be).max(1e-6)).min(0.95 * level)
                 }
-                strain if strain > 0.9 => before,
-                strain => before.max(tried) / strain.max(0.5),
+                strain if strain > 0.9 => level,
+                strain => level / strain.max(0.5),
             };
-            let allowed = if tick { allowed } else { allowed.min(before) };
-            self.hurry |= self.present(be, now) < 1.0 && allowed < 0.8 * before.min(load);
+            let level = if tick { level } else { level.min(self.bes[be].level) };
+            self.hurry |=
+                self.present(be, now) < 1.0 && self.load(be) > 0.0 && level < 0.8 * self.bes[be].level;
             if let Some(strain) = strain {
                 self.bes[be].capacity = tried / strain.max(0.2);
             }
-            self.bes[be].allowed = if allowed > 2.0 * load { f64::INFINITY } else { allowed };
-        }
-    }
-
-    /// The share of its reqs that a server is let have.
-    fn level(&self, be: usize, now: Time) -> f64 {
-        if self.cfg.text("family_info.admit") != Some("ratio") {
-            return 1.0;
+            if self.cfg.text("family_info.admit") == Some("ratio") {
+                self.bes[be].level = level.clamp(0.1, 1.0).min(self.cap(be, now));
+            }
         }
-        (self.bes[be].allowed.min(self.budget(be, now)) / self.load(be).max(1e-6)).min(1.0)
     }
 
     /// The share of its reqs that a server could well take with one slice more.
@@ -526,7 +523,7 @@
         let mut kinds: Vec<usize> = (0..self.kinds()).collect();
         kinds.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
         let rates = self.rates(slice);
-        let level = self.slices[slice].owner.map_or(1.0, |be| self.level(be, self.now));
+        let level = self.slices[slice].owner.map_or(1.0, |be| self.bes[be].level);
         let mut left = level * rates.iter().sum::<f64>();
         let mut wanted = [1.0; KINDS];
         for k in kinds {
@@ -597,6 +594,11 @@
         self.time("family_info.cycle_s") + Self::TICK
     }
 
+    /// The share of its reqs that keeps a cold server within its budget.
+    fn cap(&self, be: usize, now: Time) -> f64 {
+        (self.budget(be, now) / self.load(be).max(1e-6)).min(1.0)
+    }
+
     /// The guide's strategy tick.
     const TICK: Time = 2 * SECOND;
 
@@ -617,7 +619,9 @@
         if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
             leaving.extend(holding(&|slice, be| !slice.stopped && ready(be) && !self.trusted(be, now)));
         }
-        let tick = now - self.tick >= Self::TICK;
+        // In step with the reports where they come as seldom as ticks.
+        let early = if self.heard == now { self.time("family_info.cycle_s") / 2 } else { 0 };
+        let tick = now - self.tick >= Self::TICK - early;
         self.levels(now, tick);
         if tick {
             self.tick = now;
@@ -652,7 +656,7 @@
         let mut moves = Vec::new();
         for be in strained.into_iter().take(free) {
             // Where it already denies much, another that would deny much less will do.
-            let least = (1.5 * self.level(be, now)).min(1.0);
+            let least = (1.5 * self.bes[be].level).min(1.0);
             let fits = |&s: &usize| fit.iter().any(|&to| to != be && self.share_with(to, s, now) >= least);
             moves.extend(owned(be).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
         }
@@ -720,10 +724,11 @@
                 let Some(be) = self.fewest(now, s) else { continue };
                 self.bes[be].granted = now;
                 self.slices[s].owner = Some(be);
+                self.bes[be].level = self.bes[be].level.min(self.cap(be, now));
                 self.slices[s].levels = [1.0; KINDS];
                 // Guards a cold server against what proxies held while the slice had no owner: a level of 0 stops
                 // that, and the next turn opens.
-                flood = self.level(be, now) < 1.0 && self.present(be, now) < 1.0;
+                flood = self.bes[be].level < 1.0 && self.present(be, now) < 1.0;
                 orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
             } else if quiet && slice.state == State::Settling {
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
