--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -493,7 +493,7 @@
             // Straight to what it gets done, less a part for the queue to empty: steps would add up while reports lag.
             let level = match strain.unwrap_or(0.8) {
                 strain if strain > 1.0 => {
-                    ((1.0 / strain).max(0.8) * good / self.load(be).max(1e-6)).min(0.95 * level)
+                    ((1.0 / strain).max(0.65) * good / self.load(be).max(1e-6)).min(0.95 * level)
                 }
                 strain if strain > 0.9 => level,
                 strain => level / strain.max(0.5),
