After a start, cold servers are granted by what usually comes

Now a cold server's slices count at least as an even part of the usual reqs for two spans after a start. Deeper cuts of late servers are undone.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -1,8 +1,8 @@
 //! The decisions of a steward: which server owns each slice, and how a slice moves.
 //!
-//! The host builds a [`Steward`] with its settings, calls one input method for each thing it learns (these only
-//! update what is known), then pulls [`Order`]s with [`Steward::next_order`] until there is none. Types, settings
-//! and id tables are in `lib.rs`; `docs/design.md` tells what is kept of the source and when exceptions act.
+//! The host builds a [`Steward`] with its settings, calls one input method for each thing it learns (these
+//! only update what is known), then pulls [`Order`]s with [`Steward::next_order`] until there is none. Types,
+//! settings and id tables are in `lib.rs`; `docs/design.md` tells when exceptions act.
 
 use std::collections::VecDeque;
 
@@ -289,8 +289,8 @@
         self.be(be).start += 1;
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.owner = Some(be);
-            // Guards against a steward that starts over while a slice settles: the store resets the levels that
-            // kept writes from the new owner, but the line's weight still tells.
+            // Guards against a steward that starts over while a slice settles: the store resets the levels
+            // that kept writes from the new owner, but the line's weight still tells.
             (entry.state, entry.quiet) =
                 if weight < 1.0 { (State::Settling, Some(settled)) } else { (State::Owned, None) };
         }
@@ -391,8 +391,8 @@
             let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < 3 * SECOND).collect();
             let count: f64 = recent.iter().map(|t| t.count).sum();
             let failed: f64 = recent.iter().map(|t| t.failed).sum();
-            // Guards against taking a jam for a death: a full server fails everything too, but was busy or late
-            // just before. Its level falls first; moving its slices would only jam the next one.
+            // Guards against taking a jam for a death: a full server fails everything too, but was busy or
+            // late just before. Its level falls first; moving its slices would only jam the next one.
             let jammed = now - be.strained < 6 * SECOND;
             if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count && !jammed {
                 // As long as the list usually needs to notice a silent machine.
@@ -416,10 +416,11 @@
 
     /// Reqs a second that usually come, to all slices of all stewards.
     fn usual(&self) -> f64 {
-        self.proxies.iter().map(|proxy| proxy.usual).sum()
+        let heard = self.proxies.iter().filter(|proxy| proxy.usual > 0.0).count().max(1) as f64;
+        self.proxies.iter().map(|proxy| proxy.usual).sum::<f64>() / heard * self.proxies.len() as f64
     }
 
-    /// Reqs a second that come for a slice, of each request kind; an even part of the usual ones until heard of.
+    /// Reqs a second that come for a slice, by request kind; an even part of the usual ones until heard of.
     fn rates(&self, slice: usize) -> [f64; KINDS] {
         let (mut count, mut window) = ([0.0; KINDS], [0; KINDS]);
         if self.slices[slice].heat.is_empty() {
@@ -444,8 +445,8 @@
 
     /// The mean response target.
     fn target(&self) -> f64 {
-        let targets = (0..self.kinds()).filter_map(|k| self.cfg.time(&format!("classes.{k}.aim_s")));
-        targets.sum::<Time>().max(1) as f64 / self.kinds().max(1) as f64
+        let target = |k: usize| self.cfg.time(&format!("classes.{k}.aim_s")).unwrap_or(SECOND);
+        (0..self.kinds()).map(target).sum::<Time>().max(1) as f64 / self.kinds().max(1) as f64
     }
 
     /// How hard a server works: above 1 it has too much.
@@ -459,8 +460,8 @@
         if count <= 0.0 {
             return None;
         }
-        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far over.
-        // 0.85 and 0.6 leave room for chance and for a queue that is still short.
+        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far.
+        // 0.85 and 0.4 leave room for chance and for a queue that is still short.
         let utils: Vec<f64> = recent().filter_map(|t| t.util).collect();
         let util = utils.iter().sum::<f64>() / utils.len() as f64 / 0.85;
         if util < 1.0 {
@@ -479,8 +480,8 @@
         let done: f64 = recent.map(|t| t.count - t.failed).sum();
         self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().count().max(1) as f64);
         for be in 0..self.bes.len() {
-            // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can push it
-            // over within a tick.
+            // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can
+            // push it over within a tick.
             if !tick && self.present(be, now) >= 1.0 {
                 continue;
             }
@@ -490,10 +491,10 @@
             let tried = a_second(recent().map(|t| t.count).sum());
             let good = a_second(recent().map(|t| t.count - t.failed).sum());
             let level = self.bes[be].level;
-            // Straight to what it gets done, less a part for the queue to empty: steps would add up while reports lag.
+            // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
             let level = match strain.unwrap_or(0.8) {
                 strain if strain > 1.0 => {
-                    ((1.0 / strain).max(0.65) * good / self.load(be).max(1e-6)).min(0.95 * level)
+                    ((1.0 / strain).max(0.8) * good / self.load(be).max(1e-6)).min(0.95 * level)
                 }
                 strain if strain > 0.9 => level,
                 strain => level / strain.max(0.5),
@@ -513,11 +514,11 @@
     /// The share of its reqs that a server could well take with one slice more.
     fn share_with(&self, be: usize, slice: usize, now: Time) -> f64 {
         let capacity = self.budget(be, now).min(0.9 * self.bes[be].capacity);
-        capacity / (self.load(be) + NEW_KEYS * self.rate(slice)).max(1e-6)
+        capacity / (self.load(be) + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
     }
 
-    /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets what
-    /// is left. Kinds that write are closed until the slice is quiet.
+    /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets
+    /// what is left. Kinds that write are closed until the slice is quiet.
     fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
         let credit = |k: usize| self.cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
         let mut kinds: Vec<usize> = (0..self.kinds()).collect();
@@ -573,11 +574,19 @@
     /// Reqs a second that come for the slices of this steward at a server.
     fn load(&self, be: usize) -> f64 {
         let held = |&s: &usize| self.slices[s].mine && self.slices[s].owner == Some(be);
-        (0..self.slices.len()).filter(held).map(|s| self.rate(s)).sum()
+        (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// Reqs a second that a cold server may be brought. Under half of what would push it over, as its keys are new to it
-    /// and cost more; its full capacity is taken as the most that servers got done on average so far, or usually get.
+    /// What a slice brings a server. Guards a cold one against a steward that has just started over: what it
+    /// hears at first comes from the few proxies that are back.
+    fn rate_at(&self, be: usize, slice: usize) -> f64 {
+        let blind = self.now - self.started < 2 * self.span() && self.present(be, self.now) < 1.0;
+        let even = self.usual() / self.slices.len() as f64;
+        self.rate(slice).max(if blind { even } else { 0.0 })
+    }
+
+    /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
+    /// are new to it and reports lag. Full capacity: what servers got done on average at best, or usually get.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
         if present >= 1.0 {
@@ -602,7 +611,7 @@
     /// The guide's strategy tick.
     const TICK: Time = 2 * SECOND;
 
-    /// Slices that are to leave their owners, the ones that can't wait first, and how many of those there are.
+    /// Slices that are to leave their owners, the ones that can't wait first, and how many those are.
     fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
         let holding = |fit: &dyn Fn(&Slice, usize) -> bool| {
             let leaves = |slice: &Slice| slice.owner.is_some_and(|be| fit(slice, be));
@@ -726,8 +735,8 @@
                 self.slices[s].owner = Some(be);
                 self.bes[be].level = self.bes[be].level.min(self.cap(be, now));
                 self.slices[s].levels = [1.0; KINDS];
-                // Guards a cold server against what proxies held while the slice had no owner: a level of 0 stops
-                // that, and the next turn opens.
+                // Guards a cold server against what proxies held while the slice had no owner: a level of 0
+                // stops that, and the next turn opens.
                 flood = self.bes[be].level < 1.0 && self.present(be, now) < 1.0;
                 orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
             } else if quiet && slice.state == State::Settling {
@@ -751,7 +760,7 @@
             }
         }
         if self.slices.is_empty() && self.ready().next().is_some() {
-            // Standing tables are the proxies' own: all a steward keeps there is that nothing goes to what left.
+            // Standing tables are the proxies' own: a steward only sees to it that nothing goes to what left.
             for (be, entry) in self.bes.iter_mut().enumerate().filter(|(_, entry)| entry.seen) {
                 let out = entry.health != Health::Ready;
                 if out != std::mem::replace(&mut entry.withdrawn, out) {
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -318,6 +318,15 @@
     assert!((steward.cap(0, 1) - 0.075).abs() < 1e-6);
 }
 
+#[test]
+fn a_steward_that_has_just_started_trusts_no_low_rate_where_a_server_is_cold() {
+    let mut steward = steward(4, 2, 2);
+    steward.joined(0, 20.0);
+    steward.heat(0, 0, 0, 1.0, SECOND);
+    steward.bes[0].boot = 1;
+    assert_eq!((steward.rate_at(0, 0), steward.rate_at(1, 0)), (10.0, 1.0));
+}
+
 #[test]
 fn a_dead_server_is_suspected_and_a_jammed_one_is_not() {
     let mut steward = steward(1, 8, 1);
