--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -586,7 +586,7 @@
     }
 
     /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
-    /// are new to it and reports lag. Full capacity: what servers got done on average at best, or usually get.
+    /// are new to it and reports lag. Full capacity: the most servers got done on average, or usually get.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
         if present >= 1.0 {
