--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -577,12 +577,12 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// What a slice brings a server. Guards a cold one against a steward that has just started over: what it
-    /// hears at first comes from the few proxies that are back.
+    /// What a slice brings a server; a cold one is guarded against low counts: from the few proxies heard just
+    /// after a start, or while the slice had no owner, as its clients come again all at once.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
-        let blind = self.now - self.started < 2 * self.span() && self.present(be, self.now) < 1.0;
-        let even = self.usual() / self.slices.len() as f64;
-        self.rate(slice).max(if blind { even } else { 0.0 })
+        let even =
+            if self.present(be, self.now) < 1.0 { self.usual() / self.slices.len() as f64 } else { 0.0 };
+        self.rate(slice).max(even)
     }
 
     /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
