--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -577,12 +577,14 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// What a slice brings a server. Guards a cold one against a steward that has just started over: what it
-    /// hears at first comes from the few proxies that are back.
+    /// What a slice brings a server; a cold one is guarded against slices that look idle: half an even part each,
+    /// or all of it while a steward that has just started hears only of the proxies that are back.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
-        let blind = self.now - self.started < 2 * self.span() && self.present(be, self.now) < 1.0;
-        let even = self.usual() / self.slices.len() as f64;
-        self.rate(slice).max(if blind { even } else { 0.0 })
+        if self.present(be, self.now) >= 1.0 {
+            return self.rate(slice);
+        }
+        let part = if self.now - self.started < 2 * self.span() { 1.0 } else { 0.5 };
+        self.rate(slice).max(part * self.usual() / self.slices.len() as f64)
     }
 
     /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
