--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -171,9 +171,7 @@
             cfg,
         };
         let expected = steward.cfg.number("family_info.proxy_count").unwrap_or(0.0) as usize;
-        if let Some(last) = expected.min(65_536).checked_sub(1) {
-            steward.proxy(last);
-        }
+        (0..expected.min(65_536)).for_each(|proxy| _ = steward.proxy(proxy));
         Ok(steward)
     }
 
@@ -246,8 +244,7 @@
 
     pub fn list_failed(&mut self, now: Time) {
         self.news = true;
-        // Asks again soon, spread so that stewards that failed together don't all come back at once; well
-        // under the time after which the rules take a silent steward as told.
+        // Soon, and spread so that stewards that failed together don't come back at once.
         self.watching = self.cfg.text("discovery") != Some("on_request");
         self.ask_at = now + SECOND / 4 + self.rng.i64(0..SECOND / 2);
     }
@@ -560,7 +557,12 @@
         // A started server gets what its budget holds, and past that one slice a tick.
         let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
         // Exception: a server that would have too much with it is passed over.
-        let able = |be: usize| self.share_with(be, slice, now) >= 1.0;
+        // A cold one holds no more than its present part of the slices, as slices that look idle may wake up.
+        let mine = self.slices.iter().filter(|slice| slice.mine).count() / self.ready().count().max(1);
+        let part = |be: usize| {
+            self.present(be, now) >= 1.0 || self.held(be) as f64 <= self.present(be, now) * mine as f64
+        };
+        let able = |be: usize| self.share_with(be, slice, now) >= 1.0 && part(be);
         let pick = |fit: &dyn Fn(usize) -> bool| {
             self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
         };
@@ -577,14 +579,12 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// What a slice brings a server; a cold one is guarded against slices that look idle: half an even part each,
-    /// or all of it while a steward that has just started hears only of the proxies that are back.
+    /// What a slice brings a server. Guards a cold one against a steward that has just started over: what it
+    /// hears at first comes from the few proxies that are back.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
-        if self.present(be, self.now) >= 1.0 {
-            return self.rate(slice);
-        }
-        let part = if self.now - self.started < 2 * self.span() { 1.0 } else { 0.5 };
-        self.rate(slice).max(part * self.usual() / self.slices.len() as f64)
+        let blind = self.now - self.started < 2 * self.span() && self.present(be, self.now) < 1.0;
+        let even = self.usual() / self.slices.len() as f64;
+        self.rate(slice).max(if blind { even } else { 0.0 })
     }
 
     /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
@@ -699,13 +699,10 @@
         if room == 0 {
             return orders;
         }
-        let lease = self.time("family_info.write_lease_s");
         // The weight of a line that is open to reads alone; any below 1 serves, as a table has one line.
         const READS_ONLY: f64 = 0.5;
         let mark = self.mark + 1;
-        let mut moving = 0;
         for s in leaving.into_iter().take(room / 2) {
-            moving += 1;
             let slice = &mut self.slices[s];
             // What was open to reads alone keeps the end of its earlier settling.
             if slice.state == State::Owned {
@@ -729,7 +726,7 @@
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
                 let reads = writing != 0 && self.cfg.text("family_info.admit") != Some("none");
-                if !quiet && (!reads || now < slice.given + lease) {
+                if !quiet && (!reads || now < slice.given + self.time("family_info.write_lease_s")) {
                     continue;
                 }
                 let Some(be) = self.fewest(now, s) else { continue };
@@ -774,7 +771,7 @@
         let due = |slice: &Slice| match &slice.state {
             State::HandingOff { mark, waiting } => waiting.iter().any(|&p| {
                 let proxy = &self.proxies[p];
-                proxy.joined && proxy.marked < *mark && moving == 0
+                proxy.joined && proxy.marked < *mark
             }),
             _ => false,
         };
