--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -281,7 +281,7 @@
 #[test]
 fn a_cold_server_holds_no_more_idle_slices_than_its_present_part() {
     let mut steward = steward(20, 2, 1);
-    (steward.bes[1].boot, steward.bes[1].granted) = (1, SECOND);
+    (steward.bes[1].boot, steward.bes[1].granted, steward.done) = (1, SECOND, 10.0);
     (0..2).for_each(|s| steward.slices[s].owner = Some(1));
     // Two of ten, at a fifth of its capacity.
     assert_eq!(steward.fewest(1 + SECOND / 10, 9), Some(1));
