--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -587,7 +587,7 @@
         self.rate(slice).max(if blind { even } else { 0.0 })
     }
 
-    /// Reqs a second that a cold server may be brought: three tenths of what would push it over, as its keys
+    /// Reqs a second that a cold server may be brought: a quarter of what would push it over, as its keys
     /// are new to it and reports lag. Full capacity: the most servers got done on average, or usually get.
     fn budget(&self, be: usize, now: Time) -> f64 {
         let present = self.present(be, now);
@@ -597,7 +597,7 @@
         let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
         let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
         let full = self.done.max(self.usual() / stewards / seen);
-        0.3 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * full
+        0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * full
     }
 
     /// How far back reports are looked at: a tick of them, whatever the time between two.
