--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -579,10 +579,12 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// What a slice brings a server. Guards a cold one against a steward that has just started over: what it
-    /// hears at first comes from the few proxies that are back.
+    /// What a slice brings a server. Guards a cold one against low counts: from the few proxies back when a steward
+    /// has just started, or of writes denied while a slice settles, whose clients all come once it opens.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
-        let blind = self.now - self.started < 2 * self.span() && self.present(be, self.now) < 1.0;
+        let young = self.now - self.started < 2 * self.span();
+        let closed = self.slices[slice].owner == Some(be) && self.slices[slice].state != State::Owned;
+        let blind = (young || closed) && self.present(be, self.now) < 1.0;
         let even = self.usual() / self.slices.len() as f64;
         self.rate(slice).max(if blind { even } else { 0.0 })
     }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -336,6 +336,11 @@
     steward.heat(0, 0, 0, 1.0, SECOND);
     steward.bes[0].boot = 1;
     assert_eq!((steward.rate_at(0, 0), steward.rate_at(1, 0)), (10.0, 1.0));
+    steward.now = SECOND * 9;
+    steward.heat(SECOND * 9, 0, 0, 1.0, SECOND);
+    assert_eq!(steward.rate_at(0, 0), 1.0);
+    steward.slices[0].state = State::Settling;
+    assert_eq!(steward.rate_at(0, 0), 10.0, "its writes are denied so far");
 }
 
 #[test]
