--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -579,8 +579,8 @@
         (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
     }
 
-    /// What a slice brings a server. Guards a cold one against low counts: from the few proxies back when a steward
-    /// has just started, or of writes denied while a slice settles, whose clients all come once it opens.
+    /// What a slice brings a server. Guards a cold one against low counts: from the few proxies back when a
+    /// steward has just started, or of writes denied while a slice settles, whose clients all come at once.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
         let young = self.now - self.started < 2 * self.span();
         let closed = self.slices[slice].owner == Some(be) && self.slices[slice].state != State::Owned;
