Servers that a list merely drops keep their slices while reports show them working

Cause: where only a drain binds, a list that calls live servers gone emptied most of the fleet at once. Also guards a steward that starts over with an old list. Harm: a real death is believed a second or two later.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -14,7 +14,11 @@
     listed: bool,
     withdrawn: bool,
     health: Health,
+    /// The list dropped it without a drain, or only a record names it: it counts as ready while it works.
+    missing: bool,
     boot: Time,
+    /// When a record last named it as an owner.
+    named: Time,
     /// Slices of this steward that it held at the first map or take-over; moves compare with that.
     start: usize,
     /// When it was last granted a slice.
@@ -186,7 +190,9 @@
                 listed: false,
                 withdrawn: false,
                 health: Health::Gone,
+                missing: false,
                 boot: 0,
+                named: Time::MIN / 2,
                 start: 0,
                 granted: Time::MIN / 2,
                 tries: VecDeque::new(),
@@ -224,9 +230,15 @@
 
     pub fn list_entry(&mut self, be: usize, health: Health, boot: Time) {
         let entry = self.be(be);
+        entry.seen = true;
+        if health == Health::Gone {
+            // Closed by `list_end`, as are those that a whole list lacks.
+            entry.listed = false;
+            return;
+        }
         // A restart stops what the server held, whether or not the list ever showed it gone.
         let restarted = boot > entry.boot && entry.health == Health::Ready;
-        (entry.seen, entry.listed, entry.health, entry.boot) = (true, true, health, boot);
+        (entry.listed, entry.missing, entry.health, entry.boot) = (true, false, health, boot.max(entry.boot));
         if restarted {
             let held = self.slices.iter_mut().filter(|slice| slice.owner == Some(be));
             held.for_each(|slice| slice.stopped = true);
@@ -234,8 +246,10 @@
     }
 
     pub fn list_end(&mut self, scope: Scope) {
-        for be in self.bes.iter_mut().filter(|be| !be.listed) {
-            be.health = Health::Gone;
+        let lax = self.cfg.flag("safety.only_draining_binds");
+        for be in self.bes.iter_mut().filter(|be| !be.listed && !be.missing) {
+            be.missing = lax && be.health == Health::Ready;
+            be.health = if be.missing { Health::Ready } else { Health::Gone };
         }
         if scope != Scope::Kept {
             (self.fresh_list, self.watching) = (true, true);
@@ -283,7 +297,12 @@
 
     pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
         let settled = now + self.time("family_info.settle_s");
-        self.be(be).start += 1;
+        let lax = self.cfg.flag("safety.only_draining_binds");
+        let entry = self.be(be);
+        (entry.start, entry.named) = (entry.start + 1, now);
+        if lax && !entry.seen {
+            (entry.missing, entry.health) = (true, Health::Ready);
+        }
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.owner = Some(be);
             // Guards against a steward that starts over while a slice settles: the store resets the levels
@@ -383,7 +402,21 @@
 
     /// A server at which nothing succeeds any more, though the list still shows it.
     fn suspect(&mut self, now: Time) {
+        let span = self.span();
         for be in &mut self.bes {
+            if be.missing {
+                // Guards against a list that drops live servers, or none but a kept one: what reports show to
+                // work stays. Harm: a real death is believed only once reports agree, a second or two later.
+                let recent = || be.tries.iter().filter(|t| now - t.at < span);
+                let count: f64 = recent().map(|t| t.count).sum();
+                let newest = || recent().rev().take(3);
+                // Mostly failing in the newest reports, or silent for long, and the list says so too.
+                let lost =
+                    newest().map(|t| t.failed).sum::<f64>() >= 0.8 * newest().map(|t| t.count).sum::<f64>();
+                if if count > 0.0 { lost } else { now - be.named >= 2 * span } {
+                    be.health = Health::Gone;
+                }
+            }
             // Three seconds hold several reports; eight tries make chance failures unlikely.
             let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < 3 * SECOND).collect();
             let count: f64 = recent.iter().map(|t| t.count).sum();
