--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -20,10 +20,11 @@
 }
 
 /// What discovery says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -8,7 +8,10 @@
 
 use crate::{Health, Order, Scope, Settings, Time, SECOND};
 
-#[derive(Clone, Debug)]
+/// Long before any time on the clock.
+const NEVER: Time = Time::MIN / 2;
+
+#[derive(Clone, Debug, Default)]
 struct Be {
     seen: bool,
     listed: bool,
@@ -31,6 +34,13 @@
     capacity: f64,
     /// When a good answer last came late or its cores were busy.
     strained: Time,
+    /// The turn's tallies: slices of this steward held, reqs a second that come for them, and the share of
+    /// its capacity that it has at least, from when it started.
+    held: usize,
+    load: f64,
+    present: f64,
+    /// Reqs a second that a cold server may be brought.
+    budget: f64,
 }
 
 /// One report of what proxies met at a server.
@@ -52,7 +62,7 @@
     window: Time,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Proxy {
     joined: bool,
     /// When its stream broke, or, unseen so far, when this steward started.
@@ -64,14 +74,18 @@
     usual: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 enum State {
     Owned,
-    HandingOff { mark: u64, waiting: Vec<usize> },
+    HandingOff {
+        mark: u64,
+        waiting: Vec<usize>,
+    },
+    #[default]
     Settling,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Slice {
     mine: bool,
     given: Time,
@@ -82,22 +96,15 @@
     /// Its owner restarted: whatever it held has stopped.
     stopped: bool,
     heat: VecDeque<Heat>,
+    /// Reqs a second that come for it, by request kind, as tallied from the reports.
+    rates: [f64; KINDS],
     /// The share let in of each request kind, as last ordered; those not named are open.
     levels: [f64; KINDS],
 }
 
 impl Slice {
     fn new() -> Slice {
-        Slice {
-            mine: false,
-            given: 0,
-            owner: None,
-            state: State::Settling,
-            quiet: None,
-            stopped: false,
-            heat: VecDeque::new(),
-            levels: [1.0; KINDS],
-        }
+        Slice { levels: [1.0; KINDS], ..Slice::default() }
     }
 
     fn handing_off(&self) -> bool {
@@ -119,6 +126,7 @@
     mark: u64,
 }
 
+#[derive(Default)]
 pub struct Steward {
     cfg: Settings,
     rng: fastrand::Rng,
@@ -129,6 +137,8 @@
     mark: u64,
     out: VecDeque<Order>,
     news: bool,
+    /// What comes for the slices is to be worked out anew.
+    reported: bool,
     now: Time,
     /// A cold server has much too much: the next turn can't wait.
     hurry: bool,
@@ -137,6 +147,15 @@
     tick: Time,
     /// When servers were last reported on.
     heard: Time,
+    /// Reqs a second that usually come, to all slices of all stewards.
+    usual: f64,
+    /// Slices of this steward for each ready server.
+    even: usize,
+    /// From the settings: the request kinds, dearest credit first, those that write, a bit each, and the
+    /// mean response target.
+    kinds: Vec<usize>,
+    writing: u32,
+    target: f64,
     /// The most reqs a second that a server got done on average, over any tick so far.
     done: f64,
     /// The list has been heard of since the start, beyond what was kept from before.
@@ -153,26 +172,29 @@
         if let Some(name) = needed.into_iter().find(|name| slices > 0 && cfg.time(name).is_none()) {
             return Err(name);
         }
+        let kinds = cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize;
+        let aim = |k: usize| cfg.time(&format!("classes.{k}.aim_s")).unwrap_or(SECOND);
+        let target = (0..kinds).map(aim).sum::<Time>().max(1) as f64 / kinds.max(1) as f64;
+        let credit = |k: usize| cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
+        let mut kinds: Vec<usize> = (0..kinds).collect();
+        kinds.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
+        let flags = cfg.text("family_info.mutating").unwrap_or("").split(',');
         let mut steward = Steward {
+            writing: flags.take(KINDS).enumerate().map(|(k, flag)| u32::from(flag == "true") << k).sum(),
+            kinds,
+            target,
             rng: fastrand::Rng::with_seed(seed),
-            bes: Vec::new(),
-            proxies: Vec::new(),
             slices: vec![Slice::new(); slices.min(65_535)],
-            turns: VecDeque::new(),
-            mark: 0,
-            out: VecDeque::new(),
             news: true,
             now,
-            hurry: false,
             started: now,
             wake: now,
             tick: now,
             heard: now,
-            done: 0.0,
-            fresh_list: false,
             watching: cfg.text("discovery") != Some("on_request"),
             ask_at: now,
             cfg,
+            ..Steward::default()
         };
         let expected = steward.cfg.number("family_info.proxy_count").unwrap_or(0.0) as usize;
         (0..expected.min(65_536)).for_each(|proxy| _ = steward.proxy(proxy));
@@ -184,36 +206,18 @@
     }
 
     fn be(&mut self, be: usize) -> &mut Be {
-        while self.bes.len() <= be {
-            self.bes.push(Be {
-                seen: false,
-                listed: false,
-                withdrawn: false,
-                health: Health::Gone,
-                missing: false,
-                boot: 0,
-                named: Time::MIN / 2,
-                start: 0,
-                granted: Time::MIN / 2,
-                tries: VecDeque::new(),
-                suspect_until: Time::MIN,
-                level: 1.0,
-                capacity: f64::INFINITY,
-                strained: Time::MIN / 2,
-            });
+        if self.bes.len() <= be {
+            let (granted, suspect_until, strained, named) = (NEVER, NEVER, NEVER, NEVER);
+            let new =
+                Be { granted, suspect_until, strained, named, level: 1.0, present: 1.0, ..Be::default() };
+            self.bes.resize(be + 1, Be { capacity: f64::INFINITY, budget: f64::INFINITY, ..new });
         }
         &mut self.bes[be]
     }
 
     fn proxy(&mut self, proxy: usize) -> &mut Proxy {
-        while self.proxies.len() <= proxy {
-            self.proxies.push(Proxy {
-                joined: false,
-                down: self.started,
-                marked: 0,
-                answered: 0,
-                usual: 0.0,
-            });
+        if self.proxies.len() <= proxy {
+            self.proxies.resize(proxy + 1, Proxy { down: self.started, ..Proxy::default() });
         }
         &mut self.proxies[proxy]
     }
@@ -325,7 +329,7 @@
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         self.news = true;
         self.heard = now;
-        let late = took as f64 > 0.4 * self.target();
+        let late = took as f64 > 0.4 * self.target;
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
             entry.strained = now;
@@ -339,7 +343,7 @@
     }
 
     pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
-        self.news = true;
+        (self.news, self.reported) = (true, true);
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.heat.push_back(Heat { at: now, kind, count, window });
             // More than `rates` looks back on, at the shortest time between reports.
@@ -367,7 +371,7 @@
         // Deadlines (leases, settling, the ledger's window) are looked at this often.
         const BEAT: Time = SECOND / 10;
         if now >= self.wake {
-            self.wake = now + BEAT;
+            (self.wake, self.reported) = (now + BEAT, true);
             self.out.push_back(Order::Remind { at: self.wake });
         }
         if !self.watching && now >= self.ask_at {
@@ -375,6 +379,7 @@
             // Unless answered by then it asks once more.
             self.ask_at = now + self.cfg.time("safety.ask_within_s").unwrap_or(10 * SECOND);
         }
+        self.tally(now);
         self.suspect(now);
         self.settle(now);
         let orders = self.turn(now);
@@ -404,27 +409,22 @@
     fn suspect(&mut self, now: Time) {
         let span = self.span();
         for be in &mut self.bes {
-            if be.missing {
-                // Guards against a list that drops live servers, or none but a kept one: what reports show to
-                // work stays. Harm: a real death is believed only once reports agree, a second or two later.
-                let recent = || be.tries.iter().filter(|t| now - t.at < span);
-                let count: f64 = recent().map(|t| t.count).sum();
-                let newest = || recent().rev().take(3);
-                // Mostly failing in the newest reports, or silent for long, and the list says so too.
-                let lost =
-                    newest().map(|t| t.failed).sum::<f64>() >= 0.8 * newest().map(|t| t.count).sum::<f64>();
-                if if count > 0.0 { lost } else { now - be.named >= 2 * span } {
-                    be.health = Health::Gone;
-                }
+            let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < span).collect();
+            let count = |of: &[&Tries]| of.iter().map(|t| t.count).sum::<f64>();
+            let failing = |of: &[&Tries], part| of.iter().map(|t| t.failed).sum::<f64>() >= part * count(of);
+            // Guards against a list that drops live servers, or none but a kept one: what reports show to work
+            // stays. Gone is what mostly fails in the newest reports, or is silent for long, and dropped too.
+            // Harm: a real death is believed only once reports agree, a second or two later.
+            let newest = &recent[recent.len().saturating_sub(3)..];
+            let silent = recent.is_empty() && now - be.named >= 2 * span;
+            if be.missing && (silent || !recent.is_empty() && failing(newest, 0.8)) {
+                be.health = Health::Gone;
             }
-            // Three seconds hold several reports; eight tries make chance failures unlikely.
-            let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < 3 * SECOND).collect();
-            let count: f64 = recent.iter().map(|t| t.count).sum();
-            let failed: f64 = recent.iter().map(|t| t.failed).sum();
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or
-            // late just before. Its level falls first; moving its slices would only jam the next one.
+            // late just before. Its level falls first; moving its slices would only jam the next one. Eight
+            // tries make chance failures unlikely.
             let jammed = now - be.strained < 6 * SECOND;
-            if recent.len() >= 2 && count >= 8.0 && failed >= 0.9 * count && !jammed {
+            if recent.len() >= 2 && count(&recent) >= 8.0 && failing(&recent, 0.9) && !jammed {
                 // As long as the list usually needs to notice a silent machine.
                 be.suspect_until = now + 15 * SECOND;
             }
@@ -440,22 +440,45 @@
         now >= self.bes[be].suspect_until
     }
 
-    fn held(&self, be: usize) -> usize {
-        self.slices.iter().filter(|slice| slice.mine && slice.owner == Some(be)).count()
-    }
-
-    /// Reqs a second that usually come, to all slices of all stewards.
-    fn usual(&self) -> f64 {
+    /// What the turn goes by, worked out once: what comes for each slice and what each server holds.
+    fn tally(&mut self, now: Time) {
+        self.now = now;
         let heard = self.proxies.iter().filter(|proxy| proxy.usual > 0.0).count().max(1) as f64;
-        self.proxies.iter().map(|proxy| proxy.usual).sum::<f64>() / heard * self.proxies.len() as f64
+        let usual = self.proxies.iter().map(|proxy| proxy.usual).sum::<f64>();
+        self.usual = usual / heard * self.proxies.len() as f64;
+        let from = self.cfg.number("safety.cold_from").unwrap_or(1.0);
+        let ramp = self.time("safety.cold_s").max(1) as f64;
+        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
+        let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
+        // A quarter of what would push a cold server over, as its keys are new to it and reports lag. Full
+        // capacity: the most servers got done on average, or usually get.
+        let full = self.done.max(self.usual / stewards / seen);
+        let part = 0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * full;
+        for be in &mut self.bes {
+            let ramped = from + (1.0 - from) * (now - be.boot) as f64 / ramp;
+            be.present = if be.boot == 0 { 1.0 } else { ramped.clamp(from, 1.0) };
+            be.budget = if be.present < 1.0 { part * be.present } else { f64::INFINITY };
+            (be.held, be.load) = (0, 0.0);
+        }
+        self.even = self.slices.iter().filter(|slice| slice.mine).count() / self.ready().count().max(1);
+        let reported = std::mem::take(&mut self.reported);
+        for s in 0..self.slices.len() {
+            if reported {
+                self.slices[s].rates = self.rates(s);
+            }
+            if let Some(be) = self.slices[s].owner.filter(|_| self.slices[s].mine) {
+                self.bes[be].held += 1;
+                self.bes[be].load += self.rate_at(be, s);
+            }
+        }
     }
 
     /// Reqs a second that come for a slice, by request kind; an even part of the usual ones until heard of.
     fn rates(&self, slice: usize) -> [f64; KINDS] {
         let (mut count, mut window) = ([0.0; KINDS], [0; KINDS]);
         if self.slices[slice].heat.is_empty() {
-            let even = self.usual() / (self.slices.len() * self.kinds().max(1)) as f64;
-            return std::array::from_fn(|k| if k < self.kinds() { even } else { 0.0 });
+            let even = self.usual / (self.slices.len() * self.kinds.len().max(1)) as f64;
+            return std::array::from_fn(|k| if k < self.kinds.len() { even } else { 0.0 });
         }
         let recent = |sample: &&Heat| sample.kind < KINDS && self.now - sample.at < self.span();
         for sample in self.slices[slice].heat.iter().filter(recent) {
@@ -466,24 +489,13 @@
     }
 
     fn rate(&self, slice: usize) -> f64 {
-        self.rates(slice).iter().sum()
-    }
-
-    fn kinds(&self) -> usize {
-        self.cfg.number("classes.count").unwrap_or(0.0).clamp(0.0, KINDS as f64) as usize
-    }
-
-    /// The mean response target.
-    fn target(&self) -> f64 {
-        let target = |k: usize| self.cfg.time(&format!("classes.{k}.aim_s")).unwrap_or(SECOND);
-        (0..self.kinds()).map(target).sum::<Time>().max(1) as f64 / self.kinds().max(1) as f64
+        self.slices[slice].rates.iter().sum()
     }
 
     /// How hard a server works: above 1 it has too much.
     fn strain(&self, be: usize, now: Time) -> Option<f64> {
-        let target = self.target();
         // A cold server can't wait for a tick's worth of reports.
-        let span = if self.present(be, now) < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
+        let span = if self.bes[be].present < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
         let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
         let count: f64 = recent().map(|t| t.count).sum();
         let good: f64 = recent().map(|t| t.count - t.failed).sum();
@@ -500,7 +512,7 @@
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
         let full = if good < 0.7 * count { count / good.max(1.0) } else { 0.0 };
-        Some((took / (0.4 * target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
+        Some((took / (0.4 * self.target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
@@ -509,10 +521,11 @@
         let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
         let done: f64 = recent.map(|t| t.count - t.failed).sum();
         self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().count().max(1) as f64);
+        let shares = self.cfg.text("family_info.admit") == Some("ratio");
         for be in 0..self.bes.len() {
             // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can
             // push it over within a tick.
-            if !tick && self.present(be, now) >= 1.0 {
+            if !tick && self.bes[be].present >= 1.0 {
                 continue;
             }
             let strain = self.strain(be, now);
@@ -524,41 +537,39 @@
             // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
             let level = match strain.unwrap_or(0.8) {
                 strain if strain > 1.0 => {
-                    ((1.0 / strain).max(0.8) * good / self.load(be).max(1e-6)).min(0.95 * level)
+                    ((1.0 / strain).max(0.8) * good / self.bes[be].load.max(1e-6)).min(0.95 * level)
                 }
                 strain if strain > 0.9 => level,
                 strain => level / strain.max(0.5),
             };
             let level = if tick { level } else { level.min(self.bes[be].level) };
-            self.hurry |=
-                self.present(be, now) < 1.0 && self.load(be) > 0.0 && level < 0.8 * self.bes[be].level;
+            let cap = self.cap(be);
+            let be = &mut self.bes[be];
+            self.hurry |= be.present < 1.0 && be.load > 0.0 && level < 0.8 * be.level;
             if let Some(strain) = strain {
-                self.bes[be].capacity = tried / strain.max(0.2);
+                be.capacity = tried / strain.max(0.2);
             }
-            if self.cfg.text("family_info.admit") == Some("ratio") {
-                self.bes[be].level = level.clamp(0.1, 1.0).min(self.cap(be, now));
+            if shares {
+                be.level = level.clamp(0.1, 1.0).min(cap);
             }
         }
     }
 
     /// The share of its reqs that a server could well take with one slice more.
-    fn share_with(&self, be: usize, slice: usize, now: Time) -> f64 {
-        let capacity = self.budget(be, now).min(0.9 * self.bes[be].capacity);
-        capacity / (self.load(be) + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
+    fn share_with(&self, be: usize, slice: usize) -> f64 {
+        let capacity = self.bes[be].budget.min(0.9 * self.bes[be].capacity);
+        capacity / (self.bes[be].load + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
     }
 
     /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets
     /// what is left. Kinds that write are closed until the slice is quiet.
     fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
-        let credit = |k: usize| self.cfg.number(&format!("classes.{k}.worth")).unwrap_or(1.0);
-        let mut kinds: Vec<usize> = (0..self.kinds()).collect();
-        kinds.sort_by(|&a, &b| credit(b).total_cmp(&credit(a)));
-        let rates = self.rates(slice);
+        let rates = self.slices[slice].rates;
         let level = self.slices[slice].owner.map_or(1.0, |be| self.bes[be].level);
         let mut left = level * rates.iter().sum::<f64>();
         let mut wanted = [1.0; KINDS];
-        for k in kinds {
-            if !quiet && self.writing() & (1 << k) != 0 {
+        for &k in &self.kinds {
+            if !quiet && self.writing & (1 << k) != 0 {
                 wanted[k] = 0.0;
             } else if level < 1.0 && rates[k] > 0.0 {
                 // In twentieths, so that no lines are written for less.
@@ -569,35 +580,16 @@
         wanted
     }
 
-    /// The share of its capacity that a server has at least, from when it started.
-    fn present(&self, be: usize, now: Time) -> f64 {
-        let from = self.cfg.number("safety.cold_from").unwrap_or(1.0);
-        let ramp = self.time("safety.cold_s").max(1);
-        match self.bes[be].boot {
-            0 => 1.0,
-            boot => (from + (1.0 - from) * (now - boot) as f64 / ramp as f64).clamp(from, 1.0),
-        }
-    }
-
-    /// Request kinds that write, a bit each.
-    fn writing(&self) -> u32 {
-        let flags = self.cfg.text("family_info.mutating").unwrap_or("");
-        flags.split(',').enumerate().filter(|(k, flag)| *k < 32 && *flag == "true").map(|(k, _)| 1 << k).sum()
-    }
-
     /// The server to grant a slice to: the one with the fewest slices of this steward among those fit for it.
     fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
         // A started server gets what its budget holds, and past that one slice a tick.
-        let warm = |be: usize| self.present(be, now) >= 1.0 || now - self.bes[be].granted >= Self::TICK;
+        let warm = |be: usize| self.bes[be].present >= 1.0 || now - self.bes[be].granted >= Self::TICK;
         // Exception: a server that would have too much with it is passed over.
         // A cold one holds no more than its present part of the slices, as slices that look idle may wake up.
-        let mine = self.slices.iter().filter(|slice| slice.mine).count() / self.ready().count().max(1);
-        let part = |be: usize| {
-            self.present(be, now) >= 1.0 || self.held(be) as f64 <= self.present(be, now) * mine as f64
-        };
-        let able = |be: usize| self.share_with(be, slice, now) >= 1.0 && part(be);
+        let part = |be: &Be| be.present >= 1.0 || be.held as f64 <= be.present * self.even as f64;
+        let able = |be: usize| self.share_with(be, slice) >= 1.0 && part(&self.bes[be]);
         let pick = |fit: &dyn Fn(usize) -> bool| {
-            self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.held(be), be))
+            self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.bes[be].held, be))
         };
         // Never empties the fleet: a doubtful server is better than none.
         pick(&|be| self.trusted(be, now) && able(be))
@@ -606,43 +598,24 @@
             .or_else(|| pick(&|_| true))
     }
 
-    /// Reqs a second that come for the slices of this steward at a server.
-    fn load(&self, be: usize) -> f64 {
-        let held = |&s: &usize| self.slices[s].mine && self.slices[s].owner == Some(be);
-        (0..self.slices.len()).filter(held).map(|s| self.rate_at(be, s)).sum()
-    }
-
     /// What a slice brings a server. Guards a cold one against low counts: from the few proxies back when a
     /// steward has just started, or of writes denied while a slice settles, whose clients all come at once.
     fn rate_at(&self, be: usize, slice: usize) -> f64 {
         let young = self.now - self.started < 2 * self.span();
         let closed = self.slices[slice].owner == Some(be) && self.slices[slice].state != State::Owned;
-        let blind = (young || closed) && self.present(be, self.now) < 1.0;
-        let even = self.usual() / self.slices.len() as f64;
+        let blind = (young || closed) && self.bes[be].present < 1.0;
+        let even = self.usual / self.slices.len() as f64;
         self.rate(slice).max(if blind { even } else { 0.0 })
     }
 
-    /// Reqs a second that a cold server may be brought: a quarter of what would push it over, as its keys
-    /// are new to it and reports lag. Full capacity: the most servers got done on average, or usually get.
-    fn budget(&self, be: usize, now: Time) -> f64 {
-        let present = self.present(be, now);
-        if present >= 1.0 {
-            return f64::INFINITY;
-        }
-        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
-        let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
-        let full = self.done.max(self.usual() / stewards / seen);
-        0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * present * full
-    }
-
     /// How far back reports are looked at: a tick of them, whatever the time between two.
     fn span(&self) -> Time {
         self.time("family_info.cycle_s") + Self::TICK
     }
 
     /// The share of its reqs that keeps a cold server within its budget.
-    fn cap(&self, be: usize, now: Time) -> f64 {
-        (self.budget(be, now) / self.load(be).max(1e-6)).min(1.0)
+    fn cap(&self, be: usize) -> f64 {
+        (self.bes[be].budget / self.bes[be].load.max(1e-6)).min(1.0)
     }
 
     /// The guide's strategy tick.
@@ -650,20 +623,20 @@
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many those are.
     fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
-        let holding = |fit: &dyn Fn(&Slice, usize) -> bool| {
-            let leaves = |slice: &Slice| slice.owner.is_some_and(|be| fit(slice, be));
-            let held =
-                |&s: &usize| self.slices[s].mine && !self.slices[s].handing_off() && leaves(&self.slices[s]);
-            (0..self.slices.len()).filter(held).collect::<Vec<usize>>()
+        // A slice mid-hand-over has no owner and ignores new moves.
+        let held_by = |fit: &dyn Fn(&Slice, &Be) -> bool| {
+            let leaves =
+                |slice: &Slice| slice.mine && slice.owner.is_some_and(|be| fit(slice, &self.bes[be]));
+            (0..self.slices.len()).filter(|&s| leaves(&self.slices[s])).collect::<Vec<usize>>()
         };
         // A list kept from before a restart may lack servers that have come since.
-        let known = |be: usize| self.bes[be].seen || self.fresh_list;
-        let ready = |be: usize| self.bes[be].health == Health::Ready;
-        let mut leaving = holding(&|slice, be| slice.stopped || !ready(be) && known(be));
+        let lost = |be: &Be| be.health != Health::Ready && (be.seen || self.fresh_list);
+        let mut leaving = held_by(&|slice, be| slice.stopped || lost(be));
         let urgent = leaving.len();
         // Many suspects at once point to a bad view rather than bad servers: then nothing moves.
+        let ready = |be: &Be| be.health == Health::Ready;
         if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
-            leaving.extend(holding(&|slice, be| !slice.stopped && ready(be) && !self.trusted(be, now)));
+            leaving.extend(held_by(&|slice, be| !slice.stopped && ready(be) && now < be.suspect_until));
         }
         // In step with the reports where they come as seldom as ticks.
         let early = if self.heard == now { self.time("family_info.cycle_s") / 2 } else { 0 };
@@ -684,10 +657,10 @@
         const THRESHOLD: isize = 2;
         const IN_FLIGHT: usize = 3;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
-        let gain = |be: usize| self.held(be) as isize - self.bes[be].start as isize;
+        let gain = |be: usize| self.bes[be].held as isize - self.bes[be].start as isize;
         let fit: Vec<usize> = self.ready().filter(|&be| self.trusted(be, now)).collect();
         // Exception: after an enlargement each server that holds nothing may be getting a slice.
-        let empty = fit.iter().filter(|&&be| self.held(be) == 0).count();
+        let empty = fit.iter().filter(|&&be| self.bes[be].held == 0).count();
         let free = IN_FLIGHT.max(empty).saturating_sub(moving);
         let owned = |be: usize| {
             (0..self.slices.len()).filter(move |&s| {
@@ -703,7 +676,7 @@
         for be in strained.into_iter().take(free) {
             // Where it already denies much, another that would deny much less will do.
             let least = (1.5 * self.bes[be].level).min(1.0);
-            let fits = |&s: &usize| fit.iter().any(|&to| to != be && self.share_with(to, s, now) >= least);
+            let fits = |&s: &usize| fit.iter().any(|&to| to != be && self.share_with(to, s) >= least);
             moves.extend(owned(be).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
         }
         let below = fit.iter().copied().min_by_key(|&be| (gain(be), be));
@@ -721,14 +694,12 @@
     fn turn(&mut self, now: Time) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
         let (leaving, urgent) = self.leaving(now);
-        let writing = self.writing();
-        let open = |slice: &Slice| {
-            let writes = (0..KINDS).any(|k| writing & (1 << k) != 0 && slice.levels[k] > 0.0);
-            slice.mine && slice.state == State::Settling && slice.owner.is_some() && writes
-        };
+        let writes =
+            |slice: &Slice| (0..KINDS).any(|k| self.writing & (1 << k) != 0 && slice.levels[k] > 0.0);
+        let open = |slice: &Slice| slice.mine && slice.state == State::Settling && slice.owner.is_some();
         let leavers = self.slices.is_empty()
             && self.bes.iter().any(|be| be.seen && be.withdrawn == (be.health == Health::Ready));
-        let urgent = urgent > 0 || leavers || self.slices.iter().any(open);
+        let urgent = urgent > 0 || leavers || self.slices.iter().any(|slice| open(slice) && writes(slice));
         let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
@@ -752,7 +723,7 @@
         let mut by_need: Vec<usize> = (0..self.slices.len()).collect();
         by_need.sort_by_key(|&s| (self.slices[s].owner.is_some(), self.slices[s].state == State::Owned));
         for s in by_need {
-            if orders.len() + 2 + self.kinds() > room {
+            if orders.len() + 2 + self.kinds.len() > room {
                 break;
             }
             let slice = &self.slices[s];
@@ -760,30 +731,29 @@
                 continue;
             }
             let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
-            let mut flood = false;
+            let mut wanted = None;
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
-                let reads = writing != 0 && self.cfg.text("family_info.admit") != Some("none");
+                let reads = self.writing != 0 && self.cfg.text("family_info.admit") != Some("none");
                 if !quiet && (!reads || now < slice.given + self.time("family_info.write_lease_s")) {
                     continue;
                 }
                 let Some(be) = self.fewest(now, s) else { continue };
-                self.bes[be].granted = now;
                 self.slices[s].owner = Some(be);
-                self.bes[be].level = self.bes[be].level.min(self.cap(be, now));
+                let brings = self.rate_at(be, s);
+                let entry = &mut self.bes[be];
+                (entry.granted, entry.held, entry.load) = (now, entry.held + 1, entry.load + brings);
+                self.bes[be].level = self.bes[be].level.min(self.cap(be));
                 self.slices[s].levels = [1.0; KINDS];
                 // Guards a cold server against what proxies held while the slice had no owner: a level of 0
                 // stops that, and the next turn opens.
-                flood = self.present(be, now) < 1.0;
+                wanted = Some([0.0; KINDS]).filter(|_| self.bes[be].present < 1.0);
                 orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
             } else if quiet && slice.state == State::Settling {
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
-            let mut wanted = self.wanted(s, quiet);
-            if flood {
-                wanted = [0.0; KINDS];
-            }
-            for (k, &share) in wanted.iter().enumerate().take(self.kinds()) {
+            let wanted = wanted.unwrap_or_else(|| self.wanted(s, quiet));
+            for (k, &share) in wanted.iter().enumerate().take(self.kinds.len()) {
                 // Small changes would fill the channel: a tenth, or all or nothing.
                 let change = (share - self.slices[s].levels[k]).abs();
                 if change >= 0.1 || change > 0.0 && (share <= 0.0 || share >= 1.0) {
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -63,6 +63,18 @@
     (steward.slices[0].state, steward.slices[0].quiet) = (State::Settling, Some(quiet));
 }
 
+fn fewest(steward: &mut Steward, now: Time, slice: usize) -> Option<usize> {
+    steward.reported = true;
+    steward.tally(now);
+    steward.fewest(now, slice)
+}
+
+fn cap(steward: &mut Steward, now: Time) -> f64 {
+    steward.reported = true;
+    steward.tally(now);
+    steward.cap(0)
+}
+
 fn tries(now: Time, count: f64, failed: f64, took: Time, util: Option<f64>) -> VecDeque<Tries> {
     (0..4).map(|_| Tries { at: now, count, failed, took, util }).collect()
 }
@@ -260,11 +272,11 @@
     let mut steward = steward(3, 3, 1);
     steward.slices[1].owner = Some(1);
     settle(&mut steward, 0);
-    assert_eq!(steward.fewest(SECOND, 0), Some(2));
+    assert_eq!(fewest(&mut steward, SECOND, 0), Some(2));
     steward.bes[2].suspect_until = 2 * SECOND;
-    assert_eq!(steward.fewest(SECOND, 0), Some(0));
+    assert_eq!(fewest(&mut steward, SECOND, 0), Some(0));
     steward.bes.iter_mut().for_each(|be| be.suspect_until = 2 * SECOND);
-    assert_eq!(steward.fewest(SECOND, 0), Some(2), "never empties the fleet");
+    assert_eq!(fewest(&mut steward, SECOND, 0), Some(2), "never empties the fleet");
 }
 
 #[test]
@@ -272,10 +284,10 @@
     let mut steward = steward(4, 2, 1);
     (steward.bes[0].capacity, steward.bes[1].boot, steward.done) = (0.0, 1, 10.0);
     steward.bes[1].granted = SECOND;
-    assert_eq!(steward.fewest(2 * SECOND, 0), Some(1), "it has room");
+    assert_eq!(fewest(&mut steward, 2 * SECOND, 0), Some(1), "it has room");
     steward.heat(SECOND, 0, 0, 10.0, SECOND);
-    assert_eq!(steward.fewest(2 * SECOND, 0), Some(0));
-    assert_eq!(steward.fewest(3 * SECOND, 0), Some(1));
+    assert_eq!(fewest(&mut steward, 2 * SECOND, 0), Some(0));
+    assert_eq!(fewest(&mut steward, 3 * SECOND, 0), Some(1));
 }
 
 #[test]
@@ -284,9 +296,9 @@
     (steward.bes[1].boot, steward.bes[1].granted, steward.done) = (1, SECOND, 10.0);
     (0..2).for_each(|s| steward.slices[s].owner = Some(1));
     // Two of ten, at a fifth of its capacity.
-    assert_eq!(steward.fewest(1 + SECOND / 10, 9), Some(1));
+    assert_eq!(fewest(&mut steward, 1 + SECOND / 10, 9), Some(1));
     steward.slices[2].owner = Some(1);
-    assert_eq!(steward.fewest(1 + SECOND / 10, 9), Some(0));
+    assert_eq!(fewest(&mut steward, 1 + SECOND / 10, 9), Some(0));
 }
 
 #[test]
@@ -295,8 +307,8 @@
     (steward.bes[0].boot, steward.done) = (1, 10.0);
     steward.heat(0, 0, 0, 40.0, SECOND);
     // 0.25 x 2.5 x 0.2 x 10 a second of the 40 that come.
-    assert!((steward.cap(0, 1) - 0.03125).abs() < 1e-6);
-    assert_eq!(steward.cap(0, 11 * SECOND), 1.0);
+    assert!((cap(&mut steward, 1) - 0.03125).abs() < 1e-6);
+    assert_eq!(cap(&mut steward, 11 * SECOND), 1.0);
 }
 
 #[test]
@@ -315,6 +327,8 @@
     (steward.bes[0].boot, steward.done, steward.tick) = (1, 1000.0, SECOND);
     steward.heat(SECOND, 0, 0, 10.0, SECOND);
     steward.bes[0].tries = tries(SECOND, 10.0, 9.0, 3 * SECOND, Some(1.0));
+    steward.reported = true;
+    steward.tally(SECOND);
     steward.levels(SECOND, false);
     assert!(steward.bes[0].level < 0.5 && steward.hurry);
 }
@@ -323,10 +337,12 @@
 fn a_steward_that_has_heard_nothing_yet_goes_by_what_usually_comes() {
     let mut steward = steward(4, 2, 2);
     (0..2).for_each(|proxy| steward.joined(proxy, 20.0));
+    steward.reported = true;
+    steward.tally(0);
     assert_eq!(steward.rate(0), 10.0);
     steward.bes[0].boot = 1;
     // All four slices are there: 0.25 x 2.5 x 0.2 of the 20 a second that are usual at each of two servers.
-    assert!((steward.cap(0, 1) - 0.0625).abs() < 1e-6);
+    assert!((cap(&mut steward, 1) - 0.0625).abs() < 1e-6);
 }
 
 #[test]
@@ -335,9 +351,12 @@
     steward.joined(0, 20.0);
     steward.heat(0, 0, 0, 1.0, SECOND);
     steward.bes[0].boot = 1;
+    steward.reported = true;
+    steward.tally(0);
     assert_eq!((steward.rate_at(0, 0), steward.rate_at(1, 0)), (10.0, 1.0));
-    steward.now = SECOND * 9;
     steward.heat(SECOND * 9, 0, 0, 1.0, SECOND);
+    steward.reported = true;
+    steward.tally(SECOND * 9);
     assert_eq!(steward.rate_at(0, 0), 1.0);
     steward.slices[0].state = State::Settling;
     assert_eq!(steward.rate_at(0, 0), 10.0, "its writes are denied so far");
@@ -381,6 +400,8 @@
     steward.heat(0, 0, 0, 10.0, SECOND);
     steward.heat(0, 0, 1, 10.0, SECOND);
     steward.bes[0].level = 0.75;
+    steward.reported = true;
+    steward.tally(SECOND);
     assert_eq!(steward.wanted(0, true)[..2], [0.5, 1.0]);
     steward.bes[0].level = 0.25;
     assert_eq!(steward.wanted(0, true)[..2], [0.0, 0.5]);
@@ -394,12 +415,16 @@
     steward.bes[0].tries = tries(SECOND, 10.0, 5.0, 3 * SECOND, Some(1.0));
     steward.bes[0].capacity = 1.0;
     steward.bes[1].capacity = 5.5;
+    steward.reported = true;
+    steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND), [1], "the hottest that fits");
 }
 
 #[test]
 fn a_slice_returns_from_a_server_that_gained_to_one_below_its_start() {
     let mut steward = steward(3, 2, 1);
+    steward.reported = true;
+    steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND), []);
     (steward.bes[0].start, steward.bes[1].start) = (1, 2);
     assert_eq!(steward.imbalance(SECOND), [0]);
