Servers that fail much without being full keep their level and give slices away

Cause: a server that fails a large part of what it gets, one request kind say, was taken for full: its level fell and the cheapest kind was denied on top, while its low load drew grants. Told apart from a jam by late answers or busy cores in the 6 s before. Also guards against partial errors of any cause; harm: a server turning reqs away with quick answers looks ill.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -28,6 +28,8 @@
     granted: Time,
     tries: VecDeque<Tries>,
     suspect_until: Time,
+    /// It fails many reqs though it is neither late nor busy.
+    ill: bool,
     /// The share of the reqs for its slices that is let in.
     level: f64,
     /// Reqs a second that it can well take, as worked out at the last tick.
@@ -102,6 +104,13 @@
     levels: [f64; KINDS],
 }
 
+impl Be {
+    /// It was busy or late just before: failures say that it is full.
+    fn jammed(&self, now: Time) -> bool {
+        now - self.strained < 6 * SECOND
+    }
+}
+
 impl Slice {
     fn new() -> Slice {
         Slice { levels: [1.0; KINDS], ..Slice::default() }
@@ -423,8 +432,9 @@
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or
             // late just before. Its level falls first; moving its slices would only jam the next one. Eight
             // tries make chance failures unlikely.
-            let jammed = now - be.strained < 6 * SECOND;
-            if recent.len() >= 2 && count(&recent) >= 8.0 && failing(&recent, 0.9) && !jammed {
+            let told = recent.len() >= 2 && count(&recent) >= 8.0 && !be.jammed(now);
+            be.ill = told && failing(&recent, 0.25);
+            if told && failing(&recent, 0.9) {
                 // As long as the list usually needs to notice a silent machine.
                 be.suspect_until = now + 15 * SECOND;
             }
@@ -511,7 +521,7 @@
         }
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
-        let full = if good < 0.7 * count { count / good.max(1.0) } else { 0.0 };
+        let full = if good < 0.7 * count && self.bes[be].jammed(now) { count / good.max(1.0) } else { 0.0 };
         Some((took / (0.4 * self.target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
     }
 
@@ -592,7 +602,7 @@
             self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.bes[be].held, be))
         };
         // Never empties the fleet: a doubtful server is better than none.
-        pick(&|be| self.trusted(be, now) && able(be))
+        pick(&|be| self.trusted(be, now) && !self.bes[be].ill && able(be))
             .or_else(|| pick(&|be| warm(be) && self.trusted(be, now)))
             .or_else(|| pick(&warm))
             .or_else(|| pick(&|_| true))
@@ -670,14 +680,17 @@
             })
         };
         // Exception: a server that has too much gives its hottest slice that another can well take.
-        let strain = |be: usize| self.strain(be, now).unwrap_or(0.0);
+        // So does one that fails many reqs without being full: lower levels would not help it.
+        let ill = |be: usize| if self.bes[be].ill { 1.5 } else { 0.0 };
+        let strain = |be: usize| self.strain(be, now).unwrap_or(0.0).max(ill(be));
         let mut strained: Vec<usize> = fit.iter().copied().filter(|&be| strain(be) > 1.0).collect();
         strained.sort_by(|&a, &b| strain(b).total_cmp(&strain(a)));
         let mut moves = Vec::new();
         for be in strained.into_iter().take(free) {
             // Where it already denies much, another that would deny much less will do.
             let least = (1.5 * self.bes[be].level).min(1.0);
-            let fits = |&s: &usize| fit.iter().any(|&to| to != be && self.share_with(to, s) >= least);
+            let takes = |to: usize, s: usize| !self.bes[to].ill && self.share_with(to, s) >= least;
+            let fits = |&s: &usize| fit.iter().any(|&to| to != be && takes(to, s));
             moves.extend(owned(be).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
         }
         let below = fit.iter().copied().min_by_key(|&be| (gain(be), be));
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -374,6 +374,24 @@
     assert!(steward.trusted(1, SECOND));
 }
 
+#[test]
+fn a_server_that_fails_a_part_at_once_keeps_its_level_and_gives_slices_away() {
+    let mut steward = steward(3, 2, 1);
+    steward.bes[0].tries = tries(SECOND, 10.0, 4.0, SECOND / 10, None);
+    steward.suspect(SECOND);
+    assert!(steward.bes[0].ill && steward.trusted(0, SECOND));
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
+    (0..3).for_each(|s| steward.heat(SECOND, s, 0, 2.0, SECOND));
+    (steward.reported, steward.bes[1].capacity) = (true, 100.0);
+    steward.tally(SECOND);
+    assert_eq!(steward.imbalance(SECOND).len(), 1);
+    assert_eq!(fewest(&mut steward, SECOND, 0), Some(1));
+    steward.bes[0].strained = SECOND;
+    steward.suspect(SECOND);
+    assert!(!steward.bes[0].ill, "a jam is no illness");
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain > 1.0));
+}
+
 #[test]
 fn many_suspects_at_once_are_a_bad_view() {
     let mut steward = steward(2, 8, 1);
