--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -20,11 +20,9 @@
     /// The list dropped it without a drain, or only a record names it: it counts as ready while it works.
     missing: bool,
     boot: Time,
-    /// When a record last named it as an owner.
     named: Time,
     /// Slices of this steward that it held at the first map or take-over; moves compare with that.
     start: usize,
-    /// When it was last granted a slice.
     granted: Time,
     tries: VecDeque<Tries>,
     suspect_until: Time,
@@ -98,13 +96,18 @@
     /// Its owner restarted: whatever it held has stopped.
     stopped: bool,
     heat: VecDeque<Heat>,
-    /// Reqs a second that come for it, by request kind, as tallied from the reports.
     rates: [f64; KINDS],
     /// The share let in of each request kind, as last ordered; those not named are open.
     levels: [f64; KINDS],
 }
 
 impl Be {
+    /// Tries since `span` ago, and how many of them were good.
+    fn met(&self, now: Time, span: Time) -> (f64, f64) {
+        let recent = self.tries.iter().filter(|t| now - t.at < span);
+        recent.fold((0.0, 0.0), |(count, good), t| (count + t.count, good + t.count - t.failed))
+    }
+
     /// It was busy or late just before: failures say that it is full.
     fn jammed(&self, now: Time) -> bool {
         now - self.strained < 6 * SECOND
@@ -115,10 +118,11 @@
     fn new() -> Slice {
         Slice { levels: [1.0; KINDS], ..Slice::default() }
     }
+}
 
-    fn handing_off(&self) -> bool {
-        matches!(self.state, State::HandingOff { .. })
-    }
+fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    samples.push_back(sample);
+    samples.drain(..samples.len().saturating_sub(most));
 }
 
 /// What reqs with keys that are new to a server cost it; the gain from met keys is about a third to a half.
@@ -128,7 +132,6 @@
 const KINDS: usize = 32;
 
 /// One turn in the ledger: when, the lines it wrote to each proxy, and its mark.
-#[derive(Clone, Debug)]
 struct Turn {
     at: Time,
     lines: f64,
@@ -154,7 +157,6 @@
     started: Time,
     wake: Time,
     tick: Time,
-    /// When servers were last reported on.
     heard: Time,
     /// Reqs a second that usually come, to all slices of all stewards.
     usual: f64,
@@ -167,8 +169,6 @@
     target: f64,
     /// The most reqs a second that a server got done on average, over any tick so far.
     done: f64,
-    /// The list has been heard of since the start, beyond what was kept from before.
-    fresh_list: bool,
     watching: bool,
     ask_at: Time,
 }
@@ -234,24 +234,21 @@
     /// The list follows, entry by entry; `list_end` closes it.
     pub fn list_begin(&mut self, scope: Scope) {
         self.news = true;
-        if scope == Scope::Changes {
-            return;
-        }
         // A server absent from a complete list is gone; those still there follow at once.
-        self.bes.iter_mut().for_each(|be| be.listed = false);
+        if scope != Scope::Changes {
+            self.bes.iter_mut().for_each(|be| be.listed = false);
+        }
     }
 
     pub fn list_entry(&mut self, be: usize, health: Health, boot: Time) {
         let entry = self.be(be);
-        entry.seen = true;
-        if health == Health::Gone {
-            // Closed by `list_end`, as are those that a whole list lacks.
-            entry.listed = false;
-            return;
+        (entry.seen, entry.listed) = (true, health != Health::Gone);
+        if !entry.listed {
+            return; // closed by `list_end`, as are those that a whole list lacks
         }
         // A restart stops what the server held, whether or not the list ever showed it gone.
         let restarted = boot > entry.boot && entry.health == Health::Ready;
-        (entry.listed, entry.missing, entry.health, entry.boot) = (true, false, health, boot.max(entry.boot));
+        (entry.missing, entry.health, entry.boot) = (false, health, boot.max(entry.boot));
         if restarted {
             let held = self.slices.iter_mut().filter(|slice| slice.owner == Some(be));
             held.for_each(|slice| slice.stopped = true);
@@ -259,14 +256,15 @@
     }
 
     pub fn list_end(&mut self, scope: Scope) {
+        if scope == Scope::Kept {
+            return; // it may lack servers that have come since
+        }
+        self.watching = true;
         let lax = self.cfg.flag("safety.only_draining_binds");
-        for be in self.bes.iter_mut().filter(|be| !be.listed && !be.missing) {
+        for be in self.bes.iter_mut().filter(|be| !be.listed) {
             be.missing = lax && be.health == Health::Ready;
             be.health = if be.missing { Health::Ready } else { Health::Gone };
         }
-        if scope != Scope::Kept {
-            (self.fresh_list, self.watching) = (true, true);
-        }
     }
 
     pub fn list_failed(&mut self, now: Time) {
@@ -310,10 +308,9 @@
 
     pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
         let settled = now + self.time("family_info.settle_s");
-        let lax = self.cfg.flag("safety.only_draining_binds");
         let entry = self.be(be);
         (entry.start, entry.named) = (entry.start + 1, now);
-        if lax && !entry.seen {
+        if !entry.seen {
             (entry.missing, entry.health) = (true, Health::Ready);
         }
         if let Some(entry) = self.slices.get_mut(slice) {
@@ -343,22 +340,15 @@
         if late || util.is_some_and(|util| util >= 0.85) {
             entry.strained = now;
         }
-        let tries = &mut entry.tries;
-        tries.push_back(Tries { at: now, count, failed, took, util });
         // Some seconds of reports from every zone.
-        if tries.len() > 32 {
-            tries.pop_front();
-        }
+        keep(&mut entry.tries, Tries { at: now, count, failed, took, util }, 32);
     }
 
     pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
         (self.news, self.reported) = (true, true);
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.heat.push_back(Heat { at: now, kind, count, window });
             // More than `rates` looks back on, at the shortest time between reports.
-            if entry.heat.len() > 16 {
-                entry.heat.pop_front();
-            }
+            keep(&mut entry.heat, Heat { at: now, kind, count, window }, 16);
         }
     }
 
@@ -420,7 +410,8 @@
         for be in &mut self.bes {
             let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < span).collect();
             let count = |of: &[&Tries]| of.iter().map(|t| t.count).sum::<f64>();
-            let failing = |of: &[&Tries], part| of.iter().map(|t| t.failed).sum::<f64>() >= part * count(of);
+            let failing =
+                |of: &[&Tries], part| of.iter().map(|t| t.failed - part * t.count).sum::<f64>() >= 0.0;
             // Guards against a list that drops live servers, or none but a kept one: what reports show to work
             // stays. Gone is what mostly fails in the newest reports, or is silent for long, and dropped too.
             // Harm: a real death is believed only once reports agree, a second or two later.
@@ -441,7 +432,6 @@
         }
     }
 
-    /// Servers listed as ready.
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready)
     }
@@ -507,8 +497,7 @@
         // A cold server can't wait for a tick's worth of reports.
         let span = if self.bes[be].present < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
         let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
-        let count: f64 = recent().map(|t| t.count).sum();
-        let good: f64 = recent().map(|t| t.count - t.failed).sum();
+        let (count, good) = self.bes[be].met(now, span);
         if count <= 0.0 {
             return None;
         }
@@ -528,9 +517,9 @@
     /// Each tick: a server that has too much is sent less, one that has room more.
     fn levels(&mut self, now: Time, tick: bool) {
         let span = self.span();
-        let recent = self.bes.iter().flat_map(|be| &be.tries).filter(|t| now - t.at < span);
-        let done: f64 = recent.map(|t| t.count - t.failed).sum();
-        self.done = self.done.max(done * SECOND as f64 / span as f64 / self.ready().count().max(1) as f64);
+        let a_second = SECOND as f64 / span as f64;
+        let done: f64 = self.bes.iter().map(|be| be.met(now, span).1).sum();
+        self.done = self.done.max(done * a_second / self.ready().count().max(1) as f64);
         let shares = self.cfg.text("family_info.admit") == Some("ratio");
         for be in 0..self.bes.len() {
             // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can
@@ -539,16 +528,13 @@
                 continue;
             }
             let strain = self.strain(be, now);
-            let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
-            let a_second = |count: f64| count * SECOND as f64 / span as f64;
-            let tried = a_second(recent().map(|t| t.count).sum());
-            let good = a_second(recent().map(|t| t.count - t.failed).sum());
+            let (tried, good) = self.bes[be].met(now, span);
             let level = self.bes[be].level;
             // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
             let level = match strain.unwrap_or(0.8) {
-                strain if strain > 1.0 => {
-                    ((1.0 / strain).max(0.8) * good / self.bes[be].load.max(1e-6)).min(0.95 * level)
-                }
+                strain if strain > 1.0 => ((1.0 / strain).max(0.8) * good * a_second
+                    / self.bes[be].load.max(1e-6))
+                .min(0.95 * level),
                 strain if strain > 0.9 => level,
                 strain => level / strain.max(0.5),
             };
@@ -557,7 +543,7 @@
             let be = &mut self.bes[be];
             self.hurry |= be.present < 1.0 && be.load > 0.0 && level < 0.8 * be.level;
             if let Some(strain) = strain {
-                be.capacity = tried / strain.max(0.2);
+                be.capacity = tried * a_second / strain.max(0.2);
             }
             if shares {
                 be.level = level.clamp(0.1, 1.0).min(cap);
@@ -639,9 +625,7 @@
                 |slice: &Slice| slice.mine && slice.owner.is_some_and(|be| fit(slice, &self.bes[be]));
             (0..self.slices.len()).filter(|&s| leaves(&self.slices[s])).collect::<Vec<usize>>()
         };
-        // A list kept from before a restart may lack servers that have come since.
-        let lost = |be: &Be| be.health != Health::Ready && (be.seen || self.fresh_list);
-        let mut leaving = held_by(&|slice, be| slice.stopped || lost(be));
+        let mut leaving = held_by(&|slice, be| slice.stopped || be.health != Health::Ready);
         let urgent = leaving.len();
         // Many suspects at once point to a bad view rather than bad servers: then nothing moves.
         let ready = |be: &Be| be.health == Health::Ready;
@@ -711,9 +695,12 @@
         let writes =
             |slice: &Slice| (0..KINDS).any(|k| self.writing & (1 << k) != 0 && slice.levels[k] > 0.0);
         let open = |slice: &Slice| slice.mine && slice.state == State::Settling && slice.owner.is_some();
-        let leavers = self.slices.is_empty()
-            && self.bes.iter().any(|be| be.seen && be.withdrawn == (be.health == Health::Ready));
-        let urgent = urgent > 0 || leavers || self.slices.iter().any(|slice| open(slice) && writes(slice));
+        // Standing tables are the proxies' own: a steward only sees to it that nothing goes to what left.
+        let bare = self.slices.is_empty() && self.ready().next().is_some();
+        let leavers = |be: &Be| bare && be.seen && be.withdrawn == (be.health == Health::Ready);
+        let urgent = urgent > 0
+            || self.bes.iter().any(leavers)
+            || self.slices.iter().any(|slice| open(slice) && writes(slice));
         let room = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
@@ -724,12 +711,8 @@
         let mark = self.mark + 1;
         for s in leaving.into_iter().take(room / 2) {
             let slice = &mut self.slices[s];
-            // What was open to reads alone keeps the end of its earlier settling.
-            if slice.state == State::Owned {
-                slice.quiet = None;
-            }
-            slice.owner = None;
-            slice.stopped = false;
+            // What was open to reads alone keeps the end of its earlier settling in `quiet`.
+            (slice.owner, slice.stopped) = (None, false);
             slice.state = State::HandingOff { mark, waiting: (0..self.proxies.len()).collect() };
             orders.push(Order::DropLines { slice: s });
         }
@@ -741,7 +724,7 @@
                 break;
             }
             let slice = &self.slices[s];
-            if !slice.mine || slice.handing_off() {
+            if !slice.mine || matches!(slice.state, State::HandingOff { .. }) {
                 continue;
             }
             let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
@@ -780,22 +763,14 @@
                 self.slices[s].quiet = None;
             }
         }
-        if self.slices.is_empty() && self.ready().next().is_some() {
-            // Standing tables are the proxies' own: a steward only sees to it that nothing goes to what left.
-            for (be, entry) in self.bes.iter_mut().enumerate().filter(|(_, entry)| entry.seen) {
-                let out = entry.health != Health::Ready;
-                if out != std::mem::replace(&mut entry.withdrawn, out) {
-                    orders.push(Order::Withdraw { be, out });
-                }
-            }
+        for (be, entry) in self.bes.iter_mut().enumerate().filter(|(_, entry)| leavers(entry)) {
+            entry.withdrawn = !entry.withdrawn;
+            orders.push(Order::Withdraw { be, out: entry.withdrawn });
         }
         // A proxy that rejoined with an answer still due gets a fresh mark.
-        let due = |slice: &Slice| match &slice.state {
-            State::HandingOff { mark, waiting } => waiting.iter().any(|&p| {
-                let proxy = &self.proxies[p];
-                proxy.joined && proxy.marked < *mark
-            }),
-            _ => false,
+        let due = |slice: &Slice| {
+            let State::HandingOff { mark, waiting } = &slice.state else { return false };
+            waiting.iter().any(|&p| self.proxies[p].joined && self.proxies[p].marked < *mark)
         };
         if !orders.is_empty() || self.slices.iter().any(|slice| slice.mine && due(slice)) {
             self.mark = mark;
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -51,6 +51,10 @@
     all.filter(|order| !matches!(order, Order::Remind { .. })).collect()
 }
 
+fn handing_off(slice: &Slice) -> bool {
+    matches!(slice.state, State::HandingOff { .. })
+}
+
 /// Puts slice 0 into a hand-over under mark 1 that waits for these proxies.
 fn hand_off(steward: &mut Steward, waiting: &[usize]) {
     steward.mark = 1;
@@ -98,7 +102,7 @@
     list(&mut steward, 0, Health::Draining, 0);
     let drops = [Order::DropLines { slice: 0 }, Order::DropLines { slice: 1 }, Order::Stamp { number: 1 }];
     assert_eq!(orders(&mut steward, 1), drops);
-    assert!(steward.slices.iter().all(Slice::handing_off));
+    assert!(steward.slices.iter().all(handing_off));
 }
 
 #[test]
@@ -118,22 +122,35 @@
 }
 
 #[test]
-fn a_stale_list_moves_nothing_off_a_server_it_lacks() {
+fn a_server_that_only_a_record_names_keeps_its_slices_until_a_list_lacks_it() {
     let mut steward = steward(1, 2, 1);
     steward.on_record(0, 0, 9, 1.0);
-    steward.fresh_list = false;
+    steward.list_end(Scope::Kept);
     assert_eq!(steward.leaving(1).0, []);
-    steward.fresh_list = true;
+    steward.list_end(Scope::Changes);
     assert_eq!(steward.leaving(1).0, [0]);
 }
 
+#[test]
+fn a_dropped_server_keeps_its_slices_while_it_works_where_only_a_drain_binds() {
+    let mut steward = steward(1, 2, 1);
+    steward.cfg.set("safety.only_draining_binds", "true");
+    steward.bes[0].tries = tries(SECOND, 10.0, 1.0, SECOND / 10, None);
+    list(&mut steward, 0, Health::Gone, 0);
+    steward.suspect(SECOND);
+    assert_eq!(steward.leaving(SECOND).0, []);
+    steward.bes[0].tries = tries(SECOND, 10.0, 9.0, SECOND / 10, None);
+    steward.suspect(SECOND);
+    assert_eq!(steward.leaving(SECOND).0, [0]);
+}
+
 #[test]
 fn a_hand_over_waits_for_every_answer() {
     let mut steward = steward(1, 2, 2);
     hand_off(&mut steward, &[0, 1]);
     steward.installed(0, 1);
     steward.settle(SECOND);
-    assert!(steward.slices[0].handing_off());
+    assert!(handing_off(&steward.slices[0]));
     steward.installed(1, 1);
     steward.settle(SECOND);
     assert_eq!(steward.slices[0].state, State::Settling);
@@ -145,7 +162,7 @@
     let mut steward = steward(1, 2, 1);
     hand_off(&mut steward, &[0]);
     steward.settle(100 * LEASE);
-    assert!(steward.slices[0].handing_off());
+    assert!(handing_off(&steward.slices[0]));
 }
 
 #[test]
@@ -154,7 +171,7 @@
     hand_off(&mut steward, &[0]);
     steward.stream_down(SECOND, 0);
     steward.settle(SECOND + LEASE - 1);
-    assert!(steward.slices[0].handing_off());
+    assert!(handing_off(&steward.slices[0]));
     steward.settle(SECOND + LEASE);
     assert_eq!(steward.slices[0].state, State::Settling);
 }
@@ -166,9 +183,9 @@
     hand_off(&mut steward, &[1]);
     steward.slices[0].given = SECOND;
     steward.settle(SECOND + LEASE - 1);
-    assert!(steward.slices[0].handing_off());
+    assert!(handing_off(&steward.slices[0]));
     steward.settle(SECOND + LEASE);
-    assert!(!steward.slices[0].handing_off());
+    assert!(!handing_off(&steward.slices[0]));
 }
 
 #[test]
