Spread urgent turns over the window too, so that drains never use the allowance up

Cause: with list changes every 0.4 s each was an urgent message at once; twelve were used up in 5 s and the next drain waited. Guards against any row of urgent news; harm: a drain may wait for 0.8 s.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -791,11 +791,12 @@
         }
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
-            // A third is kept for drains; the rest is spread so that a burst doesn't use it up.
-            let most = if urgent { allowed } else { allowed - allowed / 3 };
-            let gap = window * self.turns.len() as Time / (most * most) as Time;
-            let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
-            if self.turns.len() >= most || !(urgent || spaced) {
+            // A third is kept for drains; both are spread so that a row of bursts, drains too, can't use it up.
+            let kept = if urgent { 0 } else { allowed / 3 };
+            let most = if self.hurry { allowed } else { allowed - kept };
+            let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
+            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= gap);
+            if self.turns.len() + kept >= allowed || !spaced {
                 return 0;
             }
         }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -483,6 +483,16 @@
     assert_eq!(steward.room(5 * SECOND, 10, true), 43);
 }
 
+#[test]
+fn a_row_of_drains_spreads_its_messages_over_the_window() {
+    let mut steward = steward(1, 1, 10);
+    let turn = |at, mark| Turn { at, lines: 0.0, mark };
+    steward.turns = (1..=8).map(|mark| turn(SECOND, mark)).collect();
+    // A twelfth of the window later, so that one turn is always left to come soon.
+    assert_eq!(steward.room(SECOND + SECOND / 2, 10, true), 0);
+    assert!(steward.room(2 * SECOND, 10, true) > 0);
+}
+
 #[test]
 fn a_failed_subscription_is_asked_for_again_soon() {
     let mut steward = steward(1, 1, 1);
