Drops that can't wait go first with the whole room, all else within the ordinary one

Cause, read from the wire: an urgent turn gave drops half its room, by slice number, and its grants and levels filled the channel up to the drains' share. Now drops take the whole room first and the rest stays under half the queue. Guards any drain against a full channel; harm: grants wait.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -283,15 +283,13 @@
     pub fn stream_down(&mut self, now: Time, proxy: usize) {
         self.news = true;
         let entry = self.proxy(proxy);
-        entry.joined = false;
-        entry.down = now;
+        (entry.joined, entry.down) = (false, now);
     }
 
     pub fn installed(&mut self, proxy: usize, number: u16) {
         self.news = true;
         // Marks travel modulo 65536: the answer is to the latest mark with this number.
-        let back = self.mark.wrapping_sub(u64::from(number)) % 65_536;
-        let mark = self.mark.saturating_sub(back);
+        let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(number)) % 65_536);
         let entry = self.proxy(proxy);
         entry.answered = entry.answered.max(mark);
     }
@@ -333,8 +331,7 @@
     }
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
-        self.news = true;
-        self.heard = now;
+        (self.news, self.heard) = (true, now);
         let late = took as f64 > 0.4 * self.target;
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
@@ -359,7 +356,6 @@
     /// The next thing to carry out, or none for now.
     pub fn next_order(&mut self, now: Time) -> Option<Order> {
         if self.out.is_empty() && self.news {
-            self.now = now;
             self.news = false;
             self.decide(now);
         }
@@ -691,17 +687,18 @@
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
     fn turn(&mut self, now: Time) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
-        let (leaving, urgent) = self.leaving(now);
-        let writes =
-            |slice: &Slice| (0..KINDS).any(|k| self.writing & (1 << k) != 0 && slice.levels[k] > 0.0);
-        let open = |slice: &Slice| slice.mine && slice.state == State::Settling && slice.owner.is_some();
+        let (leaving, lost) = self.leaving(now);
+        let writing = self.writing;
+        let open = |slice: &Slice| {
+            let settling = slice.mine && slice.state == State::Settling && slice.owner.is_some();
+            settling && (0..KINDS).any(|k| writing & (1 << k) != 0 && slice.levels[k] > 0.0)
+        };
         // Standing tables are the proxies' own: a steward only sees to it that nothing goes to what left.
         let bare = self.slices.is_empty() && self.ready().next().is_some();
         let leavers = |be: &Be| bare && be.seen && be.withdrawn == (be.health == Health::Ready);
-        let urgent = urgent > 0
-            || self.bes.iter().any(leavers)
-            || self.slices.iter().any(|slice| open(slice) && writes(slice));
-        let room = self.room(now, joined, urgent);
+        let closing = self.slices.iter().filter(|slice| open(slice)).count();
+        let urgent = lost > 0 || closing > 0 || self.bes.iter().any(leavers);
+        let (room, rest) = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
             return orders;
@@ -709,18 +706,21 @@
         // The weight of a line that is open to reads alone; any below 1 serves, as a table has one line.
         const READS_ONLY: f64 = 0.5;
         let mark = self.mark + 1;
-        for s in leaving.into_iter().take(room / 2) {
+        // What can't wait may use the whole room, all else only what is left of the ordinary one.
+        for s in leaving.into_iter().take(room.min(lost).max(rest / 2)) {
             let slice = &mut self.slices[s];
             // What was open to reads alone keeps the end of its earlier settling in `quiet`.
             (slice.owner, slice.stopped) = (None, false);
             slice.state = State::HandingOff { mark, waiting: (0..self.proxies.len()).collect() };
             orders.push(Order::DropLines { slice: s });
         }
-        // Those without an owner first, then those whose writes may open: a full channel starved late slices.
+        // Writes to close go first, then slices without an owner, then writes that may open: a full channel
+        // starved late slices.
         let mut by_need: Vec<usize> = (0..self.slices.len()).collect();
-        by_need.sort_by_key(|&s| (self.slices[s].owner.is_some(), self.slices[s].state == State::Owned));
-        for s in by_need {
-            if orders.len() + 2 + self.kinds.len() > room {
+        let need = |slice: &Slice| (!open(slice), slice.owner.is_some(), slice.state == State::Owned);
+        by_need.sort_by_cached_key(|&s| need(&self.slices[s]));
+        for (i, s) in by_need.into_iter().enumerate() {
+            if orders.len() + 2 + self.kinds.len() > if i < closing { room } else { rest } {
                 break;
             }
             let slice = &self.slices[s];
@@ -783,8 +783,8 @@
         orders
     }
 
-    /// The one ledger: lines a proxy that a turn may write now.
-    fn room(&mut self, now: Time, joined: usize, urgent: bool) -> usize {
+    /// The one ledger: lines a proxy that a turn may write now, all told and of those that can wait.
+    fn room(&mut self, now: Time, joined: usize, urgent: bool) -> (usize, usize) {
         let window = self.cfg.time("family_info.update_window_s").unwrap_or(10 * SECOND) + SECOND / 10;
         while self.turns.front().is_some_and(|turn| now - turn.at >= window) {
             self.turns.pop_front();
@@ -797,7 +797,7 @@
             let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
             let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= gap);
             if self.turns.len() + kept >= allowed || !spaced {
-                return 0;
+                return (0, 0);
             }
         }
         // What a proxy answered has left the channel; what others of the same turn were written may not have.
@@ -805,10 +805,11 @@
         let due = |mark: u64| self.proxies.iter().filter(|proxy| due(proxy, mark)).count() as f64;
         let waiting: f64 = self.turns.iter().map(|turn| turn.lines * due(turn.mark)).sum();
         let most = self.cfg.number("family_info.pending_max").unwrap_or(f64::INFINITY);
-        let share = if urgent { 0.9 } else { 0.5 };
-        let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
-        let room = (share * most - waiting) / joined.max(1) as f64 - head - 1.0;
-        room.clamp(0.0, 65_535.0) as usize
+        let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0) + 1.0;
+        let room = |share: f64| {
+            ((share * most - waiting) / joined.max(1) as f64 - head).clamp(0.0, 65_535.0) as usize
+        };
+        (room(if urgent { 0.9 } else { 0.5 }), room(0.5))
     }
 }
 
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -470,17 +470,29 @@
     let mut steward = steward(1, 1, 10);
     let turn = |at, mark, lines| Turn { at, lines, mark };
     steward.turns = (1..=8).map(|mark| turn(SECOND, mark, 0.0)).collect();
-    assert_eq!(steward.room(9 * SECOND, 10, false), 0);
-    assert!(steward.room(9 * SECOND, 10, true) > 0);
+    assert_eq!(steward.room(9 * SECOND, 10, false).0, 0);
+    assert!(steward.room(9 * SECOND, 10, true).0 > 0);
     steward.turns.extend((9..=12).map(|mark| turn(SECOND, mark, 0.0)));
-    assert_eq!(steward.room(9 * SECOND, 10, true), 0);
+    assert_eq!(steward.room(9 * SECOND, 10, true).0, 0);
     steward.turns = VecDeque::from([turn(0, 1, 540.0)]);
     steward.mark = 1;
     steward.proxies.iter_mut().for_each(|proxy| proxy.marked = 1);
-    assert_eq!(steward.room(5 * SECOND, 10, true), 0);
+    assert_eq!(steward.room(5 * SECOND, 10, true).0, 0);
     // One answer frees that proxy's lines alone: 54 a proxy, less head and stamp.
     steward.installed(0, 1);
-    assert_eq!(steward.room(5 * SECOND, 10, true), 43);
+    assert_eq!(steward.room(5 * SECOND, 10, true).0, 43);
+}
+
+#[test]
+fn drops_that_cannot_wait_go_before_all_else_with_the_whole_room() {
+    let mut steward = steward(80, 2, 100);
+    (0..40).for_each(|s| (steward.slices[s].owner, steward.slices[s].state) = (None, State::Settling));
+    steward.slices.iter_mut().for_each(|slice| slice.quiet = slice.owner.is_none().then_some(0));
+    list(&mut steward, 0, Health::Draining, 0);
+    // 6000 lines may wait: 0.9 of them for 100 proxies, 10 lines of head and the stamp each, leave 43.
+    let orders = orders(&mut steward, SECOND);
+    assert!(orders[..40].iter().all(|order| matches!(order, Order::DropLines { .. })));
+    assert_eq!(orders.len(), 41, "grants wait for the ordinary room");
 }
 
 #[test]
@@ -489,8 +501,8 @@
     let turn = |at, mark| Turn { at, lines: 0.0, mark };
     steward.turns = (1..=8).map(|mark| turn(SECOND, mark)).collect();
     // A twelfth of the window later, so that one turn is always left to come soon.
-    assert_eq!(steward.room(SECOND + SECOND / 2, 10, true), 0);
-    assert!(steward.room(2 * SECOND, 10, true) > 0);
+    assert_eq!(steward.room(SECOND + SECOND / 2, 10, true).0, 0);
+    assert!(steward.room(2 * SECOND, 10, true).0 > 0);
 }
 
 #[test]
