Good times let levels rise though cores are said to be busy

Symptom: servers that report themselves full while running as usual kept whatever level they had, and clients were denied. Told apart from full ones by times within the strain limit. Harm: a full server with a short queue is let in a quarter more for a tick.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -497,8 +497,8 @@
         if count <= 0.0 {
             return None;
         }
-        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far.
-        // 0.85 and 0.4 leave room for chance and for a queue that is still short.
+        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far (good
+        // ones let levels rise, as loads may be false). 0.85 and 0.4 leave room for chance and a short queue.
         let utils: Vec<f64> = recent().filter_map(|t| t.util).collect();
         let util = utils.iter().sum::<f64>() / utils.len() as f64 / 0.85;
         if util < 1.0 {
@@ -507,7 +507,7 @@
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
         let full = if good < 0.7 * count && self.bes[be].jammed(now) { count / good.max(1.0) } else { 0.0 };
-        Some((took / (0.4 * self.target)).max(full).max(if util.is_nan() { 0.0 } else { 0.95 }))
+        Some((took / (0.4 * self.target)).max(full).max(if util.is_nan() { 0.0 } else { 0.8 }))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -422,7 +422,7 @@
 fn strain_asks_for_late_answers_besides_busy_cores() {
     let mut steward = steward(1, 2, 1);
     steward.bes[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(1.0));
-    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
+    assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 0.9), "its level may rise");
     steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(0.5));
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
     steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(1.0));
