--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -152,7 +152,7 @@
     /// What comes for the slices is to be worked out anew.
     reported: bool,
     now: Time,
-    /// A cold server has much too much: the next turn can't wait.
+    /// A cold server has much too much or writes have to be closed: the next turn can't wait.
     hurry: bool,
     started: Time,
     wake: Time,
@@ -698,6 +698,7 @@
         let leavers = |be: &Be| bare && be.seen && be.withdrawn == (be.health == Health::Ready);
         let closing = self.slices.iter().filter(|slice| open(slice)).count();
         let urgent = lost > 0 || closing > 0 || self.bes.iter().any(leavers);
+        self.hurry |= closing > 0;
         let (room, rest) = self.room(now, joined, urgent);
         let mut orders = Vec::new();
         if room == 0 {
@@ -792,11 +793,10 @@
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
             // A third is kept for drains; both are spread so that a row of bursts, drains too, can't use it up.
-            let kept = if urgent { 0 } else { allowed / 3 };
-            let most = if self.hurry { allowed } else { allowed - kept };
+            let most = allowed - if urgent { 0 } else { allowed / 3 };
             let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
-            let spaced = self.turns.back().is_none_or(|turn| now - turn.at >= gap);
-            if self.turns.len() + kept >= allowed || !spaced {
+            let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
+            if self.turns.len() >= most || !spaced {
                 return (0, 0);
             }
         }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -253,6 +253,7 @@
     let mut steward = steward(1, 2, 1);
     steward.given(SECOND, 0);
     steward.on_record(SECOND, 0, 1, 0.5);
+    steward.turns = (1..=8).map(|mark| Turn { at: SECOND, lines: 0.0, mark }).collect();
     assert_eq!(orders(&mut steward, SECOND)[0], Order::Level { slice: Some(0), kinds: 2, share: 0.0 });
     assert_eq!(steward.slices[0].quiet, Some(SECOND + SETTLE));
 }
