--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -614,7 +614,7 @@
     const TICK: Time = 2 * SECOND;
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many those are.
-    fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
+    fn leaving(&mut self, now: Time, joined: usize) -> (Vec<usize>, usize) {
         // A slice mid-hand-over has no owner and ignores new moves.
         let held_by = |fit: &dyn Fn(&Slice, &Be) -> bool| {
             let leaves =
@@ -628,9 +628,9 @@
         if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
             leaving.extend(held_by(&|slice, be| !slice.stopped && ready(be) && now < be.suspect_until));
         }
-        // In step with the reports where they come as seldom as ticks.
+        // In step with the reports where they come as seldom as ticks, and with room to write what it moves.
         let early = if self.heard == now { self.time("family_info.cycle_s") / 2 } else { 0 };
-        let tick = now - self.tick >= Self::TICK - early;
+        let tick = now - self.tick >= Self::TICK - early && self.room(now, joined, false).1 > 0;
         self.levels(now, tick);
         if tick {
             self.tick = now;
@@ -687,7 +687,7 @@
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
     fn turn(&mut self, now: Time) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
-        let (leaving, lost) = self.leaving(now);
+        let (leaving, lost) = self.leaving(now, joined);
         let writing = self.writing;
         let open = |slice: &Slice| {
             let settling = slice.mine && slice.state == State::Settling && slice.owner.is_some();
@@ -792,8 +792,8 @@
         }
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
-            // A third is kept for drains; both are spread so that a row of bursts, drains too, can't use it up.
-            let most = allowed - if urgent { 0 } else { allowed / 3 };
+            // A quarter is kept for drains; both are spread so that a row of bursts, drains too, can't use it up.
+            let most = allowed - if urgent { 0 } else { allowed / 4 };
             let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
             let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
             if self.turns.len() >= most || !spaced {
