--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -39,8 +39,7 @@
     held: usize,
     load: f64,
     present: f64,
-    /// Reqs a second that a cold server may be brought.
-    budget: f64,
+    budget: f64, // reqs a second that a cold server may be brought
 }
 
 /// One report of what proxies met at a server.
@@ -53,7 +52,6 @@
     util: Option<f64>,
 }
 
-/// One report of what came for a slice.
 #[derive(Clone, Debug)]
 struct Heat {
     at: Time,
@@ -67,7 +65,6 @@
     joined: bool,
     /// When its stream broke, or, unseen so far, when this steward started.
     down: Time,
-    /// The last mark written to it on this stream.
     marked: u64,
     answered: u64,
     /// Reqs a second that it usually gets.
@@ -160,7 +157,8 @@
     heard: Time,
     /// Reqs a second that usually come, to all slices of all stewards.
     usual: f64,
-    /// Slices of this steward for each ready server.
+    /// Reqs a second that an average server gets done, and slices of this steward for each ready server.
+    full: f64,
     even: usize,
     /// From the settings: the request kinds, dearest credit first, those that write, a bit each, and the
     /// mean response target.
@@ -448,8 +446,8 @@
         let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
         // A quarter of what would push a cold server over, as its keys are new to it and reports lag. Full
         // capacity: the most servers got done on average, or usually get.
-        let full = self.done.max(self.usual / stewards / seen);
-        let part = 0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * full;
+        self.full = self.done.max(self.usual / stewards / seen);
+        let part = 0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * self.full;
         for be in &mut self.bes {
             let ramped = from + (1.0 - from) * (now - be.boot) as f64 / ramp;
             be.present = if be.boot == 0 { 1.0 } else { ramped.clamp(from, 1.0) };
@@ -549,7 +547,9 @@
 
     /// The share of its reqs that a server could well take with one slice more.
     fn share_with(&self, be: usize, slice: usize) -> f64 {
-        let capacity = self.bes[be].budget.min(0.9 * self.bes[be].capacity);
+        // One not heard of yet counts as an average one: no end of slices went to a single unknown server.
+        let known = if self.bes[be].capacity.is_finite() { 0.9 * self.bes[be].capacity } else { self.full };
+        let capacity = self.bes[be].budget.min(known);
         capacity / (self.bes[be].load + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
     }
 
