--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -406,8 +406,8 @@
             let count = |of: &[&Tries]| of.iter().map(|t| t.count).sum::<f64>();
             let failing =
                 |of: &[&Tries], part| of.iter().map(|t| t.failed - part * t.count).sum::<f64>() >= 0.0;
-            // Guards against a list that drops live servers, or none but a kept one: what reports show to work
-            // stays. Gone is what mostly fails in the newest reports, or is silent for long, and dropped too.
+            // Guards against a list that drops live servers, or none but a kept one: what reports show to
+            // work stays. Gone is what mostly fails in the newest reports, or is silent for long.
             // Harm: a real death is believed only once reports agree, a second or two later.
             let newest = &recent[recent.len().saturating_sub(3)..];
             let silent = recent.is_empty() && now - be.named >= 2 * span;
@@ -495,8 +495,8 @@
         if count <= 0.0 {
             return None;
         }
-        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far (good
-        // ones let levels rise, as loads may be false). 0.85 and 0.4 leave room for chance and a short queue.
+        // Busy cores say more than times, which vary with the reqs; near the top only times tell how far;
+        // good ones let levels rise, as loads may be false. 0.85 and 0.4 leave room for a short queue.
         let utils: Vec<f64> = recent().filter_map(|t| t.util).collect();
         let util = utils.iter().sum::<f64>() / utils.len() as f64 / 0.85;
         if util < 1.0 {
@@ -614,7 +614,7 @@
     const TICK: Time = 2 * SECOND;
 
     /// Slices that are to leave their owners, the ones that can't wait first, and how many those are.
-    fn leaving(&mut self, now: Time, joined: usize) -> (Vec<usize>, usize) {
+    fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
         // A slice mid-hand-over has no owner and ignores new moves.
         let held_by = |fit: &dyn Fn(&Slice, &Be) -> bool| {
             let leaves =
@@ -628,9 +628,9 @@
         if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
             leaving.extend(held_by(&|slice, be| !slice.stopped && ready(be) && now < be.suspect_until));
         }
-        // In step with the reports where they come as seldom as ticks, and with room to write what it moves.
+        // In step with the reports where they come as seldom as ticks.
         let early = if self.heard == now { self.time("family_info.cycle_s") / 2 } else { 0 };
-        let tick = now - self.tick >= Self::TICK - early && self.room(now, joined, false).1 > 0;
+        let tick = now - self.tick >= Self::TICK - early;
         self.levels(now, tick);
         if tick {
             self.tick = now;
@@ -649,8 +649,8 @@
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
         let gain = |be: usize| self.bes[be].held as isize - self.bes[be].start as isize;
         let fit: Vec<usize> = self.ready().filter(|&be| self.trusted(be, now)).collect();
-        // Exception: after an enlargement each server that holds nothing may be getting a slice, and an eighth
-        // of a large fleet may: three at a time would take minutes there. A quarter measured no better.
+        // Exception: after an enlargement each server that holds nothing may be getting a slice, and an
+        // eighth of a large fleet may: three at a time would take minutes. A quarter measured no better.
         let empty = fit.iter().filter(|&&be| self.bes[be].held == 0).count();
         let free = IN_FLIGHT.max(empty).max(fit.len() / 8).saturating_sub(moving);
         let owned = |be: usize| {
@@ -687,7 +687,7 @@
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
     fn turn(&mut self, now: Time) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
-        let (leaving, lost) = self.leaving(now, joined);
+        let (leaving, lost) = self.leaving(now);
         let writing = self.writing;
         let open = |slice: &Slice| {
             let settling = slice.mine && slice.state == State::Settling && slice.owner.is_some();
@@ -792,7 +792,7 @@
         }
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
-            // A quarter is kept for drains; both are spread so that a row of bursts, drains too, can't use it up.
+            // A quarter is kept for drains; both are spread so that a row of bursts can't use it up.
             let most = allowed - if urgent { 0 } else { allowed / 4 };
             let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
             let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
