--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -547,8 +547,9 @@
 
     /// The share of its reqs that a server could well take with one slice more.
     fn share_with(&self, be: usize, slice: usize) -> f64 {
-        // One not heard of yet counts as an average one: no end of slices went to a single unknown server.
-        let known = if self.bes[be].capacity.is_finite() { 0.9 * self.bes[be].capacity } else { self.full };
+        // One not heard of yet counts as two average ones, half used: a single one was taken for endless.
+        let known =
+            if self.bes[be].capacity.is_finite() { 0.9 * self.bes[be].capacity } else { 2.0 * self.full };
         let capacity = self.bes[be].budget.min(known);
         capacity / (self.bes[be].load + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
     }
