--- /dev/null
+++ b/crates/host/src/channel.rs
@@ -0,0 +1,190 @@
+//! The channel: turns in order, each sent to every proxy once it is durable, at the stated pace.
+//!
+//! A turn is written once and shared. Each proxy has a place in the log; what lies between its place and the durable
+//! end is its next message, so that a proxy that has to wait gets several turns as one. A turn is forgotten when the
+//! last proxy that was to have it has been sent it or has left.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use bytes::Bytes;
+use ravenspar_protocol::{kind, tag, Frame, MOST_DOWN};
+use ravenspar_steward::{Time, SECOND};
+
+use crate::limits::Limits;
+use crate::table::Change;
+
+#[derive(Debug)]
+struct Turn {
+    fields: Bytes,
+    changes: Vec<Change>,
+    /// Lines it costs with its head, at each proxy.
+    cost: u64,
+    mark: Option<u64>,
+    /// Joined proxies that have not been sent it.
+    left: u64,
+}
+
+/// A proxy's place in the log.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// The number of the next turn to be sent.
+    next: u64,
+    queued: bool,
+    /// When the messages within the window were sent.
+    sent: VecDeque<Time>,
+}
+
+#[derive(Debug, Default)]
+pub struct Channel {
+    turns: VecDeque<Turn>,
+    /// The number of the first turn kept.
+    first: u64,
+    /// The number of the first turn that may not leave yet.
+    durable: u64,
+    waiting: u64,
+    /// When the next message may leave, in hundreds of nanoseconds.
+    free: i64,
+    ready: VecDeque<usize>,
+    /// Proxies that have had all messages of a window, and when the oldest of them leaves it.
+    held: BinaryHeap<Reverse<(Time, usize)>>,
+    pub most_waiting: u64,
+    /// How often a proxy had to wait for its window.
+    pub holds: u64,
+}
+
+/// Hundreds of nanoseconds in the unit of [`Time`].
+const FINE: i64 = 1_000;
+
+impl Channel {
+    pub fn waiting(&self) -> u64 {
+        self.waiting
+    }
+
+    /// Takes a turn in and returns its number. `proxies`: how many are joined.
+    pub fn push(
+        &mut self,
+        turn: Bytes,
+        changes: Vec<Change>,
+        cost: u64,
+        mark: Option<u64>,
+        proxies: u64,
+    ) -> u64 {
+        self.turns.push_back(Turn { fields: turn, changes, cost, mark, left: proxies });
+        self.waiting += cost * proxies;
+        self.most_waiting = self.most_waiting.max(self.waiting);
+        self.first + self.turns.len() as u64 - 1
+    }
+
+    /// The turn may leave, and with it all before it; the changes that come into force are handed to `apply`.
+    pub fn durable(&mut self, turn: u64, mut apply: impl FnMut(&Change)) {
+        while self.durable <= turn {
+            let at = (self.durable - self.first) as usize;
+            self.turns[at].changes.iter().for_each(&mut apply);
+            self.durable += 1;
+        }
+        self.forget();
+    }
+
+    /// A proxy that has just been sent the whole table starts behind the last durable turn.
+    pub fn join(&mut self, place: &mut Place) {
+        *place = Place { next: self.durable, ..Place::default() };
+        for turn in self.turns.range_mut((self.durable - self.first) as usize..) {
+            turn.left += 1;
+            self.waiting += turn.cost;
+        }
+        self.most_waiting = self.most_waiting.max(self.waiting);
+    }
+
+    pub fn leave(&mut self, place: &Place) {
+        for turn in self.turns.range_mut((place.next - self.first) as usize..) {
+            turn.left -= 1;
+            self.waiting -= turn.cost;
+        }
+        self.forget();
+    }
+
+    fn forget(&mut self) {
+        while self.first < self.durable && self.turns.front().is_some_and(|turn| turn.left == 0) {
+            self.turns.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// Puts a proxy in line if something is due to it.
+    pub fn queue(&mut self, proxy: usize, place: &mut Place) {
+        if !place.queued && place.next < self.durable {
+            place.queued = true;
+            self.ready.push_back(proxy);
+        }
+    }
+
+    /// The proxy whose turn it is, if the pace allows one now.
+    pub fn next(&mut self, now: Time) -> Option<usize> {
+        while let Some(Reverse((_, proxy))) = self.held.peek().copied().filter(|Reverse((at, _))| *at <= now)
+        {
+            self.held.pop();
+            self.ready.push_back(proxy);
+        }
+        if self.free > now * FINE {
+            return None;
+        }
+        self.ready.pop_front()
+    }
+
+    /// When [`Channel::next`] may have one.
+    pub fn next_at(&self, now: Time) -> Option<Time> {
+        let paced = (!self.ready.is_empty()).then(|| now.max((self.free + FINE - 1) / FINE));
+        let held = self.held.peek().map(|Reverse((at, _))| *at);
+        paced.into_iter().chain(held).min()
+    }
+
+    /// The proxy is not in line any more.
+    pub fn unqueue(&mut self, place: &mut Place) {
+        place.queued = false;
+    }
+
+    /// The next message to a proxy and the newest mark in it: all that is due to it, as far as one frame holds it.
+    /// None where its window is used up; then it waits in line for that.
+    pub fn take(
+        &mut self,
+        now: Time,
+        proxy: usize,
+        place: &mut Place,
+        limits: &Limits,
+    ) -> Option<(Bytes, Option<u64>)> {
+        while place.sent.front().is_some_and(|&at| now - at > limits.window) {
+            place.sent.pop_front();
+        }
+        if limits.messages > 0 && place.sent.len() >= limits.messages {
+            self.holds += 1;
+            self.held.push(Reverse((place.sent[0] + limits.window + 1, proxy)));
+            return None;
+        }
+        place.queued = false;
+        if place.next >= self.durable {
+            return None;
+        }
+        let mut frame = Frame::new(kind::TABLE);
+        let (mut cost, mut mark) = (limits.head, None);
+        while place.next < self.durable {
+            let turn = &mut self.turns[(place.next - self.first) as usize];
+            if frame.len() > 1 && frame.len() + turn.fields.len() + 16 > MOST_DOWN {
+                break;
+            }
+            frame.append(&turn.fields);
+            cost += turn.cost - limits.head;
+            mark = turn.mark.or(mark);
+            self.waiting -= turn.cost;
+            turn.left -= 1;
+            place.next += 1;
+        }
+        if let Some(mark) = mark {
+            frame.numbers(tag::MARK, &[mark]);
+        }
+        place.sent.push_back(now);
+        self.free = self.free.max(now * FINE) + (cost as f64 * (FINE * SECOND) as f64 / limits.rate) as i64;
+        self.forget();
+        Some((frame.finish(), mark))
+    }
+}
--- /dev/null
+++ b/crates/ravenspar/src/clock.rs
@@ -0,0 +1,32 @@
+//! The one clock: the wall clock at the start, and from then on the monotonic one, so that it never goes backward.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ravenspar_steward::Time;
+
+/// A [`Time`] in microseconds.
+const UNIT: u128 = 100;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    began: Instant,
+    wall: Time,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), wall: (wall.as_micros() / UNIT) as Time }
+    }
+
+    pub fn now(&self) -> Time {
+        self.wall + (self.began.elapsed().as_micros() / UNIT) as Time
+    }
+
+    /// The instant of a time, never before now's.
+    pub fn instant(&self, at: Time) -> Instant {
+        let since = (at - self.wall).max(0) as u64;
+        // A timer that fires a moment early would only find nothing due.
+        self.began + Duration::from_micros(since * UNIT as u64 + UNIT as u64)
+    }
+}
--- /dev/null
+++ b/crates/ravenspar/src/list.rs
@@ -0,0 +1,172 @@
+//! The server list: where it comes from, and what is read of it.
+
+use std::path::{Path, PathBuf};
+
+use ravenspar_record::ServerRow;
+use ravenspar_steward::{from_seconds, Health, Time};
+use tokio::sync::mpsc;
+
+use crate::yaml::{self, Faults, Node, Placed};
+
+/// What a source says.
+#[derive(Debug)]
+pub enum News {
+    /// The complete list.
+    Whole(Vec<ServerRow>),
+    /// It could not be had; the last good list still holds.
+    Failed(String),
+}
+
+/// A source of the server list. It sends the list once at the start, then at every change, until the receiver goes.
+pub trait Source {
+    /// Starts to follow; says how much of the queue it may fill by the sender it is given.
+    fn follow(&self, news: mpsc::Sender<News>);
+}
+
+/// A YAML file, read anew when it changes.
+pub struct File {
+    pub path: PathBuf,
+}
+
+impl Source for File {
+    fn follow(&self, news: mpsc::Sender<News>) {
+        use notify::Watcher;
+        use tokio::sync::Notify;
+
+        let path = self.path.clone();
+        let changed = std::sync::Arc::new(Notify::new());
+        let told = changed.clone();
+        // The folder is watched, as a file that is replaced is another file.
+        let watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
+            if event.is_ok_and(|event| !event.kind.is_access()) {
+                told.notify_one();
+            }
+        });
+        tokio::spawn(async move {
+            let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+            let watching = watcher.and_then(|mut watcher| {
+                watcher.watch(folder, notify::RecursiveMode::NonRecursive)?;
+                Ok(watcher)
+            });
+            if let Err(error) = &watching {
+                tracing::warn!(path = %path.display(), %error, "the list is looked at every second instead of watched");
+            }
+            let mut last = None;
+            loop {
+                let read = read(&path);
+                if let Some(said) = match read {
+                    Ok(list) if last.as_ref() == Some(&list) => None,
+                    Ok(list) => {
+                        last = Some(list.clone());
+                        Some(News::Whole(list))
+                    }
+                    // What was good before still holds, also when the next good list equals it.
+                    Err(faults) => Some(News::Failed(faults.to_string())),
+                } {
+                    if news.send(said).await.is_err() {
+                        return;
+                    }
+                }
+                // Looked at each second anyway: a watch may lose events, and then a drain must not be missed.
+                let second = std::time::Duration::from_secs(1);
+                let _ = tokio::time::timeout(second, changed.notified()).await;
+            }
+        });
+    }
+}
+
+pub fn health_code(health: Health) -> u8 {
+    match health {
+        Health::Ready => 0,
+        Health::Draining => 1,
+        Health::Gone => 2,
+    }
+}
+
+pub fn health(code: u8) -> Health {
+    match code {
+        0 => Health::Ready,
+        1 => Health::Draining,
+        _ => Health::Gone,
+    }
+}
+
+/// Reads a list file: `servers` is a list of maps with `id`, `zone`, `address`, `state` (`ready`, `draining` or
+/// `gone`; ready where missing) and `boot` (seconds on the steward's wall clock; 0 or missing: long ago).
+pub fn read(path: &Path) -> Result<Vec<ServerRow>, Faults> {
+    let tree = yaml::read(path)?;
+    let mut faults = Vec::new();
+    let rows = rows(&tree, &mut faults);
+    match faults.is_empty() {
+        true => Ok(rows),
+        false => Err(Faults { path: path.to_owned(), faults }),
+    }
+}
+
+fn rows(tree: &Placed, faults: &mut Vec<(u64, u64, String)>) -> Vec<ServerRow> {
+    let mut rows: Vec<ServerRow> = Vec::new();
+    let mut fault = |at: &Placed, what: String| faults.push((at.line, at.column, what));
+    let list = match &tree.node {
+        Node::Map(entries) => match entries.as_slice() {
+            [(key, list)] if matches!(&key.node, Node::Text(name) if name == "servers") => list,
+            _ => {
+                fault(tree, "expected one setting, servers, a list of servers".to_owned());
+                return rows;
+            }
+        },
+        _ => {
+            fault(tree, "expected servers, a list of servers".to_owned());
+            return rows;
+        }
+    };
+    let list = match &list.node {
+        Node::List(list) => list.as_slice(),
+        Node::Empty => &[],
+        _ => {
+            fault(list, "servers: expected a list of servers".to_owned());
+            return rows;
+        }
+    };
+    for server in list {
+        let Node::Map(entries) = &server.node else {
+            fault(server, "expected a server, a map with id, zone and address".to_owned());
+            continue;
+        };
+        let mut row =
+            ServerRow { id: String::new(), health: 0, boot: 0, zone: String::new(), address: String::new() };
+        for (key, value) in entries {
+            let (Node::Text(name), Node::Text(text)) = (&key.node, &value.node) else {
+                fault(value, "expected a value".to_owned());
+                continue;
+            };
+            match name.as_str() {
+                "id" => row.id = text.clone(),
+                "zone" => row.zone = text.clone(),
+                "address" if text.parse::<std::net::SocketAddr>().is_ok() => row.address = text.clone(),
+                "address" => fault(value, format!("address: {text}: expected an address and a port")),
+                "state" => match text.as_str() {
+                    "ready" => row.health = 0,
+                    "draining" => row.health = 1,
+                    "gone" => row.health = 2,
+                    _ => fault(value, format!("state: {text}: expected ready, draining or gone")),
+                },
+                "boot" => match text.parse::<f64>().ok().filter(|boot| boot.abs() < 1e12) {
+                    Some(boot) => row.boot = boot_time(boot),
+                    None => fault(value, format!("boot: {text}: expected seconds")),
+                },
+                _ => fault(key, format!("{name}: unknown, expected id, zone, address, state or boot")),
+            }
+        }
+        if row.id.is_empty() || row.address.is_empty() {
+            fault(server, "expected a server with an id and an address".to_owned());
+        } else if rows.iter().any(|other| other.id == row.id) {
+            fault(server, format!("{}: stands twice", row.id));
+        }
+        rows.push(row);
+    }
+    rows
+}
+
+fn boot_time(seconds: f64) -> Time {
+    from_seconds(seconds)
+}
--- /dev/null
+++ b/crates/ravenspar/src/main.rs
@@ -0,0 +1,7 @@
+//! The program `ravenspar`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ravenspar::cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/ravenspar/src/settings.rs
@@ -0,0 +1,287 @@
+//! The steward's settings: YAML at the door, checked against one table, which also maps them onto the plain map of
+//! names to values that the decisions and the host read.
+
+use std::path::{Path, PathBuf};
+
+use ravenspar_steward::Settings;
+
+use crate::yaml::{self, Faults, Node, Placed};
+
+/// What a value has to be.
+#[derive(Clone, Copy, Debug)]
+pub enum Form {
+    /// A time with its unit, longer than 0.
+    Time,
+    /// A whole number within these bounds.
+    Count(f64, f64),
+    /// A number within these bounds.
+    Number(f64, f64),
+    Flag,
+    Text,
+    /// One of these words, each with the value that the map has for it.
+    Word(&'static [(&'static str, &'static str)]),
+}
+
+/// One setting: where it stands in the file, what it has to be, its name in the map (none: the program's own), and
+/// what holds where it is missing (none: it has to be there).
+pub struct Entry {
+    pub path: &'static str,
+    pub form: Form,
+    pub name: Option<&'static str>,
+    pub missing: Option<&'static str>,
+}
+
+const fn entry(path: &'static str, form: Form, name: &'static str, missing: Option<&'static str>) -> Entry {
+    Entry { path, form, name: Some(name), missing }
+}
+
+const fn own(path: &'static str, form: Form, missing: Option<&'static str>) -> Entry {
+    Entry { path, form, name: None, missing }
+}
+
+/// The table. `docs/guide/run.md` says what each one means.
+pub const TABLE: &[Entry] = &[
+    own("listen", Form::Text, None),
+    own("record", Form::Text, None),
+    own("list.source", Form::Word(&[("file", "file")]), Some("file")),
+    own("list.path", Form::Text, None),
+    own("seed", Form::Count(0.0, 9e15), Some("1")),
+    entry("forwarders", Form::Count(1.0, 65_535.0), "family_info.proxy_count", None),
+    entry("slices", Form::Count(1.0, 65_535.0), "family_info.ranges", None),
+    entry("stewards", Form::Count(1.0, 1.0), "balancers", Some("1")),
+    entry("lease", Form::Time, "family_info.write_lease_s", None),
+    entry("settle", Form::Time, "family_info.settle_s", None),
+    entry("hold", Form::Time, "family_info.hold_s", None),
+    entry("unserved_most", Form::Time, "family_info.unserved_max_s", None),
+    entry("tick", Form::Time, "tick_s", Some("2ms")),
+    entry("silent_after", Form::Time, "host.silent_s", None),
+    entry("channel.lines_per_s", Form::Number(1.0, 1e9), "family_info.channel_rate", None),
+    entry("channel.waiting_lines", Form::Count(1.0, 1e9), "family_info.pending_max", None),
+    entry("channel.message_cost", Form::Count(0.0, 1e6), "family_info.fixed_cost", None),
+    entry("channel.messages", Form::Count(0.0, 1e6), "family_info.pushes_allowed", None),
+    entry("channel.messages_within", Form::Time, "family_info.update_window_s", None),
+    entry("reports.every", Form::Time, "family_info.cycle_s", None),
+    entry("reports.lines_per_s", Form::Number(1.0, 1e9), "family_info.intake_per_s", None),
+    entry(
+        "levels",
+        Form::Word(&[("share", "ratio"), ("rate", "rps"), ("none", "none")]),
+        "family_info.admit",
+        Some("share"),
+    ),
+    entry("cold.from", Form::Number(0.001, 1.0), "safety.cold_from", None),
+    entry("cold.for", Form::Time, "safety.cold_s", None),
+    entry("cold.fall_multiple", Form::Number(0.001, 1e6), "safety.fall_multiple", None),
+    entry("cold.fall_for", Form::Time, "safety.fall_s", None),
+    entry("drain.grace", Form::Time, "safety.drain_grace_s", None),
+    entry("drain.only_draining_binds", Form::Flag, "safety.only_draining_binds", Some("false")),
+];
+
+/// The same for each of `kinds`; `{}` in a name is its place.
+pub const KIND: &[Entry] = &[
+    entry("name", Form::Text, "classes.{}.name", None),
+    entry("response_target", Form::Time, "classes.{}.aim_s", None),
+    entry("client_timeout", Form::Time, "classes.{}.hard_limit_s", None),
+    entry("credit", Form::Number(0.0, 1e9), "classes.{}.worth", None),
+    entry(
+        "repeats",
+        Form::Word(&[("replayable", "pure"), ("uniqued", "token"), ("non-replayable", "side_effect")]),
+        "classes.{}.effect",
+        None,
+    ),
+    own("writes", Form::Flag, None),
+];
+
+/// Settings that passed every check.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    pub listen: String,
+    pub record: PathBuf,
+    pub list: PathBuf,
+    pub seed: u64,
+    pub map: Settings,
+}
+
+/// Reads and checks a file. Relative paths in it count from its folder.
+pub fn load(path: &Path) -> Result<Checked, Faults> {
+    let tree = yaml::read(path)?;
+    let mut check = Check { faults: Vec::new(), map: Settings::default(), own: Vec::new() };
+    check.map(&tree, "", TABLE, "", &["kinds"]);
+    check.kinds(&tree);
+    let own = |name: &str| check.own.iter().find(|(path, _)| path == name).map(|(_, value)| value.as_str());
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let listen = own("listen").unwrap_or_default().to_owned();
+    if !listen.is_empty() && listen.parse::<std::net::SocketAddr>().is_err() {
+        check.faults.push((
+            tree.line,
+            tree.column,
+            format!("listen: {listen}: expected an address and a port"),
+        ));
+    }
+    let checked = Checked {
+        listen,
+        record: folder.join(own("record").unwrap_or_default()),
+        list: folder.join(own("list.path").unwrap_or_default()),
+        seed: own("seed").and_then(|seed| seed.parse().ok()).unwrap_or(1),
+        map: check.map,
+    };
+    if check.faults.is_empty() {
+        // The last word is the host's and the decisions' own: nothing may be missing when they start.
+        if let Err(name) = ravenspar_host::Host::new(0, 1, checked.map.clone(), 1, &[], &[]) {
+            check.faults.push((tree.line, tree.column, format!("the setting {name} is missing or unusable")));
+        }
+    }
+    match check.faults.is_empty() {
+        true => Ok(checked),
+        false => {
+            check.faults.sort();
+            Err(Faults { path: path.to_owned(), faults: check.faults })
+        }
+    }
+}
+
+struct Check {
+    faults: Vec<(u64, u64, String)>,
+    map: Settings,
+    own: Vec<(String, String)>,
+}
+
+impl Check {
+    fn fault(&mut self, at: &Placed, what: String) {
+        self.faults.push((at.line, at.column, what));
+    }
+
+    /// Checks a map, and those in it, against the entries whose paths begin with `prefix`. `index` stands for `{}`.
+    fn map(&mut self, at: &Placed, prefix: &str, table: &[Entry], index: &str, others: &[&str]) {
+        let Node::Map(entries) = &at.node else {
+            return self.fault(at, format!("{}: expected a map of settings", shown(prefix)));
+        };
+        let mut seen: Vec<&str> = Vec::new();
+        for (key, value) in entries {
+            let Node::Text(name) = &key.node else {
+                self.fault(key, format!("{}: expected the name of a setting", shown(prefix)));
+                continue;
+            };
+            if seen.contains(&name.as_str()) {
+                self.fault(key, format!("{prefix}{name}: stands twice"));
+            }
+            seen.push(name);
+            let path = format!("{prefix}{name}");
+            if let Some(entry) = table.iter().find(|entry| entry.path == path) {
+                self.value(value, entry, index);
+            } else if table.iter().any(|entry| entry.path.starts_with(&format!("{path}."))) {
+                self.map(value, &format!("{path}."), table, index, &[]);
+            } else if !others.contains(&name.as_str()) {
+                let known = names(table, prefix, others);
+                self.fault(key, format!("{path}: unknown setting, expected one of {known}"));
+            }
+        }
+        for entry in table.iter().filter(|entry| entry.path.starts_with(prefix)) {
+            let rest = &entry.path[prefix.len()..];
+            if seen.contains(&rest.split('.').next().unwrap_or(rest)) {
+                continue; // looked at above
+            }
+            match entry.missing {
+                Some(text) => {
+                    let value = read(entry.form, text).unwrap_or_default();
+                    self.set(entry, &value, index);
+                }
+                None => self.fault(at, format!("{}: missing, expected {}", entry.path, expected(entry.form))),
+            }
+        }
+    }
+
+    fn value(&mut self, at: &Placed, entry: &Entry, index: &str) {
+        let text = match &at.node {
+            Node::Text(text) => text.as_str(),
+            _ => return self.fault(at, format!("{}: expected {}", entry.path, expected(entry.form))),
+        };
+        match read(entry.form, text) {
+            Some(value) => self.set(entry, &value, index),
+            None => self.fault(at, format!("{}: {text}: expected {}", entry.path, expected(entry.form))),
+        }
+    }
+
+    fn set(&mut self, entry: &Entry, value: &str, index: &str) {
+        match entry.name {
+            Some(name) => self.map.set(&name.replace("{}", index), value),
+            None => self.own.push((format!("{}{index}", entry.path), value.to_owned())),
+        }
+    }
+
+    fn kinds(&mut self, tree: &Placed) {
+        /// As many as the decisions' masks hold.
+        const MOST: usize = 32;
+        let Node::Map(entries) = &tree.node else { return };
+        let kinds = entries.iter().find(|(key, _)| matches!(&key.node, Node::Text(name) if name == "kinds"));
+        let Some((_, kinds)) = kinds else {
+            return self.fault(tree, "kinds: missing, expected a list of request kinds".to_owned());
+        };
+        let list = match &kinds.node {
+            Node::List(list) if (1..=MOST).contains(&list.len()) => list,
+            _ => return self.fault(kinds, format!("kinds: expected a list of 1 to {MOST} request kinds")),
+        };
+        for (k, kind) in list.iter().enumerate() {
+            self.map(kind, "", KIND, &k.to_string(), &[]);
+        }
+        let writes =
+            |k: usize| self.own.iter().any(|(path, value)| *path == format!("writes{k}") && value == "true");
+        let flags: Vec<String> = (0..list.len()).map(|k| writes(k).to_string()).collect();
+        self.map.set("classes.count", &list.len().to_string());
+        self.map.set("family_info.mutating", &flags.join(","));
+        self.map.set("family_info.single_writer", "true");
+        // The list source tells of changes by itself.
+        self.map.set("discovery", "pushed");
+    }
+}
+
+/// A text as the map has its value, or none where it is not what it has to be.
+fn read(form: Form, text: &str) -> Option<String> {
+    let number = |low: f64, high: f64| {
+        let number = text.parse::<f64>().ok().filter(|n| n.is_finite() && (low..=high).contains(n));
+        number.map(|_| text.to_owned())
+    };
+    match form {
+        // Times in the decisions are whole tenths of a millisecond.
+        Form::Time => yaml::seconds(text).filter(|time| *time >= 0.0001).map(|time| time.to_string()),
+        Form::Count(low, high) => number(low, high).filter(|text| text.parse::<u64>().is_ok()),
+        Form::Number(low, high) => number(low, high),
+        Form::Flag => Some(text.to_owned()).filter(|text| text == "true" || text == "false"),
+        Form::Text => Some(text.to_owned()).filter(|text| !text.is_empty()),
+        Form::Word(words) => {
+            words.iter().find(|(word, _)| *word == text).map(|(_, value)| (*value).to_owned())
+        }
+    }
+}
+
+fn shown(prefix: &str) -> &str {
+    if prefix.is_empty() {
+        "the file"
+    } else {
+        prefix.trim_end_matches('.')
+    }
+}
+
+fn names(table: &[Entry], prefix: &str, others: &[&str]) -> String {
+    let mut names: Vec<&str> = Vec::new();
+    for entry in table.iter().filter_map(|entry| entry.path.strip_prefix(prefix)) {
+        let first = entry.split('.').next().unwrap_or(entry);
+        if !names.contains(&first) {
+            names.push(first);
+        }
+    }
+    names.extend(others);
+    names.join(", ")
+}
+
+fn expected(form: Form) -> String {
+    match form {
+        Form::Time => "a time with its unit, as 4s or 250ms".to_owned(),
+        Form::Count(low, high) => format!("a whole number from {low} to {high}"),
+        Form::Number(low, high) => format!("a number from {low} to {high}"),
+        Form::Flag => "true or false".to_owned(),
+        Form::Text => "a text".to_owned(),
+        Form::Word(words) => {
+            format!("one of {}", words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", "))
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/src/lib.rs
@@ -0,0 +1,169 @@
+//! The embedded record of one steward: slices with owner, weight and mark, its term, and the list last seen.
+//!
+//! One file of redb. All of a batch is durable when [`Record::write`] returns, or nothing of it is. Weights are kept
+//! in millionths, so that a line reads back as it went out.
+
+mod fault;
+
+use std::path::Path;
+
+use redb::{Database, ReadOnlyTable, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+
+pub use fault::Fault;
+
+/// The layout of the file; a file that names another is refused untouched.
+const LAYOUT: u64 = 1;
+
+const META: TableDefinition<&str, u64> = TableDefinition::new("ravenspar");
+/// Slice to owner (empty: none), weight in millionths, mark and term.
+const SLICES: TableDefinition<u32, (&str, u64, u64, u64)> = TableDefinition::new("slices");
+/// Server to health (0 ready, 1 draining, 2 gone), boot, zone and address.
+const SERVERS: TableDefinition<&str, (u8, i64, &str, &str)> = TableDefinition::new("servers");
+
+/// One slice as it stands on record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SliceRow {
+    pub slice: u32,
+    /// The owner's id; none while the slice is on its way.
+    pub owner: Option<String>,
+    /// Millionths; below a whole the slice is open to reads alone.
+    pub weight: u64,
+    pub mark: u64,
+    pub term: u64,
+}
+
+/// One server of the list last seen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRow {
+    pub id: String,
+    /// 0 ready, 1 draining, 2 gone.
+    pub health: u8,
+    /// When it last started, in tenths of a millisecond of the list's clock; 0: long ago.
+    pub boot: i64,
+    pub zone: String,
+    pub address: String,
+}
+
+/// All that a file holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Contents {
+    /// How often a steward has started on this file.
+    pub term: u64,
+    pub slices: Vec<SliceRow>,
+    pub servers: Vec<ServerRow>,
+}
+
+/// An open record; the file is locked against other processes.
+pub struct Record {
+    base: Database,
+}
+
+impl Record {
+    /// Opens the file, or makes it where there is none. A file that is no record of this layout is left as it is.
+    pub fn open(path: &Path) -> Result<Record, Fault> {
+        if path.exists() {
+            let base = Database::open(path).map_err(|e| Fault::open(path, e))?;
+            check(&base, path)?;
+            return Ok(Record { base });
+        }
+        // Made beside it and moved into place, so that a steward killed here leaves no half-made record.
+        let draft = path.with_extension("draft");
+        let _ = std::fs::remove_file(&draft);
+        let base = Database::create(&draft).map_err(|e| Fault::open(path, e))?;
+        let made = base.begin_write().map_err(Fault::write)?;
+        {
+            let mut meta = made.open_table(META).map_err(Fault::write)?;
+            meta.insert("layout", LAYOUT).map_err(Fault::write)?;
+            meta.insert("term", 0).map_err(Fault::write)?;
+            made.open_table(SLICES).map_err(Fault::write)?;
+            made.open_table(SERVERS).map_err(Fault::write)?;
+        }
+        made.commit().map_err(Fault::write)?;
+        drop(base);
+        std::fs::rename(&draft, path).map_err(|e| Fault::open(path, e.into()))?;
+        let base = Database::open(path).map_err(|e| Fault::open(path, e))?;
+        Ok(Record { base })
+    }
+
+    /// Reads a file that another process may not hold, without changing what it says.
+    pub fn read(path: &Path) -> Result<Contents, Fault> {
+        let base = redb::ReadOnlyDatabase::open(path).map_err(|e| Fault::open(path, e))?;
+        check(&base, path)?;
+        contents(&base)
+    }
+
+    pub fn contents(&self) -> Result<Contents, Fault> {
+        contents(&self.base)
+    }
+
+    /// A new term, larger than any before on this file; durable on return.
+    pub fn next_term(&self) -> Result<u64, Fault> {
+        let write = self.base.begin_write().map_err(Fault::write)?;
+        let term = {
+            let mut meta = write.open_table(META).map_err(Fault::write)?;
+            let last = meta.get("term").map_err(Fault::write)?.map_or(0, |term| term.value());
+            meta.insert("term", last + 1).map_err(Fault::write)?;
+            last + 1
+        };
+        write.commit().map_err(Fault::write)?;
+        Ok(term)
+    }
+
+    /// Writes slices and, where given, the list, as one; durable on return.
+    pub fn write(&self, slices: &[SliceRow], list: Option<&[ServerRow]>) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(Fault::write)?;
+        {
+            let mut table = write.open_table(SLICES).map_err(Fault::write)?;
+            for row in slices {
+                let owner = row.owner.as_deref().unwrap_or("");
+                table.insert(row.slice, (owner, row.weight, row.mark, row.term)).map_err(Fault::write)?;
+            }
+        }
+        if let Some(list) = list {
+            let mut table = write.open_table(SERVERS).map_err(Fault::write)?;
+            table.retain(|_, _| false).map_err(Fault::write)?;
+            for row in list {
+                let entry = (row.health, row.boot, row.zone.as_str(), row.address.as_str());
+                table.insert(row.id.as_str(), entry).map_err(Fault::write)?;
+            }
+        }
+        write.commit().map_err(Fault::write)
+    }
+}
+
+fn check(base: &impl ReadableDatabase, path: &Path) -> Result<(), Fault> {
+    let read = base.begin_read().map_err(Fault::read)?;
+    let meta: ReadOnlyTable<&str, u64> = match read.open_table(META) {
+        Ok(meta) => meta,
+        Err(TableError::TableDoesNotExist(_) | TableError::TableTypeMismatch { .. }) => {
+            return Err(Fault::Foreign(path.to_owned()))
+        }
+        Err(error) => return Err(Fault::read(error)),
+    };
+    match meta.get("layout").map_err(Fault::read)?.map(|layout| layout.value()) {
+        Some(LAYOUT) => Ok(()),
+        Some(layout) => Err(Fault::Layout { path: path.to_owned(), found: layout, expected: LAYOUT }),
+        None => Err(Fault::Foreign(path.to_owned())),
+    }
+}
+
+fn contents(base: &impl ReadableDatabase) -> Result<Contents, Fault> {
+    let read = base.begin_read().map_err(Fault::read)?;
+    let meta = read.open_table(META).map_err(Fault::read)?;
+    let term = meta.get("term").map_err(Fault::read)?.map_or(0, |term| term.value());
+    let mut slices = Vec::new();
+    for row in read.open_table(SLICES).map_err(Fault::read)?.iter().map_err(Fault::read)? {
+        let (slice, row) = row.map_err(Fault::read)?;
+        let (owner, weight, mark, term) = row.value();
+        let owner = Some(owner.to_owned()).filter(|owner| !owner.is_empty());
+        slices.push(SliceRow { slice: slice.value(), owner, weight, mark, term });
+    }
+    let mut servers = Vec::new();
+    for row in read.open_table(SERVERS).map_err(Fault::read)?.iter().map_err(Fault::read)? {
+        let (id, row) = row.map_err(Fault::read)?;
+        let (health, boot, zone, address) = row.value();
+        let (zone, address) = (zone.to_owned(), address.to_owned());
+        servers.push(ServerRow { id: id.value().to_owned(), health, boot, zone, address });
+    }
+    Ok(Contents { term, slices, servers })
+}
