--- /dev/null
+++ b/crates/lab/src/judge/tables.rs
@@ -0,0 +1,239 @@
+//! What each forwarder was told, by the frames that reached it.
+
+use std::collections::BTreeMap;
+
+use ravenspar_protocol::{kind, tag, Body, Fault};
+use ravenspar_standin::capture::unhex;
+use ravenspar_standin::{Event, Time};
+
+/// A stretch of time in which a forwarder held a slice for one server, or for none.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Span {
+    pub from: Time,
+    /// `Time::MAX` while it lasts.
+    pub to: Time,
+    pub server: Option<String>,
+}
+
+/// A message with lines that reached a forwarder.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub at: Time,
+    pub stream: u64,
+    pub lines: u64,
+    pub mark: Option<u64>,
+    /// The steward's, by its welcome.
+    pub term: u64,
+}
+
+/// A stretch of time in which a forwarder was joined on a stream.
+#[derive(Clone, Debug)]
+pub struct Joined {
+    pub stream: u64,
+    pub forwarder: u64,
+    pub from: Time,
+    pub to: Time,
+}
+
+#[derive(Debug, Default)]
+pub struct View {
+    /// By forwarder and slice, in order of time.
+    pub spans: BTreeMap<(u64, usize), Vec<Span>>,
+    pub joined: Vec<Joined>,
+    pub messages: Vec<Message>,
+}
+
+#[derive(Default)]
+struct Stream {
+    forwarder: Option<u64>,
+    term: u64,
+    servers: BTreeMap<u64, String>,
+    /// The whole table as far as it has been read.
+    next: BTreeMap<usize, u64>,
+}
+
+impl View {
+    pub fn new(events: &[Event], slices: usize) -> View {
+        let mut view = View::default();
+        let mut streams: BTreeMap<u64, Stream> = BTreeMap::new();
+        for event in events {
+            match event {
+                Event::Frame { at, stream, down, body } => {
+                    let body = unhex(body).unwrap_or_default();
+                    let entry = streams.entry(*stream).or_default();
+                    // A body that can't be read says nothing; whoever sent it has to bear the end of its stream.
+                    let _ = view.frame(*at, *stream, entry, *down, &body, slices);
+                }
+                Event::Shut { at, stream } => view.leave(*at, *stream),
+                Event::Forwarder { at, number, state } if state == "killed" => {
+                    // What it held is gone with it.
+                    (0..slices).for_each(|slice| view.hold(*at, *number, slice, None));
+                    view.joined
+                        .iter_mut()
+                        .filter(|j| j.forwarder == *number)
+                        .for_each(|j| j.to = j.to.min(*at));
+                }
+                _ => {}
+            }
+        }
+        view
+    }
+
+    fn leave(&mut self, at: Time, stream: u64) {
+        self.joined.iter_mut().filter(|j| j.stream == stream).for_each(|j| j.to = j.to.min(at));
+    }
+
+    fn hold(&mut self, at: Time, forwarder: u64, slice: usize, server: Option<String>) {
+        let spans = self.spans.entry((forwarder, slice)).or_default();
+        if let Some(last) = spans.last_mut().filter(|last| last.to == Time::MAX) {
+            last.to = at;
+        }
+        spans.push(Span { from: at, to: Time::MAX, server });
+    }
+
+    fn frame(
+        &mut self,
+        at: Time,
+        number: u64,
+        stream: &mut Stream,
+        down: bool,
+        body: &[u8],
+        slices: usize,
+    ) -> Result<(), Fault> {
+        let mut body = Body::new(body)?;
+        let what = body.kind();
+        if !down {
+            while let Some((tag, mut field)) = body.field()? {
+                if what == kind::HELLO && tag == tag::PROXY {
+                    stream.forwarder = Some(field.number()?);
+                }
+            }
+            return Ok(());
+        }
+        let Some(forwarder) = stream.forwarder else { return Ok(()) };
+        if what == kind::WELCOME {
+            self.joined.push(Joined { stream: number, forwarder, from: at, to: Time::MAX });
+        }
+        let (mut lines, mut mark) = (0, None);
+        while let Some((tag, mut field)) = body.field()? {
+            match (what, tag) {
+                (kind::WELCOME, tag::TERM) => stream.term = field.number()?,
+                (_, tag::SERVER) => {
+                    let be = field.number()?;
+                    stream.servers.insert(be, field.text()?.to_owned());
+                }
+                (kind::READ, tag::LINE) => {
+                    stream.next.insert(field.index()?, field.number()?);
+                }
+                (kind::READ, tag::END) => {
+                    let next = std::mem::take(&mut stream.next);
+                    for slice in 0..slices {
+                        let server = next.get(&slice).and_then(|be| stream.servers.get(be)).cloned();
+                        self.hold(at, forwarder, slice, server);
+                    }
+                }
+                (kind::TABLE, tag::LINE) => {
+                    lines += 1;
+                    let (slice, be) = (field.index()?, field.number()?);
+                    self.hold(at, forwarder, slice, stream.servers.get(&be).cloned());
+                }
+                (kind::TABLE, tag::DROP) => {
+                    lines += 1;
+                    self.hold(at, forwarder, field.index()?, None);
+                }
+                (kind::TABLE, tag::LEVEL | tag::WITHDRAW) => lines += 1,
+                (kind::TABLE, tag::MARK) => {
+                    lines += 1;
+                    mark = Some(field.number()?);
+                }
+                _ => {}
+            }
+        }
+        if what == kind::TABLE {
+            self.messages.push(Message { at, stream: number, lines, mark, term: stream.term });
+        }
+        Ok(())
+    }
+
+    /// Since when a forwarder has held a slice for a server, at a time; none if it does not, or did not until then.
+    /// One that has let go of it counts from when it last took it.
+    pub fn held_since(&self, forwarder: u64, slice: usize, server: &str, at: Time) -> Option<Time> {
+        let spans = self.spans.get(&(forwarder, slice))?;
+        let before = spans.iter().rev().filter(|span| span.from <= at);
+        before.into_iter().find(|span| span.server.as_deref() == Some(server)).map(|span| span.from)
+    }
+
+    pub fn joined_at(&self, forwarder: u64, at: Time) -> Option<&Joined> {
+        self.joined.iter().rev().find(|j| j.forwarder == forwarder && j.from <= at && at < j.to)
+    }
+
+    /// How long each hand-over took.
+    pub fn gaps(&self, events: &[Event]) -> Gaps {
+        // The first that any forwarder heard of a revoke, and of the grant after it.
+        let mut changes: BTreeMap<usize, Vec<(Time, Option<&str>)>> = BTreeMap::new();
+        for (&(_, slice), spans) in &self.spans {
+            let told = spans.iter().map(|span| (span.from, span.server.as_deref()));
+            changes.entry(slice).or_default().extend(told);
+        }
+        let mut writes: BTreeMap<usize, Vec<(Time, &str)>> = BTreeMap::new();
+        for event in events {
+            if let Event::Took { at, server, slice, writes: true, .. } = event {
+                writes.entry(*slice as usize).or_default().push((*at, server));
+            }
+        }
+        let mut gaps = Gaps::default();
+        for (slice, mut told) in changes {
+            told.sort();
+            let mut owner = None;
+            let mut revoked = None;
+            for (at, server) in told {
+                match server {
+                    None if owner.is_some() && revoked.is_none() => revoked = Some(at),
+                    Some(server) if owner != Some(server) => {
+                        if let (Some(_), Some(from)) = (owner, revoked) {
+                            gaps.lines.push(at - from);
+                            let written = writes.get(&slice).into_iter().flatten();
+                            let first =
+                                written.filter(|(took, at_server)| *took >= at && *at_server == server);
+                            gaps.writes.extend(first.map(|(took, _)| took - from).min());
+                        }
+                        (owner, revoked) = (Some(server), None);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        gaps.lines.sort_unstable();
+        gaps.writes.sort_unstable();
+        gaps
+    }
+}
+
+/// Times of hand-overs, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Gaps {
+    lines: Vec<Time>,
+    writes: Vec<Time>,
+}
+
+impl Gaps {
+    pub fn count(&self) -> usize {
+        self.lines.len()
+    }
+
+    pub fn median_line(&self) -> Time {
+        self.lines.get(self.lines.len() / 2).copied().unwrap_or(0)
+    }
+
+    pub fn worst_line(&self) -> Time {
+        self.lines.last().copied().unwrap_or(0)
+    }
+
+    pub fn median_write(&self) -> Time {
+        self.writes.get(self.writes.len() / 2).copied().unwrap_or(0)
+    }
+
+    pub fn worst_write(&self) -> Time {
+        self.writes.last().copied().unwrap_or(0)
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,1 +1,158 @@
-fn main() {}
+//! `ravenspar-lab`: plays scripted days on loopback and judges what crossed the sockets.
+
+mod day;
+mod judge;
+mod listing;
+mod play;
+mod processes;
+mod relay;
+mod troubles;
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use ravenspar_standin::forwarder;
+
+use crate::day::Day;
+use crate::play::Fault;
+
+#[derive(Parser)]
+#[command(
+    name = "ravenspar-lab",
+    version,
+    about = "Plays scripted days against a real steward and judges them"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a day and judges it. Exit codes: 0 all rules kept, 1 broken or it could not be played, 2 bad input.
+    Day {
+        file: PathBuf,
+        /// Keep the capture and the logs in this folder, which is made.
+        #[arg(long, value_name = "DIR")]
+        keep: Option<PathBuf>,
+        /// Play with another seed than the file's.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Judges a kept capture again.
+    Judge { dir: PathBuf },
+    /// The steward's own program, which days start.
+    #[command(hide = true, disable_help_flag = true)]
+    Steward {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+    /// A stand-in forwarder, which days start.
+    #[command(hide = true)]
+    Forwarder(ForwarderArgs),
+}
+
+#[derive(clap::Args)]
+struct ForwarderArgs {
+    #[arg(long)]
+    number: u64,
+    #[arg(long)]
+    zone: String,
+    #[arg(long, required = true)]
+    steward: Vec<SocketAddr>,
+    #[arg(long)]
+    seed: u64,
+    #[arg(long, default_value_t = 0.0)]
+    usual: f64,
+    #[arg(long, default_value_t = 0)]
+    stall_us: u64,
+    #[arg(long, default_value_t = 0)]
+    away_after: u32,
+    #[arg(long, default_value_t = 0)]
+    away_for_ms: i64,
+    #[arg(long)]
+    lies: bool,
+    #[arg(long)]
+    stop_at: Option<u64>,
+}
+
+fn main() -> ExitCode {
+    let result = match Cli::parse().command {
+        Command::Day { file, keep, seed } => run_day(&file, keep, seed),
+        Command::Judge { dir } => judge_dir(&dir),
+        Command::Steward { args } => {
+            return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
+        }
+        Command::Forwarder(args) => run_forwarder(args),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(Fault::Input(why)) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+        Err(Fault::Failed(why)) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs on one thread; what is spawned locally runs with it.
+fn block_on<T>(future: impl std::future::Future<Output = T>) -> Result<T, Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, future))
+}
+
+fn run_day(file: &Path, keep: Option<PathBuf>, seed: Option<u64>) -> Result<bool, Fault> {
+    let mut day = Day::load(file).map_err(Fault::Input)?;
+    day.seed = seed.unwrap_or(day.seed);
+    let own;
+    let dir = match &keep {
+        Some(dir) => {
+            std::fs::create_dir_all(dir)?;
+            let taken = std::fs::read_dir(dir)?.next().is_some();
+            if taken {
+                return Err(Fault::Input(format!("{}: expected an empty folder", dir.display())));
+            }
+            dir.as_path()
+        }
+        None => {
+            own = tempfile::tempdir()?;
+            own.path()
+        }
+    };
+    block_on(play::play(day, file, dir))??;
+    judge_dir(dir)
+}
+
+fn judge_dir(dir: &Path) -> Result<bool, Fault> {
+    let (_, rules) = play::rules(dir).map_err(Fault::Input)?;
+    let path = dir.join("capture.jsonl");
+    let events = ravenspar_standin::capture::read(&path);
+    let events = events.map_err(|e| Fault::Input(format!("{}: {e}", path.display())))?;
+    let verdict = judge::judge(&events, &rules);
+    println!("{}", verdict.report());
+    Ok(verdict.kept())
+}
+
+fn run_forwarder(args: ForwarderArgs) -> Result<bool, Fault> {
+    let options = forwarder::Options {
+        number: args.number,
+        zone: args.zone,
+        stewards: args.steward,
+        seed: args.seed,
+        usual: args.usual,
+        stall_us: args.stall_us,
+        away_after: args.away_after,
+        away_for: args.away_for_ms * 10,
+        lies: args.lies,
+        stop_at: args.stop_at,
+    };
+    block_on(forwarder::run(options, |address| println!("listening on {address}")))??;
+    Ok(true)
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,292 @@
+//! Plays a day: starts the fleet, waits until every slice has an owner, lets clients and troubles loose.
+
+use std::cell::{Cell, RefCell};
+use std::ffi::OsString;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use ravenspar::settings;
+use ravenspar_standin::clients::{Clients, Kind, Load};
+use ravenspar_standin::server::{Model, Server};
+use ravenspar_standin::{duration, Capture, Clock, Event, SECOND};
+use tokio::task::spawn_local;
+
+use crate::day::Day;
+use crate::judge::Rules;
+use crate::listing::Listing;
+use crate::processes::Process;
+use crate::relay::Relay;
+
+/// Why a day could not be played, and whether that is bad input.
+pub enum Fault {
+    Input(String),
+    Failed(String),
+}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Fault {
+        Fault::Failed(error.to_string())
+    }
+}
+
+pub struct Fleet {
+    pub day: Day,
+    pub dir: PathBuf,
+    pub capture: Capture,
+    pub servers: RefCell<Vec<Rc<Server>>>,
+    pub listing: Listing,
+    pub relays: Vec<Rc<Relay>>,
+    pub forwarders: Vec<tokio::sync::Mutex<Option<Process>>>,
+    pub steward: tokio::sync::Mutex<Option<Process>>,
+    pub clients: Rc<Clients>,
+    pub chance: RefCell<fastrand::Rng>,
+    target: Rc<Cell<Option<std::net::SocketAddr>>>,
+}
+
+/// Writes the steward's settings into the folder and reads them as the steward will.
+pub fn settle(day: &Day, file: &Path, dir: &Path) -> Result<(settings::Checked, Rules), Fault> {
+    let mut cfg = day.steward.clone();
+    let Some(map) = cfg.as_object_mut() else {
+        return Err(Fault::Input(format!("{}:1:1: steward: expected a map of settings", file.display())));
+    };
+    map.insert("listen".to_owned(), "127.0.0.1:0".into());
+    map.insert("record".to_owned(), "steward.redb".into());
+    map.insert("list".to_owned(), serde_json::json!({ "path": "servers.yaml" }));
+    map.insert("forwarders".to_owned(), day.forwarders.count.into());
+    map.insert("seed".to_owned(), day.seed.into());
+    let path = dir.join("steward.yaml");
+    // JSON is YAML.
+    std::fs::write(&path, serde_json::to_string_pretty(&cfg).map_err(|e| Fault::Failed(e.to_string()))?)?;
+    rules(dir).map_err(|what| Fault::Input(format!("{}: steward: {what}", file.display())))
+}
+
+/// The settings and rules of a kept day.
+pub fn rules(dir: &Path) -> Result<(settings::Checked, Rules), String> {
+    let cfg = settings::load(&dir.join("steward.yaml")).map_err(|faults| faults.to_string())?;
+    let rules = Rules::new(&cfg.map).ok_or("the settings lack a figure of the rules")?;
+    Ok((cfg, rules))
+}
+
+impl Fleet {
+    async fn start(day: Day, dir: &Path, rules: &Rules) -> Result<Rc<Fleet>, Fault> {
+        let clock = Clock::default();
+        let capture = Capture::create(&dir.join("capture.jsonl"), clock)?;
+        let target = Rc::new(Cell::new(None));
+        let streams = Rc::new(Cell::new(0));
+        let mut relays = Vec::new();
+        for _ in 0..day.forwarders.count {
+            relays.push(Relay::start(target.clone(), streams.clone(), capture.clone()).await?);
+        }
+        let timeout = |k: usize| {
+            let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
+            let text = kinds.and_then(|kind| kind.get("client_timeout")).and_then(|t| t.as_str());
+            text.and_then(ravenspar::yaml::seconds).map_or(SECOND, |s| (s * SECOND as f64) as i64)
+        };
+        let replayable = |k: usize| {
+            let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
+            kinds.and_then(|kind| kind.get("repeats")).is_some_and(|repeats| repeats == "replayable")
+        };
+        let kind = |(k, kind): (usize, &crate::judge::Kind)| Kind {
+            share: day.clients.shares.get(&kind.name).copied().unwrap_or(0.0),
+            work: day.clients.work.get(&kind.name).map_or(0.0, |work| work.0 as f64 / SECOND as f64),
+            client_timeout: timeout(k),
+            replayable: replayable(k),
+        };
+        let load = Load {
+            rate: day.clients.rate,
+            kinds: rules.kinds.iter().enumerate().map(kind).collect(),
+            keys: day.clients.keys.max(1),
+            skew: day.clients.skew,
+            retries: day.clients.retries,
+            retry_after: day.clients.retry_after.0,
+            seed: day.seed ^ 0x5eed,
+        };
+        let clients = Clients::new(load, day.forwarders.count, capture.clone());
+        let listing = Listing::new(dir.join("servers.yaml"), capture.clone());
+        let fleet = Rc::new(Fleet {
+            forwarders: (0..day.forwarders.count).map(|_| tokio::sync::Mutex::new(None)).collect(),
+            chance: RefCell::new(fastrand::Rng::with_seed(day.seed)),
+            day,
+            dir: dir.to_owned(),
+            capture,
+            servers: RefCell::default(),
+            listing,
+            relays,
+            steward: tokio::sync::Mutex::new(None),
+            clients,
+            target,
+        });
+        for _ in 0..fleet.day.servers.count {
+            let server = fleet.new_server().await?;
+            fleet.listing.show(&server, "ready");
+        }
+        fleet.start_steward().await?;
+        for number in 0..fleet.day.forwarders.count {
+            fleet.start_forwarder(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// The next server, up and warm.
+    pub async fn new_server(&self) -> io::Result<Rc<Server>> {
+        let place = self.servers.borrow().len();
+        let (servers, zones) = (&self.day.servers, &self.day.servers.zones);
+        let model = Model {
+            cores: servers.cores,
+            speed: servers.speeds[place % servers.speeds.len()],
+            queue: servers.queue,
+            connections: servers.connections,
+            cold_from: servers.cold_from,
+            cold_for: servers.cold_for.0,
+            fall_multiple: servers.fall_multiple,
+            fall_for: servers.fall_for.0,
+        };
+        let zone = &zones[place % zones.len()];
+        let seed = self.day.seed.wrapping_mul(31).wrapping_add(place as u64);
+        let server = Server::start(&format!("plan-{place}"), zone, model, seed, self.capture.clone()).await?;
+        self.servers.borrow_mut().push(server.clone());
+        Ok(server)
+    }
+
+    pub async fn start_steward(&self) -> io::Result<()> {
+        let mut place = self.steward.lock().await;
+        let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
+        let args = args.into_iter().chain([self.dir.join("steward.yaml").into_os_string()]).collect();
+        let process = Process::start(args, &self.dir.join("steward.log")).await?;
+        self.target.set(Some(process.address));
+        *place = Some(process);
+        self.capture.note(|at| Event::Steward { at, state: "started".to_owned() });
+        Ok(())
+    }
+
+    pub async fn kill_steward(&self) {
+        self.target.set(None);
+        if let Some(mut process) = self.steward.lock().await.take() {
+            process.kill().await;
+        }
+        self.capture.note(|at| Event::Steward { at, state: "killed".to_owned() });
+    }
+
+    pub async fn start_forwarder(&self, number: usize) -> io::Result<()> {
+        let mut place = self.forwarders[number].lock().await;
+        let day = &self.day;
+        let zones = &day.servers.zones;
+        let usual = day.clients.rate / day.forwarders.count as f64;
+        let mut args = vec![
+            "forwarder".to_owned(),
+            format!("--number={number}"),
+            format!("--zone={}", zones[number % zones.len()]),
+            format!("--steward={}", self.relays[number].address),
+            format!("--seed={}", day.seed.wrapping_add(number as u64)),
+            format!("--usual={usual}"),
+            format!("--stall-us={}", day.forwarders.stall_us),
+            format!("--away-after={}", day.forwarders.away_after),
+            format!("--away-for-ms={}", day.forwarders.away_for.0 / 10),
+        ];
+        if day.forwarders.liars.contains(&number) {
+            args.push("--lies".to_owned());
+        }
+        if let Some(stops) = day.forwarders.stops.as_ref().filter(|stops| stops.forwarder == number) {
+            args.push(format!("--stop-at={}", stops.write));
+        }
+        let args = args.into_iter().map(OsString::from).collect();
+        let process = Process::start(args, &self.dir.join(format!("forwarder-{number}.log"))).await?;
+        self.clients.forwarder_at(number, process.address);
+        *place = Some(process);
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: "started".to_owned() });
+        Ok(())
+    }
+
+    pub async fn kill_forwarder(&self, number: usize) {
+        if let Some(mut process) = self.forwarders[number].lock().await.take() {
+            process.kill().await;
+        }
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: "killed".to_owned() });
+    }
+
+    pub async fn signal_forwarder(&self, number: usize, signal: &str, state: &str) {
+        if let Some(process) = self.forwarders[number].lock().await.as_ref() {
+            process.signal(signal).await;
+        }
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: state.to_owned() });
+    }
+
+    pub async fn signal_steward(&self, signal: &str, state: &str) {
+        if let Some(process) = self.steward.lock().await.as_ref() {
+            process.signal(signal).await;
+        }
+        self.capture.note(|at| Event::Steward { at, state: state.to_owned() });
+    }
+
+    /// Waits until forwarders answer a req for every slice, or says that they never did.
+    async fn warm_up(&self, checked: &settings::Checked) -> Result<(), Fault> {
+        let slices = checked.map.number("family_info.ranges").unwrap_or(0.0) as u64;
+        let lease = checked.map.time("family_info.write_lease_s").unwrap_or(SECOND);
+        let settle = checked.map.time("family_info.settle_s").unwrap_or(SECOND);
+        let most = self.capture.now() + 4 * (lease + settle) + 20 * SECOND;
+        let writing =
+            checked.map.text("family_info.mutating").unwrap_or("").split(',').position(|flag| flag == "true");
+        for slice in 0..slices {
+            for door in 0..self.day.forwarders.count {
+                while !self.clients.probe(door, slice, writing.unwrap_or(0)).await {
+                    if self.capture.now() > most {
+                        return Err(Fault::Failed(format!(
+                            "slice {slice} was never served by forwarder {door}"
+                        )));
+                    }
+                    if self.steward.lock().await.as_mut().is_none_or(Process::ended) {
+                        return Err(Fault::Failed("the steward ended, see steward.log".to_owned()));
+                    }
+                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Plays a day in this folder; its capture is there afterwards.
+pub async fn play(day: Day, file: &Path, dir: &Path) -> Result<(), Fault> {
+    let (checked, rules) = settle(&day, file, dir)?;
+    println!("day {}: {}", file.display(), day.about);
+    println!(
+        "seed {}; {} servers, {} forwarders, {} slices",
+        day.seed, day.servers.count, day.forwarders.count, rules.slices
+    );
+    let fleet = Fleet::start(day, dir, &rules).await?;
+    fleet.warm_up(&checked).await?;
+    println!("every slice is served; clients begin");
+    fleet.capture.note(|at| Event::Began { at });
+    let began = fleet.capture.now();
+    let mut troubles = Vec::new();
+    for trouble in fleet.day.troubles.clone() {
+        let fleet = fleet.clone();
+        troubles.push(spawn_local(async move {
+            tokio::time::sleep(duration(began + trouble.at.0 - fleet.capture.now())).await;
+            crate::troubles::cause(&fleet, &trouble.what, began).await
+        }));
+    }
+    if let Some(stops) = fleet.day.forwarders.stops.clone() {
+        spawn_local(crate::troubles::continue_stopped(fleet.clone(), stops));
+    }
+    fleet.clients.arrive(began + fleet.day.length.0).await;
+    for trouble in troubles {
+        // A trouble that outlasts the clients still ends: what it leaves behind is judged too.
+        if let Err(why) = trouble.await.map_err(io::Error::other).and_then(|caused| caused) {
+            return Err(Fault::Failed(format!("a trouble could not be caused: {why}")));
+        }
+    }
+    while fleet.clients.open() > 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let ended = match fleet.steward.lock().await.as_mut() {
+        Some(process) => process.end().await,
+        None => Some(0),
+    };
+    fleet.capture.finish()?;
+    match ended {
+        Some(0) => Ok(()),
+        code => Err(Fault::Failed(format!("the steward ended with {code:?}, see steward.log"))),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/processes.rs
@@ -0,0 +1,72 @@
+//! The processes of a day: the steward and the forwarders, started from this very binary, killed, stopped, continued.
+
+use std::ffi::OsString;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Process {
+    /// Starts this binary with these arguments and waits until it says where it listens. Its errors go to `log`.
+    pub async fn start(args: Vec<OsString>, log: &Path) -> io::Result<Process> {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let mut command = Command::new(std::env::current_exe()?);
+        command.args(&args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line).await?;
+        let address = line.trim().strip_prefix("listening on ").and_then(|address| address.parse().ok());
+        let address = address.ok_or_else(|| {
+            let first = args.first().map(|arg| arg.to_string_lossy().into_owned()).unwrap_or_default();
+            io::Error::other(format!("the {first} did not start, see its log"))
+        })?;
+        Ok(Process { child, address })
+    }
+
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    /// Whether it has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Whether it stands still by a signal, as the system says.
+    pub fn is_stopped(&self) -> bool {
+        let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
+        // The state stands behind the name in brackets.
+        stat.is_some_and(|stat| {
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        })
+    }
+
+    /// Sends a signal by name.
+    pub async fn signal(&self, name: &str) {
+        if let Some(id) = self.child.id() {
+            let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status().await;
+        }
+    }
+
+    /// Asks it to end in order and returns its exit code.
+    pub async fn end(&mut self) -> Option<i32> {
+        self.signal("TERM").await;
+        let waited = tokio::time::timeout(std::time::Duration::from_secs(5), self.child.wait()).await;
+        match waited {
+            Ok(status) => status.ok().and_then(|status| status.code()),
+            Err(_) => {
+                self.kill().await;
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/clients.rs
@@ -0,0 +1,277 @@
+//! Clients: arrivals drawn from a seed that do not wait for answers, and retries by themselves.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_protocol::{codec, Body, Frame};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::wire::{status, tag, MOST, REQ, RES};
+use crate::{duration, Capture, Event, Time, SECOND};
+
+/// One request kind as clients send it.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub share: f64,
+    /// Mean work in seconds of one core at speed 1; drawn exponentially around half of it.
+    pub work: f64,
+    pub client_timeout: Time,
+    /// May run again after any failure; otherwise only after a denial.
+    pub replayable: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// First tries a second, over all clients.
+    pub rate: f64,
+    pub kinds: Vec<Kind>,
+    pub keys: u64,
+    /// Some keys are asked for more: the nth in proportion to n to the minus this.
+    pub skew: f64,
+    pub retries: u64,
+    pub retry_after: Time,
+    pub seed: u64,
+}
+
+pub struct Clients {
+    load: Load,
+    capture: Capture,
+    /// Times the usual rate, for an overload.
+    pub times: Cell<f64>,
+    doors: Vec<Rc<Door>>,
+    chance: RefCell<fastrand::Rng>,
+    /// Sums of the weights of keys, to draw one by.
+    keys: Vec<f64>,
+    next: Cell<u64>,
+    open: Cell<u64>,
+}
+
+/// A connection to one forwarder, opened again when it broke.
+struct Door {
+    /// Where the forwarder listens now; another life listens elsewhere.
+    address: Cell<Option<SocketAddr>>,
+    frames: RefCell<Option<mpsc::Sender<Bytes>>>,
+    pending: RefCell<BTreeMap<u64, oneshot::Sender<u64>>>,
+    connecting: Cell<bool>,
+    tries: Cell<u64>,
+}
+
+impl Clients {
+    pub fn new(load: Load, forwarders: usize, capture: Capture) -> Rc<Clients> {
+        let mut sum = 0.0;
+        let weights = (1..=load.keys).map(|n| (n as f64).powf(-load.skew));
+        let keys = weights.map(|weight| (sum += weight, sum).1).collect();
+        let door = || Door {
+            address: Cell::new(None),
+            frames: RefCell::new(None),
+            pending: RefCell::default(),
+            connecting: Cell::new(false),
+            tries: Cell::new(0),
+        };
+        Rc::new(Clients {
+            chance: RefCell::new(fastrand::Rng::with_seed(load.seed)),
+            load,
+            capture,
+            times: Cell::new(1.0),
+            doors: (0..forwarders).map(|_| Rc::new(door())).collect(),
+            keys,
+            next: Cell::new(0),
+            open: Cell::new(0),
+        })
+    }
+
+    /// A forwarder listens here from now on.
+    pub fn forwarder_at(&self, number: usize, address: SocketAddr) {
+        let door = &self.doors[number];
+        door.address.set(Some(address));
+        door.frames.borrow_mut().take();
+    }
+
+    /// Reqs without a last answer.
+    pub fn open(&self) -> u64 {
+        self.open.get()
+    }
+
+    /// Whether a forwarder gets a req of this slice done now. Probes are no reqs of the day, and take no work.
+    pub async fn probe(&self, door: usize, slice: u64, kind: usize) -> bool {
+        let door = &self.doors[door];
+        let number = door.tries.get() + 1;
+        door.tries.set(number);
+        // Reqs count from 0 upward, probes from the top downward.
+        let body = Frame::new(REQ)
+            .numbers(tag::ID, &[u64::MAX - number, 0])
+            .numbers(tag::TRY, &[number])
+            .numbers(tag::KIND, &[kind as u64])
+            .numbers(tag::KEY, &[slice])
+            .numbers(tag::WORK, &[0])
+            .numbers(tag::WAITS, &[SECOND as u64])
+            .finish();
+        let Some(answer) = door.send(number, body).await else { return false };
+        let answer = tokio::time::timeout(duration(SECOND), answer).await;
+        matches!(answer, Ok(Ok(status::DONE)))
+    }
+
+    /// Sends reqs until a time, whether or not answers come.
+    pub async fn arrive(self: &Rc<Clients>, until: Time) {
+        let mut at = self.capture.now();
+        loop {
+            let gap = {
+                let drawn = self.chance.borrow_mut().f64();
+                -(1.0 - drawn).ln() / (self.load.rate * self.times.get())
+            };
+            at += (gap * SECOND as f64) as Time;
+            if at >= until {
+                return;
+            }
+            tokio::time::sleep(duration(at - self.capture.now())).await;
+            self.ask();
+        }
+    }
+
+    fn ask(self: &Rc<Clients>) {
+        let (kind, key, work, door) = {
+            let mut chance = self.chance.borrow_mut();
+            let mut drawn = chance.f64() * self.load.kinds.iter().map(|kind| kind.share).sum::<f64>();
+            let kind = self.load.kinds.iter().position(|kind| {
+                drawn -= kind.share;
+                drawn < 0.0
+            });
+            let kind = kind.unwrap_or(0);
+            let key = chance.f64() * self.keys.last().copied().unwrap_or(0.0);
+            let key = self.keys.partition_point(|&sum| sum < key) as u64;
+            let work = self.load.kinds[kind].work * (0.5 - 0.5 * (1.0 - chance.f64()).ln());
+            (kind, key, work, chance.usize(0..self.doors.len()))
+        };
+        let req = self.next.get();
+        self.next.set(req + 1);
+        self.open.set(self.open.get() + 1);
+        self.capture.note(|at| Event::Asked { at, req, kind });
+        let clients = self.clone();
+        spawn_local(async move {
+            let began = clients.capture.now();
+            let status = clients.tries(req, kind, key, work, door, began).await;
+            clients.capture.note(|at| Event::Answered { at, req, kind, status, took: at - began });
+            clients.open.set(clients.open.get() - 1);
+        });
+    }
+
+    /// The first try and those after it; the client timeout spans them all.
+    async fn tries(&self, req: u64, kind: usize, key: u64, work: f64, door: usize, began: Time) -> u64 {
+        let own = &self.load.kinds[kind];
+        let mut last = status::ERRORED;
+        for attempt in 0..=self.load.retries {
+            let left = began + own.client_timeout - self.capture.now();
+            if left <= 0 {
+                break;
+            }
+            // Another try goes to another forwarder.
+            let door = &self.doors[(door + attempt as usize) % self.doors.len()];
+            let number = door.tries.get() + 1;
+            door.tries.set(number);
+            let body = Frame::new(REQ)
+                .numbers(tag::ID, &[req, attempt])
+                .numbers(tag::TRY, &[number])
+                .numbers(tag::KIND, &[kind as u64])
+                .numbers(tag::KEY, &[key])
+                .numbers(tag::WORK, &[ravenspar_protocol::millionths(work)])
+                .numbers(tag::WAITS, &[left as u64])
+                .finish();
+            let sent = tokio::time::timeout(duration(left), door.send(number, body)).await;
+            last = match sent {
+                Ok(Some(answer)) => {
+                    let left = began + own.client_timeout - self.capture.now();
+                    match tokio::time::timeout(duration(left), answer).await {
+                        Ok(answer) => answer.unwrap_or(status::ERRORED),
+                        Err(_) => return status::ERRORED,
+                    }
+                }
+                // It never left.
+                _ => status::DENIED,
+            };
+            let never_ran = matches!(last, status::DENIED | status::FULL | status::LATE);
+            if last == status::DONE || !(own.replayable || never_ran) {
+                break;
+            }
+            tokio::time::sleep(duration(self.load.retry_after)).await;
+        }
+        last
+    }
+}
+
+impl Door {
+    /// Hands a try to the forwarder; none where there is no connection to be had.
+    async fn send(self: &Rc<Door>, number: u64, body: Bytes) -> Option<oneshot::Receiver<u64>> {
+        if self.frames.borrow().is_none() {
+            self.connect().await?;
+        }
+        let (answer, answered) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, answer);
+        let sent = self.frames.borrow().as_ref().is_some_and(|frames| frames.try_send(body).is_ok());
+        if !sent {
+            self.pending.borrow_mut().remove(&number);
+            return None;
+        }
+        Some(answered)
+    }
+
+    async fn connect(self: &Rc<Door>) -> Option<()> {
+        while self.connecting.get() {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        if self.frames.borrow().is_some() {
+            return Some(());
+        }
+        let address = self.address.get()?;
+        self.connecting.set(true);
+        let socket = TcpStream::connect(address).await;
+        self.connecting.set(false);
+        let socket = socket.ok()?;
+        let _ = socket.set_nodelay(true);
+        let (read, write) = socket.into_split();
+        let (frames, mut queue) = mpsc::channel::<Bytes>(4096);
+        *self.frames.borrow_mut() = Some(frames);
+        spawn_local(async move {
+            let mut frames = FramedWrite::new(write, codec(MOST));
+            while let Some(body) = queue.recv().await {
+                if frames.send(body).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let door = self.clone();
+        spawn_local(async move {
+            let mut frames = FramedRead::new(read, codec(MOST));
+            while let Some(Ok(body)) = frames.next().await {
+                if let Some((number, status)) = read_answer(&body) {
+                    if let Some(waiting) = door.pending.borrow_mut().remove(&number) {
+                        let _ = waiting.send(status);
+                    }
+                }
+            }
+            // Whoever waits here learns that no answer comes.
+            door.frames.borrow_mut().take();
+            door.pending.borrow_mut().clear();
+        });
+        Some(())
+    }
+}
+
+fn read_answer(body: &[u8]) -> Option<(u64, u64)> {
+    let mut body = Body::new(body).ok().filter(|body| body.kind() == RES)?;
+    let (mut number, mut status) = (0, status::ERRORED);
+    while let Some((tag, mut field)) = body.field().ok()? {
+        match tag {
+            tag::TRY => number = field.number().ok()?,
+            tag::STATUS => status = field.number().ok()?,
+            _ => {}
+        }
+    }
+    Some((number, status))
+}
--- /dev/null
+++ b/crates/standin/src/forwarder/mod.rs
@@ -0,0 +1,310 @@
+//! A forwarder: takes reqs of clients, picks a plan server by the tables that a steward publishes, sends them on.
+//!
+//! It runs in a process of its own, on one thread, so that it can be killed, stopped and continued for real.
+
+mod pool;
+mod stream;
+mod table;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_protocol::{codec, Body, Frame};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::spawn_local;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::wire::{status, tag, MOST, REQ, RES};
+use crate::{duration, Clock, Time};
+
+pub use table::Table;
+
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub number: u64,
+    pub zone: String,
+    pub stewards: Vec<SocketAddr>,
+    pub seed: u64,
+    /// Reqs a second that it usually gets.
+    pub usual: f64,
+    /// Microseconds that it stands still for each line taken in.
+    pub stall_us: u64,
+    /// It keeps away from a server after so many failures in a row (0: never), for so long.
+    pub away_after: u32,
+    pub away_for: Time,
+    /// It answers marks without applying what came with them.
+    pub lies: bool,
+    /// It stops itself between the pick and the send of its write of this number.
+    pub stop_at: Option<u64>,
+}
+
+/// What one server has been like since the last report.
+#[derive(Clone, Debug, Default)]
+struct Met {
+    tries: u64,
+    failed: u64,
+    took: Time,
+    util: Option<f64>,
+}
+
+struct Core {
+    options: Options,
+    clock: Clock,
+    chance: fastrand::Rng,
+    table: Table,
+    /// No write is sent from here on.
+    lease_until: Time,
+    pool: BTreeMap<u64, Rc<pool::Line>>,
+    away: BTreeMap<u64, (u32, Time)>,
+    met: BTreeMap<u64, Met>,
+    arrived: BTreeMap<(u64, u64), u64>,
+    writes: u64,
+}
+
+/// Shared by the tasks of a forwarder.
+pub struct Forwarder {
+    core: RefCell<Core>,
+    /// The table has changed.
+    changed: Notify,
+}
+
+/// Runs until the process ends. `listening` is told where clients may connect.
+pub async fn run(options: Options, listening: impl FnOnce(SocketAddr)) -> std::io::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    listening(listener.local_addr()?);
+    let forwarder = Rc::new(Forwarder {
+        core: RefCell::new(Core {
+            chance: fastrand::Rng::with_seed(options.seed),
+            options,
+            clock: Clock::default(),
+            table: Table::default(),
+            lease_until: Time::MIN,
+            pool: BTreeMap::new(),
+            away: BTreeMap::new(),
+            met: BTreeMap::new(),
+            arrived: BTreeMap::new(),
+            writes: 0,
+        }),
+        changed: Notify::new(),
+    });
+    spawn_local(stream::follow(forwarder.clone()));
+    loop {
+        let (socket, _) = listener.accept().await?;
+        spawn_local(client(forwarder.clone(), socket));
+    }
+}
+
+/// One client process: its reqs in, their answers out, in whatever order they end.
+async fn client(forwarder: Rc<Forwarder>, socket: TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let (read, write) = socket.into_split();
+    let (answers, mut queue) = mpsc::channel::<Bytes>(1024);
+    spawn_local(async move {
+        let mut frames = FramedWrite::new(write, codec(MOST));
+        while let Some(body) = queue.recv().await {
+            if frames.send(body).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut frames = FramedRead::new(read, codec(MOST));
+    while let Some(Ok(body)) = frames.next().await {
+        if let Some(req) = Req::read(&body) {
+            let (forwarder, answers) = (forwarder.clone(), answers.clone());
+            spawn_local(async move {
+                let status = forwarder.serve(&req).await;
+                let body = Frame::new(RES)
+                    .numbers(tag::TRY, &[req.its_try])
+                    .numbers(tag::STATUS, &[status])
+                    .finish();
+                let _ = answers.send(body).await;
+            });
+        }
+    }
+}
+
+/// What a client sent, as the forwarder passes it on.
+struct Req {
+    id: u64,
+    attempt: u64,
+    its_try: u64,
+    kind: u64,
+    key: u64,
+    work: u64,
+    waits: Time,
+}
+
+impl Req {
+    fn read(body: &[u8]) -> Option<Req> {
+        let mut body = Body::new(body).ok().filter(|body| body.kind() == REQ)?;
+        let mut req = Req { id: 0, attempt: 0, its_try: 0, kind: 0, key: 0, work: 0, waits: 0 };
+        while let Some((tag, mut field)) = body.field().ok()? {
+            match tag {
+                tag::ID => (req.id, req.attempt) = (field.number().ok()?, field.number().ok()?),
+                tag::TRY => req.its_try = field.number().ok()?,
+                tag::KIND => req.kind = field.number().ok()?,
+                tag::KEY => req.key = field.number().ok()?,
+                tag::WORK => req.work = field.number().ok()?,
+                tag::WAITS => req.waits = field.time().ok()?,
+                _ => {}
+            }
+        }
+        Some(req)
+    }
+}
+
+impl Forwarder {
+    async fn serve(&self, req: &Req) -> u64 {
+        let taken = self.core.borrow().clock.now();
+        let slice = {
+            let mut core = self.core.borrow_mut();
+            let slice = core.table.slice(req.key);
+            if let Some(slice) = slice {
+                *core.arrived.entry((slice, req.kind)).or_default() += 1;
+            }
+            slice
+        };
+        loop {
+            let changed = self.changed.notified();
+            let (picked, hold) = {
+                let mut core = self.core.borrow_mut();
+                (core.pick(slice, req), core.table.hold)
+            };
+            match picked {
+                Pick::Denied => return status::DENIED,
+                Pick::Wait => {
+                    // Held while the slice has no server, at most so long.
+                    let now = self.core.borrow().clock.now();
+                    if tokio::time::timeout(duration(taken + hold - now), changed).await.is_err() {
+                        return status::DENIED;
+                    }
+                }
+                Pick::Server(be, line) => {
+                    drop(changed);
+                    let Some(slice) = slice else { return status::DENIED };
+                    if let Some(status) = self.send(req, slice, be, &line, taken).await {
+                        return status;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a try; none where the pick no longer held once there was a connection.
+    async fn send(&self, req: &Req, slice: u64, be: u64, line: &Rc<pool::Line>, taken: Time) -> Option<u64> {
+        let left = duration(taken + req.waits - self.core.borrow().clock.now());
+        let ready = tokio::time::timeout(left, pool::ready(self, line)).await;
+        let began = self.core.borrow().clock.now();
+        let Ok(Ok(())) = ready else {
+            self.learn(be, began, false, None);
+            return Some(status::ERRORED).filter(|_| ready.is_err()).or(Some(status::FULL));
+        };
+        let writes = {
+            let mut core = self.core.borrow_mut();
+            if !matches!(core.pick(Some(slice), req), Pick::Server(now, _) if now == be) {
+                return None;
+            }
+            core.table.writes(req.kind)
+        };
+        let left = {
+            let core = self.core.borrow();
+            duration(taken + req.waits - core.clock.now())
+        };
+        if writes {
+            self.stop_here();
+        }
+        let answer = {
+            let core = self.core.borrow();
+            // The lease again, in the plan server's own time: what is held up from here on is refused there.
+            let start_by = if writes { core.lease_until } else { taken + req.waits };
+            let finish_by = if writes { taken + core.table.settle } else { taken + req.waits };
+            line.send(&core, req, slice, writes, start_by, finish_by)
+        };
+        let Some(answer) = answer else {
+            self.learn(be, began, false, None);
+            return Some(status::FULL);
+        };
+        let answer = tokio::time::timeout(left, answer).await;
+        let (status, util) = match answer {
+            Ok(Ok((status, util))) => (status, Some(util)),
+            _ => (status::ERRORED, None),
+        };
+        self.learn(be, began, status == status::DONE, util);
+        Some(status)
+    }
+
+    fn learn(&self, be: u64, began: Time, good: bool, util: Option<f64>) {
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let now = core.clock.now();
+        let met = core.met.entry(be).or_default();
+        met.tries += 1;
+        met.util = util.or(met.util);
+        let (failures, until) = core.away.entry(be).or_insert((0, Time::MIN));
+        if good {
+            met.took += now - began;
+            *failures = 0;
+        } else {
+            met.failed += 1;
+            *failures += 1;
+            if core.options.away_after > 0 && *failures >= core.options.away_after {
+                (*failures, *until) = (0, now + core.options.away_for);
+            }
+        }
+    }
+
+    /// Stops the process at its stated write, as if it had been paused between its pick and its send.
+    fn stop_here(&self) {
+        let stop = {
+            let mut core = self.core.borrow_mut();
+            core.writes += 1;
+            core.options.stop_at == Some(core.writes)
+        };
+        if stop {
+            let own = std::process::id().to_string();
+            let _ = std::process::Command::new("kill").args(["-STOP", &own]).status();
+        }
+    }
+}
+
+enum Pick {
+    Server(u64, Rc<pool::Line>),
+    /// The slice has no server.
+    Wait,
+    Denied,
+}
+
+impl Core {
+    fn pick(&mut self, slice: Option<u64>, req: &Req) -> Pick {
+        let now = self.clock.now();
+        let Some(slice) = slice else { return Pick::Wait };
+        let level = self.table.level(slice, req.kind);
+        if level < 1.0 && (level <= 0.0 || self.share_of(req) >= level) {
+            return Pick::Denied;
+        }
+        let Some((be, address)) = self.table.owner(slice) else { return Pick::Wait };
+        let away = self.away.get(&be).is_some_and(|&(_, until)| now < until);
+        if away || self.table.withdrawn(be) {
+            return Pick::Denied;
+        }
+        if self.table.writes(req.kind) && now >= self.lease_until {
+            return Pick::Denied;
+        }
+        let line = self.pool.entry(be).or_insert_with(|| Rc::new(pool::Line::new(address)));
+        if line.address != address {
+            *line = Rc::new(pool::Line::new(address));
+        }
+        Pick::Server(be, line.clone())
+    }
+
+    /// Where a req stands between 0 and 1: a client that comes again is refused again.
+    fn share_of(&self, req: &Req) -> f64 {
+        let mixed = (req.id ^ self.options.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/crates/standin/src/forwarder/pool.rs
@@ -0,0 +1,179 @@
+//! One connection to each plan server, opened when it is first needed, with many tries on it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_protocol::{codec, Body, Frame};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use super::{Core, Forwarder, Req};
+use crate::wire::{status, tag, GREETING, MOST, REQ, RES};
+use crate::{duration, Clock, Time};
+
+/// How long a connection may take to open and greet.
+const CONNECT: Time = 4_000;
+
+type Answer = (u64, f64);
+
+pub struct Line {
+    pub address: SocketAddr,
+    open: RefCell<Option<Open>>,
+    connecting: Cell<bool>,
+    settled: Notify,
+    tries: Cell<u64>,
+}
+
+struct Open {
+    /// A try's frame, and the time after which it may not leave any more.
+    frames: mpsc::Sender<(u64, Bytes, Time)>,
+    pending: BTreeMap<u64, oneshot::Sender<Answer>>,
+    /// The server's clock, and the own one when that was heard.
+    heard: (Time, Time),
+}
+
+impl Line {
+    pub fn new(address: SocketAddr) -> Line {
+        Line {
+            address,
+            open: RefCell::new(None),
+            connecting: Cell::new(false),
+            settled: Notify::new(),
+            tries: Cell::new(0),
+        }
+    }
+
+    /// Hands a try to the connection; none where there is none any more. Times are the forwarder's own.
+    pub fn send(
+        self: &Rc<Line>,
+        core: &Core,
+        req: &Req,
+        slice: u64,
+        writes: bool,
+        start_by: Time,
+        finish_by: Time,
+    ) -> Option<oneshot::Receiver<Answer>> {
+        let mut open = self.open.borrow_mut();
+        let open = open.as_mut()?;
+        let its_try = self.tries.get() + 1;
+        self.tries.set(its_try);
+        // What the server's clock showed lies before the time at which it was heard, so that a time reckoned from it
+        // is never later than meant.
+        let (theirs, ours) = open.heard;
+        let at_server = |time: Time| (theirs + (time - ours)).max(0) as u64;
+        let body = Frame::new(REQ)
+            .numbers(tag::ID, &[req.id, req.attempt])
+            .numbers(tag::TRY, &[its_try])
+            .numbers(tag::KIND, &[req.kind])
+            .numbers(tag::WORK, &[req.work])
+            .numbers(tag::SLICE, &[slice])
+            .numbers(tag::WRITES, &[u64::from(writes)])
+            .numbers(tag::FORWARDER, &[core.options.number])
+            .numbers(tag::START_BY, &[at_server(start_by)])
+            .numbers(tag::FINISH_BY, &[at_server(finish_by)])
+            .finish();
+        let (answer, answered) = oneshot::channel();
+        open.frames.try_send((its_try, body, start_by)).ok()?;
+        open.pending.insert(its_try, answer);
+        Some(answered)
+    }
+
+    fn answered(&self, its_try: u64, answer: Answer) {
+        if let Some(open) = self.open.borrow_mut().as_mut() {
+            if let Some(waiting) = open.pending.remove(&its_try) {
+                let _ = waiting.send(answer);
+            }
+        }
+    }
+}
+
+/// Waits until the line has a connection; fails where it could not be had.
+pub async fn ready(forwarder: &Forwarder, line: &Rc<Line>) -> Result<(), ()> {
+    if line.open.borrow().is_some() {
+        return Ok(());
+    }
+    if !line.connecting.replace(true) {
+        let clock = forwarder.core.borrow().clock;
+        spawn_local(connect(clock, line.clone()));
+    }
+    loop {
+        let settled = line.settled.notified();
+        if !line.connecting.get() {
+            return if line.open.borrow().is_some() { Ok(()) } else { Err(()) };
+        }
+        settled.await;
+    }
+}
+
+async fn connect(clock: Clock, line: Rc<Line>) {
+    let opening = async {
+        let socket = TcpStream::connect(line.address).await.ok()?;
+        let _ = socket.set_nodelay(true);
+        let (read, write) = socket.into_split();
+        let mut read = FramedRead::new(read, codec(MOST));
+        let greeting = read.next().await?.ok()?;
+        let mut body = Body::new(&greeting).ok().filter(|body| body.kind() == GREETING)?;
+        let mut theirs = 0;
+        while let Some((tag, mut field)) = body.field().ok()? {
+            if tag == tag::NOW {
+                theirs = field.time().ok()?;
+            }
+        }
+        Some((read, write, theirs))
+    };
+    let opened = tokio::time::timeout(duration(CONNECT), opening).await.ok().flatten();
+    line.connecting.set(false);
+    let Some((mut read, write, theirs)) = opened else {
+        return line.settled.notify_waiters();
+    };
+    let (frames, mut queue) = mpsc::channel::<(u64, Bytes, Time)>(1024);
+    *line.open.borrow_mut() = Some(Open { frames, pending: BTreeMap::new(), heard: (theirs, clock.now()) });
+    line.settled.notify_waiters();
+    let writer = async {
+        let mut frames = FramedWrite::new(write, codec(MOST));
+        while let Some((its_try, body, start_by)) = queue.recv().await {
+            // Looked at again right before it goes out.
+            if clock.now() >= start_by {
+                line.answered(its_try, (status::LATE, 0.0));
+            } else if frames.send(body).await.is_err() {
+                return;
+            }
+        }
+    };
+    let reader = async {
+        while let Some(Ok(body)) = read.next().await {
+            let Some((its_try, answer, theirs)) = read_answer(&body) else { continue };
+            if let Some(open) = line.open.borrow_mut().as_mut() {
+                open.heard = (theirs, clock.now());
+            }
+            line.answered(its_try, answer);
+        }
+    };
+    tokio::select! {
+        () = writer => {}
+        () = reader => {}
+    }
+    // Those that wait for an answer learn that none comes.
+    line.open.borrow_mut().take();
+}
+
+fn read_answer(body: &[u8]) -> Option<(u64, Answer, Time)> {
+    let mut body = Body::new(body).ok().filter(|body| body.kind() == RES)?;
+    let (mut its_try, mut status, mut util, mut now) = (0, status::ERRORED, 0.0, 0);
+    while let Some((tag, mut field)) = body.field().ok()? {
+        match tag {
+            tag::TRY => its_try = field.number().ok()?,
+            tag::STATUS => status = field.number().ok()?,
+            tag::UTIL => util = field.fraction().ok()?,
+            tag::NOW => now = field.time().ok()?,
+            _ => {}
+        }
+    }
+    Some((its_try, (status, util), now))
+}
--- /dev/null
+++ b/crates/standin/src/forwarder/stream.rs
@@ -0,0 +1,204 @@
+//! The stream to a steward: hello, the whole table, changes, marks, pings and reports.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_protocol::{codec, kind, millionths, tag, Body, Fault, Frame, MOST_DOWN, MOST_UP, VERSION};
+use tokio::net::TcpStream;
+use tokio::time::{interval, sleep, timeout, Instant};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use super::{Forwarder, Table};
+use crate::{duration, Time};
+
+/// Follows one steward after the other, for ever. What is held stays while there is none.
+pub async fn follow(forwarder: Rc<Forwarder>) {
+    let (stewards, boot) = {
+        let mut core = forwarder.core.borrow_mut();
+        // Another life has another number, though the seed is the same.
+        let boot = core.clock.now() as u64 ^ core.chance.u64(..);
+        (core.options.stewards.clone(), boot)
+    };
+    let mut newest_term = 0;
+    for steward in stewards.iter().cycle() {
+        let _ = joined(&forwarder, *steward, boot, &mut newest_term).await;
+        let wait = forwarder.core.borrow_mut().chance.u64(50..300);
+        sleep(Duration::from_millis(wait)).await;
+    }
+}
+
+/// What a stream is about: learnt by its welcome, and by whether the whole table has been read on it.
+struct Joined {
+    lease: Time,
+    read: bool,
+    next: Table,
+}
+
+async fn joined(
+    forwarder: &Forwarder,
+    steward: SocketAddr,
+    boot: u64,
+    newest_term: &mut u64,
+) -> std::io::Result<()> {
+    let broken = |fault: Fault| std::io::Error::other(fault.to_string());
+    let connecting = timeout(Duration::from_millis(400), TcpStream::connect(steward));
+    let socket = connecting.await.map_err(std::io::Error::other)??;
+    socket.set_nodelay(true)?;
+    let (read, write) = socket.into_split();
+    let (mut read, mut write) =
+        (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_UP)));
+    write.send(hello(forwarder, boot)).await?;
+    let mut state = Joined { lease: 0, read: false, next: Table::default() };
+    let (mut ping_every, mut report_every) = (Duration::from_secs(1), Duration::from_secs(1));
+    let (mut ping, mut report) = (interval(ping_every), interval(report_every));
+    let mut echoed = Instant::now();
+    loop {
+        tokio::select! {
+            // What has come in goes before what is to be said.
+            biased;
+            body = read.next() => {
+                let Some(body) = body else { return Ok(()) };
+                let body = body?;
+                let mut fields = Body::new(&body).map_err(broken)?;
+                match fields.kind() {
+                    kind::WELCOME => {
+                        let term;
+                        (state, term, ping_every, report_every) = welcome(fields).map_err(broken)?;
+                        if term < *newest_term {
+                            return Err(std::io::Error::other("a steward of a lower term"));
+                        }
+                        *newest_term = term;
+                        (ping, report) = (interval(ping_every), interval(report_every));
+                        report.tick().await;
+                    }
+                    kind::READ => read_part(forwarder, &mut state, fields).map_err(broken)?,
+                    kind::TABLE => {
+                        if let Some(mark) = take(forwarder, &state, fields).map_err(broken)? {
+                            write.send(Frame::new(kind::ANSWER).numbers(tag::MARK, &[mark]).finish()).await?;
+                        }
+                    }
+                    kind::ECHO => {
+                        while let Some((tag, mut field)) = fields.field().map_err(broken)? {
+                            if tag == tag::SENT {
+                                echoed = Instant::now();
+                                renew(forwarder, &state, field.time().map_err(broken)?);
+                            }
+                        }
+                    }
+                    kind::REFUSAL => return Err(std::io::Error::other("refused")),
+                    _ => {}
+                }
+            }
+            _ = ping.tick() => {
+                if echoed.elapsed() > 8 * ping_every {
+                    return Err(std::io::Error::other("no echo"));
+                }
+                let now = forwarder.core.borrow().clock.now();
+                write.send(Frame::new(kind::PING).numbers(tag::SENT, &[now as u64]).finish()).await?;
+            }
+            _ = report.tick() => {
+                if let Some(body) = reported(forwarder, report_every) {
+                    write.send(body).await?;
+                }
+            }
+        }
+    }
+}
+
+fn hello(forwarder: &Forwarder, boot: u64) -> Bytes {
+    let core = forwarder.core.borrow();
+    let options = &core.options;
+    Frame::new(kind::HELLO)
+        .numbers(tag::VERSION, &[VERSION])
+        .numbers(tag::PROXY, &[options.number])
+        .numbers(tag::BOOT, &[boot])
+        .numbers(tag::USUAL, &[millionths(options.usual)])
+        .text(tag::ZONE, &[], &options.zone)
+        .finish()
+}
+
+fn welcome(mut body: Body) -> Result<(Joined, u64, Duration, Duration), Fault> {
+    let (mut term, mut lease, mut hold, mut settle, mut slices) = (0, 0, 0, 0, 0);
+    let (mut ping, mut report) = (Duration::from_secs(1), Duration::from_secs(1));
+    let mut kinds = Vec::new();
+    while let Some((tag, mut field)) = body.field()? {
+        match tag {
+            tag::TERM => term = field.number()?,
+            tag::LEASE => lease = field.time()?,
+            tag::HOLD => hold = field.time()?,
+            tag::SETTLE => settle = field.time()?,
+            tag::SLICES => slices = field.index()?.min(65_535),
+            tag::PING_EVERY => ping = duration(field.time()?.max(1)),
+            tag::REPORT_EVERY => report = duration(field.time()?.max(1)),
+            tag::KIND => kinds.push(field.number()? != 0),
+            _ => {}
+        }
+    }
+    let next = Table::new(slices, kinds, hold, settle);
+    Ok((Joined { lease, read: false, next }, term, ping, report))
+}
+
+/// A part of the whole table; with its end the table takes the place of the one before.
+fn read_part(forwarder: &Forwarder, state: &mut Joined, mut body: Body) -> Result<(), Fault> {
+    while let Some((tag, field)) = body.field()? {
+        if tag != tag::END {
+            state.next.take(tag, field)?;
+            continue;
+        }
+        forwarder.core.borrow_mut().table = std::mem::take(&mut state.next);
+        state.read = true;
+        forwarder.changed.notify_waiters();
+    }
+    Ok(())
+}
+
+/// Applies changes, stands still for their lines, and returns the mark to be answered.
+fn take(forwarder: &Forwarder, state: &Joined, mut body: Body) -> Result<Option<u64>, Fault> {
+    if !state.read {
+        return Err(Fault::Empty); // the whole table comes first
+    }
+    let (mut mark, mut lines) = (None, 0);
+    let mut core = forwarder.core.borrow_mut();
+    while let Some((tag, mut field)) = body.field()? {
+        if tag == tag::MARK {
+            mark = Some(field.number()?);
+        } else if !core.options.lies {
+            lines += u64::from(core.table.take(tag, field)?);
+        }
+    }
+    std::thread::sleep(Duration::from_micros(lines * core.options.stall_us));
+    drop(core);
+    forwarder.changed.notify_waiters();
+    Ok(mark)
+}
+
+/// An echo renews the lease from when its ping was sent, if the whole table has been read on this stream.
+fn renew(forwarder: &Forwarder, state: &Joined, sent: Time) {
+    if state.read {
+        let mut core = forwarder.core.borrow_mut();
+        core.lease_until = core.lease_until.max(sent + state.lease);
+    }
+}
+
+fn reported(forwarder: &Forwarder, window: Duration) -> Option<Bytes> {
+    let mut core = forwarder.core.borrow_mut();
+    let (met, arrived) = (std::mem::take(&mut core.met), std::mem::take(&mut core.arrived));
+    if met.is_empty() && arrived.is_empty() {
+        return None;
+    }
+    let mut frame = Frame::new(kind::REPORT);
+    frame.numbers(tag::WINDOW, &[window.as_micros() as u64 / 100]);
+    for (be, met) in met {
+        let took = met.took as u64 / (met.tries - met.failed).max(1);
+        let mut row = vec![be, met.tries, met.failed, took];
+        row.extend(met.util.map(millionths));
+        frame.numbers(tag::MET, &row);
+    }
+    for ((slice, kind), count) in arrived {
+        frame.numbers(tag::ARRIVED, &[slice, kind, count]);
+    }
+    Some(frame.finish())
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,402 @@
+//! A plan server: cores with a speed, a queue, a cold start, and the ways in which it fails.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_protocol::{codec, Body, Fault, Frame};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::wire::{status, tag, GREETING, MOST, REQ, RES};
+use crate::{duration, Capture, Event, Time, SECOND};
+
+/// What a plan server can do.
+#[derive(Clone, Debug)]
+pub struct Model {
+    pub cores: usize,
+    /// Work that a core does in a second, in seconds.
+    pub speed: f64,
+    /// Reqs that may wait; one more is turned away.
+    pub queue: usize,
+    pub connections: usize,
+    /// The share of its capacity with which it comes up, and how long until it has all of it.
+    pub cold_from: f64,
+    pub cold_for: Time,
+    /// Brought this multiple of what it can do over this time while cold, it falls over.
+    pub fall_multiple: f64,
+    pub fall_for: Time,
+}
+
+/// How a server misbehaves for a while.
+#[derive(Clone, Debug, Default)]
+pub struct Ills {
+    pub hung: bool,
+    /// The share of reqs (of one kind, where named) that fail.
+    pub failing: f64,
+    pub failing_kind: Option<u64>,
+    /// Failing reqs are never answered, instead of at once.
+    pub silent: bool,
+    /// What it says of its load, whatever that is.
+    pub says: Option<f64>,
+    /// How long a new connection takes until it is of use.
+    pub slow_connects: Time,
+}
+
+struct Job {
+    req: u64,
+    attempt: u64,
+    slice: u64,
+    writes: bool,
+    /// Seconds of one core at speed 1.
+    work: f64,
+    finish_by: Time,
+    answer: mpsc::Sender<Bytes>,
+    its_try: u64,
+}
+
+pub struct Server {
+    pub id: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub model: Model,
+    capture: Capture,
+    /// When it last came up; 0: long ago.
+    boot: Cell<Time>,
+    up: Cell<bool>,
+    fallen: Cell<bool>,
+    draining: Cell<bool>,
+    ills: RefCell<Ills>,
+    woken: Notify,
+    /// Which life of it jobs belong to.
+    life: Cell<u64>,
+    busy: Cell<usize>,
+    connections: Cell<usize>,
+    waiting: RefCell<VecDeque<Job>>,
+    /// Work brought lately: when, seconds.
+    brought: RefCell<VecDeque<(Time, f64)>>,
+    /// Seconds of busy cores up to a time, and the two at the last report.
+    used: Cell<(f64, Time)>,
+    reported: Cell<(f64, Time, f64)>,
+    tasks: RefCell<Vec<AbortHandle>>,
+    chance: RefCell<fastrand::Rng>,
+}
+
+impl Server {
+    /// A server that is up and warm. It keeps its address over all its lives.
+    pub async fn start(
+        id: &str,
+        zone: &str,
+        model: Model,
+        seed: u64,
+        capture: Capture,
+    ) -> io::Result<Rc<Server>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Rc::new(Server {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr()?,
+            model,
+            capture,
+            boot: Cell::new(0),
+            up: Cell::new(true),
+            fallen: Cell::new(false),
+            draining: Cell::new(false),
+            ills: RefCell::default(),
+            woken: Notify::new(),
+            life: Cell::new(0),
+            busy: Cell::new(0),
+            connections: Cell::new(0),
+            waiting: RefCell::default(),
+            brought: RefCell::default(),
+            used: Cell::new((0.0, 0)),
+            reported: Cell::new((0.0, 0, 0.0)),
+            tasks: RefCell::default(),
+            chance: RefCell::new(fastrand::Rng::with_seed(seed)),
+        });
+        server.capture.note(|at| Event::Up { at, server: server.id.clone(), cold: false });
+        server.listen(listener);
+        Ok(server)
+    }
+
+    pub fn boot(&self) -> Time {
+        self.boot.get()
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.up.get()
+    }
+
+    /// It finishes what it has and turns away what is new.
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
+    pub fn set_ills(&self, ills: Ills) {
+        *self.ills.borrow_mut() = ills;
+        self.woken.notify_waiters();
+    }
+
+    /// It is gone at once, with all that it had in hand.
+    pub fn die(&self) {
+        if !self.up.replace(false) {
+            return;
+        }
+        self.life.set(self.life.get() + 1);
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        self.waiting.borrow_mut().clear();
+        self.busy.set(0);
+        self.connections.set(0);
+        self.capture.note(|at| Event::Down { at, server: self.id.clone() });
+    }
+
+    /// It comes up again, cold.
+    pub fn revive(self: &Rc<Server>) -> io::Result<()> {
+        if self.up.get() || self.fallen.get() {
+            return Ok(());
+        }
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        let listener = socket.listen(1024)?;
+        self.come_up();
+        self.listen(listener);
+        Ok(())
+    }
+
+    /// It was just switched on: cold, though it is the first time.
+    pub fn come_up(&self) {
+        self.up.set(true);
+        self.draining.set(false);
+        *self.ills.borrow_mut() = Ills::default();
+        self.brought.borrow_mut().clear();
+        self.boot.set(self.capture.now());
+        self.capture.note(|at| Event::Up { at, server: self.id.clone(), cold: true });
+    }
+
+    /// The share of its capacity that it has now.
+    fn present(&self, now: Time) -> f64 {
+        let model = &self.model;
+        if self.boot.get() == 0 {
+            return 1.0;
+        }
+        let ramped = (now - self.boot.get()) as f64 / model.cold_for.max(1) as f64;
+        (model.cold_from + (1.0 - model.cold_from) * ramped).clamp(model.cold_from, 1.0)
+    }
+
+    fn listen(self: &Rc<Server>, listener: TcpListener) {
+        let server = self.clone();
+        let task = spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                // The smallest hosts accept so many connections; more are cut.
+                if server.connections.get() < server.model.connections {
+                    server.connections.set(server.connections.get() + 1);
+                    let task = spawn_local(server.clone().connection(socket)).abort_handle();
+                    let mut tasks = server.tasks.borrow_mut();
+                    tasks.retain(|task| !task.is_finished());
+                    tasks.push(task);
+                }
+            }
+        });
+        self.tasks.borrow_mut().push(task.abort_handle());
+    }
+
+    async fn unhung(&self) {
+        loop {
+            let woken = self.woken.notified();
+            if !self.ills.borrow().hung {
+                return;
+            }
+            woken.await;
+        }
+    }
+
+    async fn connection(self: Rc<Server>, socket: TcpStream) {
+        let life = self.life.get();
+        let _ = socket.set_nodelay(true);
+        let (read, write) = socket.into_split();
+        let (answers, mut queue) = mpsc::channel::<Bytes>(1024);
+        let slow = self.ills.borrow().slow_connects;
+        tokio::time::sleep(duration(slow)).await;
+        self.unhung().await;
+        let writer = async {
+            let mut frames = FramedWrite::new(write, codec(MOST));
+            while let Some(body) = queue.recv().await {
+                self.unhung().await;
+                if frames.send(body).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let now = self.capture.now() as u64;
+        let _ = answers.send(Frame::new(GREETING).numbers(tag::NOW, &[now]).finish()).await;
+        let reader = async {
+            let mut frames = FramedRead::new(read, codec(MOST));
+            while let Some(Ok(body)) = frames.next().await {
+                self.unhung().await;
+                if self.take(&body, &answers).is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = writer => {}
+            () = reader => {}
+        }
+        if life == self.life.get() {
+            self.connections.set(self.connections.get() - 1);
+        }
+    }
+
+    fn take(self: &Rc<Server>, body: &BytesMut, answers: &mpsc::Sender<Bytes>) -> Result<(), Fault> {
+        let mut body = Body::new(body)?;
+        if body.kind() != REQ {
+            return Ok(());
+        }
+        let (mut kind, mut start_by, mut forwarder) = (0, Time::MAX, 0);
+        let answer = answers.clone();
+        let (req, attempt, its_try, slice, writes, work) = (0, 0, 0, 0, false, 0.0);
+        let mut job = Job { req, attempt, slice, writes, work, finish_by: Time::MAX, answer, its_try };
+        while let Some((tag, mut field)) = body.field()? {
+            match tag {
+                tag::ID => (job.req, job.attempt) = (field.number()?, field.number()?),
+                tag::KIND => kind = field.number()?,
+                tag::WORK => job.work = field.fraction()?,
+                tag::START_BY => start_by = field.time()?,
+                tag::FINISH_BY => job.finish_by = field.time()?,
+                tag::FORWARDER => forwarder = field.number()?,
+                tag::SLICE => job.slice = field.number()?,
+                tag::WRITES => job.writes = field.number()? != 0,
+                tag::TRY => job.its_try = field.number()?,
+                _ => {}
+            }
+        }
+        let now = self.capture.now();
+        let ills = self.ills.borrow().clone();
+        let fails = ills.failing > 0.0
+            && ills.failing_kind.is_none_or(|failing| failing == kind)
+            && self.chance.borrow_mut().f64() < ills.failing;
+        let turned = if now > start_by {
+            Some(status::LATE)
+        } else if self.draining.get() || self.waiting.borrow().len() >= self.model.queue {
+            Some(status::FULL)
+        } else if fails {
+            Some(status::ERRORED)
+        } else {
+            None
+        };
+        if let Some(status) = turned {
+            let (server, req, slice, writes) = (self.id.clone(), job.req, job.slice, job.writes);
+            self.capture.note(|at| Event::Turned { at, server, req, slice, writes, forwarder, status });
+            if !(fails && ills.silent && status == status::ERRORED) {
+                self.answer(&job, status);
+            }
+            return Ok(());
+        }
+        let (server, req, attempt, slice, writes) =
+            (self.id.clone(), job.req, job.attempt, job.slice, job.writes);
+        let until = job.finish_by;
+        self.capture.note(|at| Event::Took { at, server, req, attempt, slice, writes, forwarder, until });
+        if self.pushed_over(now, job.work) {
+            self.capture.note(|at| Event::Fell { at, server: self.id.clone(), boot: self.boot.get() });
+            self.fallen.set(true);
+            // Dying ends this very task.
+            let server = self.clone();
+            spawn_local(async move { server.die() });
+            return Ok(());
+        }
+        self.waiting.borrow_mut().push_back(job);
+        self.work_on();
+        Ok(())
+    }
+
+    /// Counts work that was brought: whether it is more than a cold server bears.
+    fn pushed_over(&self, now: Time, work: f64) -> bool {
+        let (model, present) = (&self.model, self.present(now));
+        let mut brought = self.brought.borrow_mut();
+        brought.push_back((now, work));
+        while brought.front().is_some_and(|&(at, _)| now - at > model.fall_for) {
+            brought.pop_front();
+        }
+        let window = model.fall_for as f64 / SECOND as f64;
+        let bears = model.fall_multiple * present * model.cores as f64 * model.speed * window;
+        present < 1.0 && brought.iter().map(|(_, work)| work).sum::<f64>() > bears
+    }
+
+    fn work_on(self: &Rc<Server>) {
+        while self.busy.get() < self.model.cores {
+            let Some(job) = self.waiting.borrow_mut().pop_front() else { return };
+            let now = self.capture.now();
+            if now >= job.finish_by {
+                self.end(&job, false);
+                continue;
+            }
+            self.account(now);
+            self.busy.set(self.busy.get() + 1);
+            let seconds = job.work / (self.model.speed * self.present(now));
+            let needs = (seconds * SECOND as f64) as Time;
+            let (server, life) = (self.clone(), self.life.get());
+            // Work that can't be finished in time is cut then.
+            let runs = needs.min(job.finish_by - now);
+            spawn_local(async move {
+                tokio::time::sleep(duration(runs)).await;
+                server.unhung().await;
+                if life != server.life.get() {
+                    return;
+                }
+                let now = server.capture.now();
+                server.account(now);
+                server.busy.set(server.busy.get() - 1);
+                // Looked at again: it may have hung meanwhile.
+                server.end(&job, runs == needs && now <= job.finish_by);
+                server.work_on();
+            });
+        }
+    }
+
+    fn end(&self, job: &Job, done: bool) {
+        let (server, req, attempt, slice, writes) =
+            (self.id.clone(), job.req, job.attempt, job.slice, job.writes);
+        self.capture.note(|at| Event::Ended { at, server, req, attempt, slice, writes, done });
+        self.answer(job, if done { status::DONE } else { status::ERRORED });
+    }
+
+    /// Adds what its cores did since it was last asked.
+    fn account(&self, now: Time) {
+        let (used, since) = self.used.get();
+        let span = (now - since) as f64 / SECOND as f64;
+        self.used.set((used + span * self.busy.get() as f64, now));
+    }
+
+    /// How busy its cores were, told anew every half second.
+    fn util(&self, now: Time) -> f64 {
+        self.account(now);
+        let (used, at, said) = self.reported.get();
+        if now - at < SECOND / 2 {
+            return said;
+        }
+        let span = (now - at) as f64 / SECOND as f64;
+        let said = ((self.used.get().0 - used) / span / self.model.cores as f64).clamp(0.0, 1.0);
+        self.reported.set((self.used.get().0, now, said));
+        said
+    }
+
+    fn answer(&self, job: &Job, status: u64) {
+        let now = self.capture.now();
+        let util = self.ills.borrow().says.unwrap_or_else(|| self.util(now));
+        let body = Frame::new(RES)
+            .numbers(tag::TRY, &[job.its_try])
+            .numbers(tag::STATUS, &[status])
+            .numbers(tag::UTIL, &[ravenspar_protocol::millionths(util)])
+            .numbers(tag::NOW, &[now as u64])
+            .finish();
+        // An answer that nobody reads is lost, as are those of a connection that is gone.
+        let _ = job.answer.try_send(body);
+    }
+}
