--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -66,7 +66,7 @@
     pub away_after: u32,
     #[serde(default)]
     pub away_for: Span,
-    /// Those that answer marks without applying what came with them.
+    /// Those that answer marks without letting go of any slice that they have an owner for.
     #[serde(default)]
     pub liars: Vec<usize>,
     /// A forwarder that stops itself between the pick and the send of its nth write, and for how long.
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -50,6 +50,7 @@
     /// Sums of the weights of keys, to draw one by.
     keys: Vec<f64>,
     next: Cell<u64>,
+    probes: Cell<u64>,
     open: Cell<u64>,
 }
 
@@ -83,6 +84,7 @@
             doors: (0..forwarders).map(|_| Rc::new(door())).collect(),
             keys,
             next: Cell::new(0),
+            probes: Cell::new(0),
             open: Cell::new(0),
         })
     }
@@ -105,8 +107,9 @@
         let number = door.tries.get() + 1;
         door.tries.set(number);
         // Reqs count from 0 upward, probes from the top downward.
+        self.probes.set(self.probes.get() + 1);
         let body = Frame::new(REQ)
-            .numbers(tag::ID, &[u64::MAX - number, 0])
+            .numbers(tag::ID, &[u64::MAX - self.probes.get(), 0])
             .numbers(tag::TRY, &[number])
             .numbers(tag::KIND, &[kind as u64])
             .numbers(tag::KEY, &[slice])
--- a/crates/standin/src/forwarder/mod.rs
+++ b/crates/standin/src/forwarder/mod.rs
@@ -37,7 +37,7 @@
     /// It keeps away from a server after so many failures in a row (0: never), for so long.
     pub away_after: u32,
     pub away_for: Time,
-    /// It answers marks without applying what came with them.
+    /// It answers marks without letting go of any slice that it has an owner for.
     pub lies: bool,
     /// It stops itself between the pick and the send of its write of this number.
     pub stop_at: Option<u64>,
--- a/crates/standin/src/forwarder/stream.rs
+++ b/crates/standin/src/forwarder/stream.rs
@@ -165,7 +165,7 @@
     while let Some((tag, mut field)) = body.field()? {
         if tag == tag::MARK {
             mark = Some(field.number()?);
-        } else if !core.options.lies {
+        } else if !core.options.lies || core.table.is_new(tag, field.clone()) {
             lines += u64::from(core.table.take(tag, field)?);
         }
     }
--- a/crates/standin/src/forwarder/table.rs
+++ b/crates/standin/src/forwarder/table.rs
@@ -74,6 +74,12 @@
         Ok(true)
     }
 
+    /// Whether a field brings a slice its first owner, or nothing about owners at all.
+    pub fn is_new(&self, tag: u8, mut field: Numbers) -> bool {
+        let held = |slice: usize| self.lines.get(slice).is_some_and(|line| line.owner.is_some());
+        !matches!(tag, tag::LINE | tag::DROP) || field.index().is_ok_and(|slice| !held(slice))
+    }
+
     /// The slice of a key, once there are slices.
     pub fn slice(&self, key: u64) -> Option<u64> {
         key.checked_rem(self.lines.len() as u64)
