--- a/crates/host/src/channel.rs
+++ b/crates/host/src/channel.rs
@@ -35,6 +35,14 @@
     sent: VecDeque<Time>,
 }
 
+/// A message to one proxy, and what it is to be answered with.
+#[derive(Debug)]
+pub struct Message {
+    pub body: Bytes,
+    pub mark: Option<u64>,
+    pub end: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 pub struct Channel {
     turns: VecDeque<Turn>,
@@ -86,14 +94,26 @@
         self.forget();
     }
 
+    /// The number of the turn that comes next, durable or not.
+    pub fn end(&self) -> u64 {
+        self.first + self.turns.len() as u64
+    }
+
+    /// Whether a proxy has been sent all that there is.
+    pub fn is_through(&self, place: &Place) -> bool {
+        place.next == self.end()
+    }
+
     /// A proxy that has just been sent the whole table starts behind the last durable turn.
-    pub fn join(&mut self, place: &mut Place) {
+    /// Returns where that is.
+    pub fn join(&mut self, place: &mut Place) -> u64 {
         *place = Place { next: self.durable, ..Place::default() };
         for turn in self.turns.range_mut((self.durable - self.first) as usize..) {
             turn.left += 1;
             self.waiting += turn.cost;
         }
         self.most_waiting = self.most_waiting.max(self.waiting);
+        self.durable
     }
 
     pub fn leave(&mut self, place: &Place) {
@@ -151,8 +171,9 @@
         now: Time,
         proxy: usize,
         place: &mut Place,
+        joining: bool,
         limits: &Limits,
-    ) -> Option<(Bytes, Option<u64>)> {
+    ) -> Option<Message> {
         while place.sent.front().is_some_and(|&at| now - at > limits.window) {
             place.sent.pop_front();
         }
@@ -182,9 +203,11 @@
         if let Some(mark) = mark {
             frame.numbers(tag::MARK, &[mark]);
         }
+        let end = joining.then_some(place.next);
+        end.iter().for_each(|&end| _ = frame.numbers(tag::END, &[end]));
         place.sent.push_back(now);
         self.free = self.free.max(now * FINE) + (cost as f64 * (FINE * SECOND) as f64 / limits.rate) as i64;
         self.forget();
-        Some((frame.finish(), mark))
+        Some(Message { body: frame.finish(), mark, end })
     }
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -44,6 +44,8 @@
     proxies: Vec<Proxy>,
     streams: BTreeMap<u64, Stream>,
     joined: usize,
+    /// Proxies that are joined or join: those that the log keeps turns for.
+    following: u64,
     /// When each stream may have been silent for too long; each open stream stands here once.
     deadlines: BinaryHeap<Reverse<(Time, u64)>>,
     /// When answers kept back count.
@@ -103,6 +105,7 @@
             proxies: vec![Proxy::new(clear); limits.proxies],
             streams: BTreeMap::new(),
             joined: 0,
+            following: 0,
             deadlines: BinaryHeap::new(),
             releases: BinaryHeap::new(),
             sums: Sums::default(),
@@ -187,14 +190,17 @@
     pub fn closed(&mut self, now: Time, stream: u64) {
         let Some(entry) = self.streams.remove(&stream) else { return };
         let Some(proxy) = entry.proxy else { return };
-        self.joined -= 1;
-        self.news = true;
+        self.following -= 1;
         let entry = &mut self.proxies[proxy];
-        entry.stream = None;
+        (entry.stream, entry.asked, entry.kept_back) = (None, None, None);
         entry.due.clear();
-        entry.kept_back = None;
         self.channel.leave(&entry.place);
-        self.steward.stream_down(now, proxy);
+        // One that had not joined yet was never echoed here: its lease is that of the stream before.
+        if std::mem::replace(&mut entry.joined, false) {
+            self.joined -= 1;
+            self.news = true;
+            self.steward.stream_down(now, proxy);
+        }
     }
 
     /// The last frame handed out for the stream has left for the socket.
@@ -202,6 +208,10 @@
         let Some(entry) = self.streams.get_mut(&stream) else { return };
         entry.busy = None;
         let proxy = entry.proxy;
+        if let Some((_, since)) = proxy.and_then(|proxy| self.proxies[proxy].asked.as_mut()) {
+            // A large table takes time to be read; its answer is due from its last part on.
+            *since = now;
+        }
         self.write_first(now, stream);
         if let Some(proxy) = proxy {
             self.channel.queue(proxy, &mut self.proxies[proxy].place);
@@ -271,11 +281,13 @@
                 self.channel.unqueue(&mut entry.place);
                 continue;
             };
-            if let Some((body, mark)) = self.channel.take(now, proxy, &mut entry.place, &self.limits) {
+            let joining = !entry.joined;
+            if let Some(message) = self.channel.take(now, proxy, &mut entry.place, joining, &self.limits) {
                 stream.busy = Some(now);
-                entry.due.extend(mark.map(|mark| (mark, now)));
+                entry.due.extend(message.mark.map(|mark| (mark, now)));
+                entry.asked = message.end.map(|end| (end, now));
                 self.messages += 1;
-                return Some(Output::Frame { stream: number, body });
+                return Some(Output::Frame { stream: number, body: message.body });
             }
         }
         None
@@ -316,21 +328,40 @@
             // Its earlier life may only be paused, and write on until its lease is over.
             entry.clear = entry.clear.max(entry.echoed + lease);
         }
-        (entry.stream, entry.boot, entry.zone) = (Some(stream), boot, zone);
-        self.channel.join(&mut entry.place);
-        self.joined += 1;
+        (entry.stream, entry.boot, entry.zone, entry.usual) = (Some(stream), boot, zone, usual);
+        let end = self.channel.join(&mut entry.place);
+        entry.asked = Some((end, now));
+        self.following += 1;
         let welcome = self.welcome();
-        let read = self.table.read(&self.servers);
+        let read = self.table.read(&self.servers, end);
         if let Some(entry) = self.streams.get_mut(&stream) {
             entry.proxy = Some(proxy);
             entry.first.push_back(welcome);
             entry.first.extend(read);
         }
-        self.steward.joined(proxy, usual);
+        self.write_first(now, stream);
+        Ok(())
+    }
+
+    /// A proxy that joins has applied all up to a turn. It is joined once that is all there is: until then it is not
+    /// echoed, and the decisions neither wait for it nor count on it. So one that reads nothing can't hold up a
+    /// hand-over by joining again and again, and none that is echoed holds a line that was revoked without it.
+    fn applied(&mut self, now: Time, proxy: usize, end: u64) {
+        let entry = &mut self.proxies[proxy];
+        let Some(stream) = entry.stream.filter(|_| entry.asked.is_some_and(|(asked, _)| asked == end)) else {
+            self.stray_answers += 1;
+            return;
+        };
+        entry.asked = None;
+        if entry.joined || !self.channel.is_through(&entry.place) {
+            return; // what is still due to it asks again
+        }
+        entry.joined = true;
+        self.joined += 1;
         self.news = true;
+        self.steward.joined(proxy, entry.usual);
         self.out.push_back(Output::Joined { stream, proxy });
         self.write_first(now, stream);
-        Ok(())
     }
 
     fn welcome(&self) -> Bytes {
@@ -353,6 +384,10 @@
 
     fn answer(&mut self, now: Time, proxy: usize, mut body: Body) -> Result<(), Fault> {
         while let Some((tag, mut field)) = body.field()? {
+            if tag == tag::END {
+                let end = field.number()?;
+                self.applied(now, proxy, end);
+            }
             if tag != tag::MARK {
                 continue;
             }
@@ -429,15 +464,16 @@
     /// What goes before tables, if the stream has room: the welcome and the whole table, then the newest echo.
     fn write_first(&mut self, now: Time, stream: u64) {
         let Some(entry) = self.streams.get_mut(&stream).filter(|entry| entry.busy.is_none()) else { return };
+        let joined = entry.proxy.is_some_and(|proxy| self.proxies[proxy].joined);
         let body = match (entry.first.pop_front(), entry.ping) {
             (Some(body), _) => body,
-            (None, None) => return,
-            (None, Some(sent)) => {
+            (None, Some(sent)) if joined => {
                 entry.ping = None;
                 // The lease that this renews runs from `sent`, which lies before now.
                 entry.proxy.iter().for_each(|&proxy| self.proxies[proxy].echoed = now);
                 Frame::new(kind::ECHO).numbers(tag::SENT, &[sent]).finish()
             }
+            (None, _) => return,
         };
         entry.busy = Some(now);
         self.out.push_back(Output::Frame { stream, body });
@@ -447,7 +483,9 @@
     fn look_at(&mut self, now: Time, stream: u64) {
         let Some(entry) = self.streams.get(&stream) else { return };
         let due = entry.proxy.and_then(|proxy| self.proxies[proxy].due.front().map(|&(_, sent)| sent));
-        let reasons = [(Some(entry.heard), Why::Silent), (entry.busy, Why::Stuck), (due, Why::Unanswered)];
+        let asked = entry.proxy.and_then(|proxy| self.proxies[proxy].asked.map(|(_, since)| since));
+        let reasons =
+            [(Some(entry.heard), Why::Silent), (entry.busy, Why::Stuck), (due.or(asked), Why::Unanswered)];
         let since = reasons.into_iter().filter_map(|(since, why)| Some((since?, why)));
         let Some((since, why)) = since.min_by_key(|&(since, _)| since) else { return };
         if since + self.limits.silent <= now {
@@ -492,7 +530,7 @@
         changes.iter().for_each(|change| change.write(&self.servers, &mut fields));
         // A mark is a line too.
         let cost = self.limits.head + changes.len() as u64 + u64::from(mark.is_some());
-        let turn = self.channel.push(fields.finish(), changes, cost, mark, self.joined as u64);
+        let turn = self.channel.push(fields.finish(), changes, cost, mark, self.following);
         self.turns += 1;
         self.unrecorded.push_back((turn, !record.is_empty()));
         if !record.is_empty() {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -29,7 +29,7 @@
     Frame { stream: u64, body: Bytes },
     /// Close a stream once what it was handed is written; whatever still comes from it is ignored.
     Close { stream: u64, why: Why },
-    /// A proxy has joined on this stream.
+    /// A proxy has joined on this stream: it has applied all that there was.
     Joined { stream: u64, proxy: usize },
     /// Subscribe to the changes of the server list.
     Watch,
--- a/crates/host/src/proxy.rs
+++ b/crates/host/src/proxy.rs
@@ -12,8 +12,14 @@
 
 #[derive(Clone, Debug)]
 pub struct Proxy {
-    /// The stream on which it is joined.
+    /// The stream on which it joins or is joined.
     pub stream: Option<u64>,
+    /// Whether the decisions count it as joined: it has applied all that there was when it said so.
+    pub joined: bool,
+    /// The end of what it was sent while it joins, and since when that is unanswered.
+    pub asked: Option<(u64, Time)>,
+    /// Reqs a second that it usually gets.
+    pub usual: f64,
     /// Which life of the proxy's process that is.
     pub boot: u64,
     pub zone: usize,
@@ -32,6 +38,9 @@
     pub fn new(clear: Time) -> Proxy {
         Proxy {
             stream: None,
+            joined: false,
+            asked: None,
+            usual: 0.0,
             boot: 0,
             zone: 0,
             place: Place::default(),
--- a/crates/host/src/table.rs
+++ b/crates/host/src/table.rs
@@ -86,8 +86,8 @@
         }
     }
 
-    /// The whole table as frames of a stated size; the last one holds the end.
-    pub fn read(&mut self, servers: &Servers) -> Vec<Bytes> {
+    /// The whole table as frames of a stated size; the last one holds the end, the number of the turn behind it.
+    pub fn read(&mut self, servers: &Servers, end: u64) -> Vec<Bytes> {
         // Small enough that other streams get their turn between two parts, large enough that frames cost little.
         const PART: usize = 16 * 1024;
         if let Some(read) = &self.read {
@@ -115,7 +115,7 @@
                 parts.push(std::mem::replace(&mut frame, Frame::new(kind::READ)).finish());
             }
         }
-        parts.push(frame.numbers(tag::END, &[]).finish());
+        parts.push(frame.numbers(tag::END, &[end]).finish());
         self.read = Some(parts.clone());
         parts
     }
--- a/crates/standin/src/forwarder/stream.rs
+++ b/crates/standin/src/forwarder/stream.rs
@@ -74,10 +74,14 @@
                         (ping, report) = (interval(ping_every), interval(report_every));
                         report.tick().await;
                     }
-                    kind::READ => read_part(forwarder, &mut state, fields).map_err(broken)?,
+                    kind::READ => {
+                        if let Some(answer) = read_part(forwarder, &mut state, fields).map_err(broken)? {
+                            write.send(answer).await?;
+                        }
+                    }
                     kind::TABLE => {
-                        if let Some(mark) = take(forwarder, &state, fields).map_err(broken)? {
-                            write.send(Frame::new(kind::ANSWER).numbers(tag::MARK, &[mark]).finish()).await?;
+                        if let Some(answer) = take(forwarder, &state, fields).map_err(broken)? {
+                            write.send(answer).await?;
                         }
                     }
                     kind::ECHO => {
@@ -141,30 +145,33 @@
     Ok((Joined { lease, read: false, next }, term, ping, report))
 }
 
-/// A part of the whole table; with its end the table takes the place of the one before.
-fn read_part(forwarder: &Forwarder, state: &mut Joined, mut body: Body) -> Result<(), Fault> {
-    while let Some((tag, field)) = body.field()? {
+/// A part of the whole table; with its end the table takes the place of the one before, and that is answered.
+fn read_part(forwarder: &Forwarder, state: &mut Joined, mut body: Body) -> Result<Option<Bytes>, Fault> {
+    let mut answer = None;
+    while let Some((tag, mut field)) = body.field()? {
         if tag != tag::END {
             state.next.take(tag, field)?;
             continue;
         }
+        answer = Some(Frame::new(kind::ANSWER).numbers(tag::END, &[field.number()?]).finish());
         forwarder.core.borrow_mut().table = std::mem::take(&mut state.next);
         state.read = true;
         forwarder.changed.notify_waiters();
     }
-    Ok(())
+    Ok(answer)
 }
 
-/// Applies changes, stands still for their lines, and returns the mark to be answered.
-fn take(forwarder: &Forwarder, state: &Joined, mut body: Body) -> Result<Option<u64>, Fault> {
+/// Applies changes, stands still for their lines, and returns the answer that is asked for.
+fn take(forwarder: &Forwarder, state: &Joined, mut body: Body) -> Result<Option<Bytes>, Fault> {
     if !state.read {
         return Err(Fault::Empty); // the whole table comes first
     }
-    let (mut mark, mut lines) = (None, 0);
+    let (mut answer, mut asked, mut lines) = (Frame::new(kind::ANSWER), false, 0);
     let mut core = forwarder.core.borrow_mut();
     while let Some((tag, mut field)) = body.field()? {
-        if tag == tag::MARK {
-            mark = Some(field.number()?);
+        if tag == tag::MARK || tag == tag::END {
+            answer.numbers(tag, &[field.number()?]);
+            asked = true;
         } else if !core.options.lies || core.table.is_new(tag, field.clone()) {
             lines += u64::from(core.table.take(tag, field)?);
         }
@@ -172,7 +179,7 @@
     std::thread::sleep(Duration::from_micros(lines * core.options.stall_us));
     drop(core);
     forwarder.changed.notify_waiters();
-    Ok(mark)
+    Ok(asked.then(|| answer.finish()))
 }
 
 /// An echo renews the lease from when its ping was sent, if the whole table has been read on this stream.
