--- a/crates/standin/src/forwarder/table.rs
+++ b/crates/standin/src/forwarder/table.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, Default)]
 struct Line {
     owner: Option<u64>,
+    /// Its weight is below a whole: open to reads alone.
+    reads_only: bool,
     levels: Vec<(u64, f64)>,
 }
 
@@ -43,7 +45,9 @@
             tag::LINE => {
                 let (slice, be) = (field.index()?, field.number()?);
                 if let Some(line) = self.lines.get_mut(slice) {
-                    line.owner = Some(be).filter(|_| field.fraction().is_ok_and(|weight| weight > 0.0));
+                    let weight = field.fraction()?;
+                    line.owner = Some(be).filter(|_| weight > 0.0);
+                    line.reads_only = weight < 1.0;
                 }
             }
             tag::DROP => {
@@ -100,6 +104,11 @@
         own.min(newest(&self.all))
     }
 
+    /// Whether a slice's line lets no write through.
+    pub fn reads_only(&self, slice: u64) -> bool {
+        self.lines.get(slice as usize).is_some_and(|line| line.reads_only)
+    }
+
     pub fn withdrawn(&self, be: u64) -> bool {
         self.out.contains(&be)
     }
