--- a/crates/lab/src/judge/tables.rs
+++ b/crates/lab/src/judge/tables.rs
@@ -86,6 +86,9 @@
     fn hold(&mut self, at: Time, forwarder: u64, slice: usize, server: Option<String>) {
         let spans = self.spans.entry((forwarder, slice)).or_default();
         if let Some(last) = spans.last_mut().filter(|last| last.to == Time::MAX) {
+            if server.is_none() && last.server.is_none() {
+                return; // it goes on without one
+            }
             last.to = at;
         }
         spans.push(Span { from: at, to: Time::MAX, server });
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,108 @@
+//! Days through real processes and sockets, judged. One at a time, as they share the machine's cores.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::Mutex;
+
+static ONE: Mutex<()> = Mutex::new(());
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn lab(args: &[&str]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_ravenspar-lab")).args(args).current_dir(root()).output();
+    output.expect("the lab starts")
+}
+
+/// Plays a day and returns its exit code and what it said.
+fn day(name: &str) -> (Option<i32>, String) {
+    let _one = ONE.lock().unwrap_or_else(|broken| broken.into_inner());
+    let output = lab(&["day", &format!("examples/days/{name}.yaml")]);
+    let said = String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+    println!("{said}");
+    (output.status.code(), said)
+}
+
+fn keeps_the_rules(name: &str) {
+    let (code, said) = day(name);
+    assert!(said.contains("all rules kept"), "{said}");
+    assert_eq!(code, Some(0));
+}
+
+#[test]
+fn first() {
+    keeps_the_rules("first");
+}
+
+/// SIGSTOP between the pick and the send of a write, past lease and settling.
+#[test]
+fn paused_write() {
+    keeps_the_rules("paused-write");
+}
+
+#[test]
+fn killed_steward() {
+    keeps_the_rules("killed-steward");
+}
+
+#[test]
+fn deaf_forwarder() {
+    keeps_the_rules("deaf-forwarder");
+}
+
+#[test]
+fn restarted_together() {
+    keeps_the_rules("restarted-together");
+}
+
+#[test]
+fn only_server_drains() {
+    keeps_the_rules("only-server-drains");
+}
+
+#[test]
+fn a_lying_forwarder_is_judged_to_break_the_rules() {
+    let (code, said) = day("lying-forwarder");
+    assert!(said.contains("no effect twice: BROKEN"), "{said}");
+    assert_eq!(code, Some(1));
+}
+
+#[test]
+fn a_kept_capture_is_judged_the_same_again() {
+    let _one = ONE.lock().unwrap_or_else(|broken| broken.into_inner());
+    let dir = tempfile::tempdir().expect("a folder");
+    let keep = dir.path().join("kept");
+    let keep = keep.to_str().expect("a path");
+    let played = lab(&["day", "examples/days/first.yaml", "--keep", keep, "--seed", "5"]);
+    let judged = lab(&["judge", keep]);
+    let played_text = String::from_utf8_lossy(&played.stdout).into_owned();
+    let judged_text = String::from_utf8_lossy(&judged.stdout).into_owned();
+    assert!(judged_text.contains("verdict"), "{judged_text}");
+    assert!(played_text.ends_with(&judged_text), "{played_text}\n---\n{judged_text}");
+    assert_eq!(played.status.code(), judged.status.code());
+    // A capture that was cut off is no capture.
+    std::fs::write(Path::new(keep).join("capture.jsonl"), "{\"what\":\"took\"").expect("written");
+    assert_eq!(lab(&["judge", keep]).status.code(), Some(2));
+}
+
+#[test]
+fn a_day_that_cant_be_read_is_bad_input() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let good = std::fs::read_to_string(root().join("examples/days/first.yaml")).expect("the day");
+    for (change, by, expected) in [
+        ("length: 8s", "length: 8", "expected a time with its unit"),
+        ("what: drain", "what: drian", "unknown variant"),
+        ("servers: 1, stay", "severs: 1, stay", "unknown field"),
+        ("lease: 1s", "leese: 1s", "unknown setting"),
+        ("rate: 40", "rate: 0", "expected more than 0"),
+    ] {
+        assert!(good.contains(change), "{change}");
+        let path = dir.path().join("day.yaml");
+        std::fs::write(&path, good.replace(change, by)).expect("written");
+        let output = lab(&["day", path.to_str().expect("a path")]);
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{by}: {said}");
+        assert!(said.contains(expected) && said.contains("day.yaml:"), "{by}: {said}");
+    }
+}
