--- a/crates/lab/src/judge/tests.rs
+++ b/crates/lab/src/judge/tests.rs
@@ -34,10 +34,16 @@
     let hello = Frame::new(kind::HELLO).numbers(tag::PROXY, &[forwarder]).finish();
     let mut read = Frame::new(kind::READ);
     read.text(tag::SERVER, &[A], "a").text(tag::SERVER, &[B], "b");
-    read.numbers(tag::LINE, &[0, A, 1_000_000]).numbers(tag::LINE, &[1, A, 1_000_000]).numbers(tag::END, &[0]);
+    read.numbers(tag::LINE, &[0, A, 1_000_000])
+        .numbers(tag::LINE, &[1, A, 1_000_000])
+        .numbers(tag::END, &[0]);
     vec![
         Event::Frame { at, stream, down: false, body: hex(&hello) },
-        down(at, stream, Frame::new(kind::WELCOME).numbers(tag::VERSION, &[VERSION]).numbers(tag::TERM, &[1])),
+        down(
+            at,
+            stream,
+            Frame::new(kind::WELCOME).numbers(tag::VERSION, &[VERSION]).numbers(tag::TERM, &[1]),
+        ),
         down(at, stream, &mut read),
     ]
 }
@@ -117,7 +123,10 @@
     let over = [took(10, "a", 1, 0, 500), ended(50, "a", 1), grants(100, 2, B, 1), took(200, "b", 2, 1, 900)];
     assert_eq!(broken(over), KEPT);
     let down = Event::Down { at: 60, server: "a".to_owned() };
-    assert_eq!(broken([took(10, "a", 1, 0, 500), down, grants(100, 2, B, 1), took(200, "b", 2, 1, 900)]), KEPT);
+    assert_eq!(
+        broken([took(10, "a", 1, 0, 500), down, grants(100, 2, B, 1), took(200, "b", 2, 1, 900)]),
+        KEPT
+    );
 }
 
 #[test]
@@ -153,7 +162,8 @@
 
 #[test]
 fn rule_4_a_cold_server_pushed_over() {
-    let fell = |boot| [listed(100, &[("a", "ready", 50)]), Event::Fell { at: 200, server: "a".to_owned(), boot }];
+    let fell =
+        |boot| [listed(100, &[("a", "ready", 50)]), Event::Fell { at: 200, server: "a".to_owned(), boot }];
     assert_eq!(broken(fell(50)), [3]);
     // Of another start nobody was told.
     assert_eq!(broken(fell(150)), KEPT);
@@ -183,8 +193,13 @@
     let asked = |req, kind| Event::Asked { at: 10, req, kind };
     let answered = |req, kind, status, took| Event::Answered { at: 10 + took, req, kind, status, took };
     let done = ravenspar_standin::status::DONE;
-    let events =
-        [asked(1, 0), asked(2, 1), asked(3, 1), answered(1, 0, done, SECOND), answered(2, 1, done, SECOND + 1)];
+    let events = [
+        asked(1, 0),
+        asked(2, 1),
+        asked(3, 1),
+        answered(1, 0, done, SECOND),
+        answered(2, 1, done, SECOND + 1),
+    ];
     let service = service::count(&events, &rules(), 0);
     assert_eq!((service.reqs, service.whole), (3, 1.0 / 5.0));
     assert_eq!(service.kinds, [("quote".to_owned(), 1.0), ("commit".to_owned(), 0.0)]);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod troubles;
 
+use ravenspar::say;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -136,7 +137,7 @@
     let events = ravenspar_standin::capture::read(&path);
     let events = events.map_err(|e| Fault::Input(format!("{}: {e}", path.display())))?;
     let verdict = judge::judge(&events, &rules);
-    println!("{}", verdict.report());
+    say(verdict.report());
     Ok(verdict.kept())
 }
 
@@ -153,6 +154,6 @@
         lies: args.lies,
         stop_at: args.stop_at,
     };
-    block_on(forwarder::run(options, |address| println!("listening on {address}")))??;
+    block_on(forwarder::run(options, |address| say(format_args!("listening on {address}"))))??;
     Ok(true)
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use ravenspar::settings;
+use ravenspar::{say, settings};
 use ravenspar_standin::clients::{Clients, Kind, Load};
 use ravenspar_standin::server::{Model, Server};
 use ravenspar_standin::{duration, Capture, Clock, Event, SECOND};
@@ -249,14 +249,14 @@
 /// Plays a day in this folder; its capture is there afterwards.
 pub async fn play(day: Day, file: &Path, dir: &Path) -> Result<(), Fault> {
     let (checked, rules) = settle(&day, file, dir)?;
-    println!("day {}: {}", file.display(), day.about);
-    println!(
+    say(format_args!("day {}: {}", file.display(), day.about));
+    say(format_args!(
         "seed {}; {} servers, {} forwarders, {} slices",
         day.seed, day.servers.count, day.forwarders.count, rules.slices
-    );
+    ));
     let fleet = Fleet::start(day, dir, &rules).await?;
     fleet.warm_up(&checked).await?;
-    println!("every slice is served; clients begin");
+    say("every slice is served; clients begin");
     fleet.capture.note(|at| Event::Began { at });
     let began = fleet.capture.now();
     let mut troubles = Vec::new();
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -1,5 +1,6 @@
 //! What can go wrong on a day, piece by piece.
 
+use ravenspar::say;
 use std::io;
 use std::rc::Rc;
 
@@ -13,7 +14,7 @@
 /// Causes one piece and sees it to its end.
 pub async fn cause(fleet: &Rc<Fleet>, what: &What, began: Time) -> io::Result<()> {
     let said = format!("{what:?}");
-    println!("{:7.3} s  {said}", (fleet.capture.now() - began) as f64 / SECOND as f64);
+    say(format_args!("{:7.3} s  {said}", (fleet.capture.now() - began) as f64 / SECOND as f64));
     fleet.capture.note(|at| Event::Trouble { at, text: said });
     let wait = |span: Span| sleep(duration(span.0));
     match what {
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -19,7 +19,8 @@
 fn day(name: &str) -> (Option<i32>, String) {
     let _one = ONE.lock().unwrap_or_else(|broken| broken.into_inner());
     let output = lab(&["day", &format!("examples/days/{name}.yaml")]);
-    let said = String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+    let said =
+        String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
     println!("{said}");
     (output.status.code(), said)
 }
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -8,7 +8,7 @@
 use ravenspar_record::Record;
 
 use crate::serve::{serve, Fault, Halt};
-use crate::{logs, settings};
+use crate::{logs, say, settings};
 
 #[derive(Parser)]
 #[command(name = "ravenspar", version, about = "Publishes key ranges to plain proxies")]
@@ -90,12 +90,12 @@
     let cfg = load(file)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Failed(format!("the runtime: {e}")))?;
-    runtime.block_on(serve(cfg, halt, |address| println!("listening on {address}")))
+    runtime.block_on(serve(cfg, halt, |address| say(format_args!("listening on {address}"))))
 }
 
 fn check(file: &Path) -> Result<(), Fault> {
     load(file)?;
-    println!("{}: can be served by", file.display());
+    say(format_args!("{}: can be served by", file.display()));
     Ok(())
 }
 
@@ -118,14 +118,14 @@
                 })
             })
             .collect();
-        println!("{}", serde_json::json!({ "term": record.term, "slices": slices }));
+        say(serde_json::json!({ "term": record.term, "slices": slices }));
         return Ok(());
     }
-    println!("{:>6}  {:<24}  {:<10}  {:>8}  {:>6}", "slice", "owner", "state", "mark", "term");
+    say(format_args!("{:>6}  {:<24}  {:<10}  {:>8}  {:>6}", "slice", "owner", "state", "mark", "term"));
     for row in &record.slices {
         let owner = row.owner.as_deref().unwrap_or("-");
         let state = state(&row.owner, row.weight);
-        println!("{:>6}  {owner:<24}  {state:<10}  {:>8}  {:>6}", row.slice, row.mark, row.term);
+        say(format_args!("{:>6}  {owner:<24}  {state:<10}  {:>8}  {:>6}", row.slice, row.mark, row.term));
     }
     Ok(())
 }
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -10,3 +10,9 @@
 mod recorder;
 mod serve;
 mod streams;
+
+/// Prints a line on standard output; that nobody reads it any more is no reason to stop.
+pub fn say(line: impl std::fmt::Display) {
+    use std::io::Write as _;
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
--- a/crates/standin/src/forwarder/stream.rs
+++ b/crates/standin/src/forwarder/stream.rs
@@ -172,7 +172,7 @@
         if tag == tag::MARK || tag == tag::END {
             answer.numbers(tag, &[field.number()?]);
             asked = true;
-        } else if !core.options.lies || core.table.is_new(tag, field.clone()) {
+        } else if !core.options.lies || core.table.keeps_owners(tag, field.clone()) {
             lines += u64::from(core.table.take(tag, field)?);
         }
     }
--- a/crates/standin/src/forwarder/table.rs
+++ b/crates/standin/src/forwarder/table.rs
@@ -78,10 +78,13 @@
         Ok(true)
     }
 
-    /// Whether a field brings a slice its first owner, or nothing about owners at all.
-    pub fn is_new(&self, tag: u8, mut field: Numbers) -> bool {
-        let held = |slice: usize| self.lines.get(slice).is_some_and(|line| line.owner.is_some());
-        !matches!(tag, tag::LINE | tag::DROP) || field.index().is_ok_and(|slice| !held(slice))
+    /// Whether a field leaves every slice that has an owner with that one.
+    pub fn keeps_owners(&self, tag: u8, mut field: Numbers) -> bool {
+        if !matches!(tag, tag::LINE | tag::DROP) {
+            return true;
+        }
+        let held = field.index().ok().and_then(|slice| self.lines.get(slice)?.owner);
+        held.is_none_or(|owner| tag == tag::LINE && field.number() == Ok(owner))
     }
 
     /// The slice of a key, once there are slices.
