A record is looked at without a write before it is opened

Files are now read first, a copy of them where a killed process left one that has to be mended. Leases are told shorter by a 64th.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -94,7 +94,7 @@
             table.apply(&Change::Line { slice: *slice, be, weight: *weight });
         }
         // A proxy's earlier life may hold a lease of the steward before this one, unless there was none.
-        let clear = if term > 1 { now + leased(&limits) } else { NEVER };
+        let clear = if term > 1 { now + limits.lease } else { NEVER };
         Ok(Host {
             steward,
             term,
@@ -322,7 +322,7 @@
             self.close(now, older, Why::Replaced);
         }
         let zone = self.zones.index(&zone.to_owned());
-        let lease = leased(&self.limits);
+        let lease = self.limits.lease;
         let entry = &mut self.proxies[proxy];
         if entry.boot != boot && entry.echoed != NEVER {
             // Its earlier life may only be paused, and write on until its lease is over.
@@ -368,7 +368,7 @@
         let limits = &self.limits;
         let mut frame = Frame::new(kind::WELCOME);
         let times = [
-            (tag::LEASE, limits.lease),
+            (tag::LEASE, limits.lease - limits.lease / RATES),
             (tag::HOLD, limits.hold),
             (tag::SETTLE, limits.settle),
             // Four pings a lease, so that three may be lost in a row of short pauses.
@@ -557,10 +557,9 @@
     }
 }
 
-/// How long after an echo was handed out its lease may run: a sixty-fourth more, for clocks of different rates.
-fn leased(limits: &Limits) -> Time {
-    limits.lease + limits.lease / 64
-}
+/// Clocks may run at rates that differ by one part in so many: proxies are told a lease that is shorter by that.
+/// Far above what clocks of whole machines do, far below what a lease is worth.
+const RATES: Time = 64;
 
 /// A count as a report may bring it; more than a million in a cycle is no count.
 fn clipped(count: u64) -> f64 {
--- a/crates/host/tests/leases.rs
+++ b/crates/host/tests/leases.rs
@@ -214,7 +214,7 @@
             }
             Event::ToProxy { proxy, stream, body } => {
                 if self.proxies[proxy].stream == stream {
-                    self.to_proxy(proxy, stream, &body);
+                    self.proxy_hears(proxy, stream, &body);
                 }
             }
             Event::ProxyClosed { proxy, stream } => {
@@ -265,7 +265,7 @@
         self.at(self.now, Event::Ping { proxy, stream });
     }
 
-    fn to_proxy(&mut self, proxy: usize, stream: u64, body: &[u8]) {
+    fn proxy_hears(&mut self, proxy: usize, stream: u64, body: &[u8]) {
         let entry = &mut self.proxies[proxy];
         let mut body = Body::new(body).expect("a frame");
         let what = body.kind();
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -7,7 +7,10 @@
 
 use std::path::Path;
 
-use redb::{Database, ReadOnlyTable, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+use redb::{
+    Database, DatabaseError, ReadOnlyDatabase, ReadOnlyTable, ReadableDatabase, ReadableTable,
+    TableDefinition, TableError,
+};
 
 pub use fault::Fault;
 
@@ -62,8 +65,9 @@
     /// Opens the file, or makes it where there is none. A file that is no record of this layout is left as it is.
     pub fn open(path: &Path) -> Result<Record, Fault> {
         if path.exists() {
+            // Opening a file for writing writes to it, so it is looked at first.
+            look_at(path)?;
             let base = Database::open(path).map_err(|e| Fault::open(path, e))?;
-            check(&base, path)?;
             return Ok(Record { base });
         }
         // Made beside it and moved into place, so that a steward killed here leaves no half-made record.
@@ -85,11 +89,9 @@
         Ok(Record { base })
     }
 
-    /// Reads a file that another process may not hold, without changing what it says.
+    /// Reads a file that no other process holds, and leaves it as it is.
     pub fn read(path: &Path) -> Result<Contents, Fault> {
-        let base = redb::ReadOnlyDatabase::open(path).map_err(|e| Fault::open(path, e))?;
-        check(&base, path)?;
-        contents(&base)
+        look_at(path)
     }
 
     pub fn contents(&self) -> Result<Contents, Fault> {
@@ -131,6 +133,27 @@
     }
 }
 
+/// Reads a file without a write to it. One that a killed process left behind has to be mended first: then a copy is.
+fn look_at(path: &Path) -> Result<Contents, Fault> {
+    match ReadOnlyDatabase::open(path) {
+        Ok(base) => {
+            check(&base, path)?;
+            contents(&base)
+        }
+        Err(DatabaseError::RepairAborted) => {
+            let copy = path.with_extension(format!("look-{}", std::process::id()));
+            let looked = std::fs::copy(path, &copy).map_err(|e| Fault::open(path, e.into())).and_then(|_| {
+                let base = Database::open(&copy).map_err(|e| Fault::open(path, e))?;
+                check(&base, path)?;
+                contents(&base)
+            });
+            let _ = std::fs::remove_file(&copy);
+            looked
+        }
+        Err(error) => Err(Fault::open(path, error)),
+    }
+}
+
 fn check(base: &impl ReadableDatabase, path: &Path) -> Result<(), Fault> {
     let read = base.begin_read().map_err(Fault::read)?;
     let meta: ReadOnlyTable<&str, u64> = match read.open_table(META) {
