Measure a steward over loopback; a channel that keeps its pace where timers are coarse

ravenspar-lab measure. It showed that each paced message waited for a timer of a millisecond: the revoke of a drain reached the last of 290 forwarders 278 ms after the list changed (median), of which 51 ms are the channel's pace. The channel may now be 5 ms ahead.

--- a/crates/host/src/channel.rs
+++ b/crates/host/src/channel.rs
@@ -64,6 +64,10 @@
 /// Hundreds of nanoseconds in the unit of [`Time`].
 const FINE: i64 = 1_000;
 
+/// How far ahead of its pace the channel may be, in tenths of a millisecond. Timers fire a millisecond late and
+/// messages are paced at a fifth of that: without it each one waited for a timer, and 290 took 290 ms instead of 50.
+const AHEAD: Time = 50;
+
 impl Channel {
     pub fn waiting(&self) -> u64 {
         self.waiting
@@ -146,7 +150,7 @@
             self.held.pop();
             self.ready.push_back(proxy);
         }
-        if self.free > now * FINE {
+        if self.free > (now + AHEAD) * FINE {
             return None;
         }
         self.ready.pop_front()
@@ -154,7 +158,7 @@
 
     /// When [`Channel::next`] may have one.
     pub fn next_at(&self, now: Time) -> Option<Time> {
-        let paced = (!self.ready.is_empty()).then(|| now.max((self.free + FINE - 1) / FINE));
+        let paced = (!self.ready.is_empty()).then(|| now.max((self.free + FINE - 1) / FINE - AHEAD));
         let held = self.held.peek().map(|Reverse((at, _))| *at);
         paced.into_iter().chain(held).min()
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod day;
 mod judge;
 mod listing;
+mod measure;
 mod play;
 mod processes;
 mod relay;
@@ -45,6 +46,18 @@
     },
     /// Judges a kept capture again.
     Judge { dir: PathBuf },
+    /// Measures a real steward over loopback: hand-overs, CPU, memory, starts, durable writes.
+    Measure {
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 290])]
+        forwarders: Vec<usize>,
+        #[arg(long, default_value_t = 1_700)]
+        slices: usize,
+        #[arg(long, default_value_t = 260)]
+        servers: usize,
+        /// Measure hand-overs alone.
+        #[arg(long)]
+        hand_overs: bool,
+    },
     /// The steward's own program, which days start.
     #[command(hide = true, disable_help_flag = true)]
     Steward {
@@ -84,6 +97,9 @@
     let result = match Cli::parse().command {
         Command::Day { file, keep, seed } => run_day(&file, keep, seed),
         Command::Judge { dir } => judge_dir(&dir),
+        Command::Measure { forwarders, slices, servers, hand_overs } => {
+            measure(&forwarders, slices, servers, hand_overs)
+        }
         Command::Steward { args } => {
             return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
         }
@@ -131,6 +147,24 @@
     judge_dir(dir)
 }
 
+fn measure(forwarders: &[usize], slices: usize, servers: usize, hand_overs: bool) -> Result<bool, Fault> {
+    let known = |&count: &usize| (1..=10_000).contains(&count);
+    if !forwarders.iter().all(known) || !(1..=65_535).contains(&slices) || !(9..=10_000).contains(&servers) {
+        return Err(Fault::Input(
+            "measure: expected 1 to 10000 forwarders, 1 to 65535 slices, 9 to 10000 servers".to_owned(),
+        ));
+    }
+    block_on(async {
+        if !hand_overs {
+            measure::starts(&[1_700, 20_000]).await?;
+            measure::writes()?;
+            measure::load(slices, servers, forwarders).await?;
+        }
+        measure::hand_overs(slices, servers, forwarders).await
+    })??;
+    Ok(true)
+}
+
 fn judge_dir(dir: &Path) -> Result<bool, Fault> {
     let (_, rules) = play::rules(dir).map_err(Fault::Input)?;
     let path = dir.join("capture.jsonl");
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,394 @@
+//! Measures a real steward over loopback: hand-overs, CPU, memory, starts, durable writes. Prints Markdown.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar::say;
+use ravenspar_protocol::{codec, kind, tag, Body, Fault as Unreadable, Frame, MOST_DOWN, VERSION};
+use ravenspar_record::{Record, SliceRow};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::play::Fault;
+use crate::processes::Process;
+
+/// What a forwarder has been told, and when things reached it.
+#[derive(Default)]
+struct Told {
+    names: BTreeMap<u64, String>,
+    /// Owner and whether writes are open.
+    lines: BTreeMap<u64, (u64, bool)>,
+    read: bool,
+    echoes: u64,
+    frames: u64,
+    /// The last frame with a drop, with a line, and with a line that opens writes.
+    dropped: Option<Instant>,
+    first_line: Option<Instant>,
+    opened: Option<Instant>,
+}
+
+type Shared = Rc<RefCell<Vec<Told>>>;
+
+/// One light forwarder: reads, answers at once, pings.
+async fn forwarder(address: std::net::SocketAddr, number: usize, told: Shared) -> std::io::Result<()> {
+    let broken = |fault: Unreadable| std::io::Error::other(fault.to_string());
+    let socket = TcpStream::connect(address).await?;
+    socket.set_nodelay(true)?;
+    let (read, write) = socket.into_split();
+    let (mut read, mut write) =
+        (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_DOWN)));
+    let mut hello = Frame::new(kind::HELLO);
+    hello.numbers(tag::VERSION, &[VERSION]).numbers(tag::PROXY, &[number as u64]).numbers(tag::BOOT, &[1]);
+    write.send(hello.numbers(tag::USUAL, &[1_000_000]).finish()).await?;
+    let began = Instant::now();
+    let mut ping = tokio::time::interval(Duration::from_millis(250));
+    loop {
+        tokio::select! {
+            body = read.next() => {
+                let Some(body) = body else { return Ok(()) };
+                if let Some(answer) = take(&mut told.borrow_mut()[number], &body?).map_err(broken)? {
+                    write.send(answer).await?;
+                }
+            }
+            _ = ping.tick() => {
+                let sent = began.elapsed().as_micros() as u64 / 100;
+                write.send(Frame::new(kind::PING).numbers(tag::SENT, &[sent]).finish()).await?;
+            }
+        }
+    }
+}
+
+fn take(told: &mut Told, body: &[u8]) -> Result<Option<Bytes>, Unreadable> {
+    let now = Instant::now();
+    let mut body = Body::new(body)?;
+    told.frames += 1;
+    told.echoes += u64::from(body.kind() == kind::ECHO);
+    let (mut answer, mut asked) = (Frame::new(kind::ANSWER), false);
+    while let Some((tag, mut field)) = body.field()? {
+        match tag {
+            tag::SERVER => {
+                let be = field.number()?;
+                told.names.insert(be, field.text()?.to_owned());
+            }
+            tag::LINE => {
+                let (slice, be, whole) = (field.number()?, field.number()?, field.fraction()? >= 1.0);
+                told.lines.insert(slice, (be, whole));
+                told.first_line = told.first_line.or(Some(now));
+                told.opened = if whole { Some(now) } else { told.opened };
+            }
+            tag::DROP => {
+                told.lines.remove(&field.number()?);
+                told.dropped = Some(now);
+            }
+            tag::MARK | tag::END => {
+                told.read |= tag == tag::END;
+                answer.numbers(tag, &[field.number()?]);
+                asked = true;
+            }
+            _ => {}
+        }
+    }
+    Ok(asked.then(|| answer.finish()))
+}
+
+struct Rig {
+    dir: tempfile::TempDir,
+    servers: usize,
+    told: Shared,
+    steward: Process,
+}
+
+fn settings(slices: usize, forwarders: usize) -> String {
+    format!(
+        "listen: 127.0.0.1:0\nrecord: steward.redb\nlist: {{path: servers.yaml}}\nforwarders: {forwarders}\n\
+         slices: {slices}\nlease: 1s\nsettle: 1s\nhold: 300ms\nunserved_most: 20s\nsilent_after: 3s\n\
+         channel: {{lines_per_s: 130000, waiting_lines: 260000, message_cost: 16, messages: 12, messages_within: 10s}}\n\
+         reports: {{every: 2s, lines_per_s: 600}}\n\
+         cold: {{from: 0.2, for: 18s, fall_multiple: 2.5, fall_for: 2s}}\ndrain: {{grace: 3s}}\nkinds:\n  \
+         - {{name: quote, response_target: 3s, client_timeout: 7500ms, credit: 1, repeats: replayable, writes: false}}\n  \
+         - {{name: commit, response_target: 3s, client_timeout: 5s, credit: 3, repeats: non-replayable, writes: true}}\n"
+    )
+}
+
+fn list(dir: &Path, servers: usize, draining: &[usize]) -> std::io::Result<()> {
+    let mut text = "servers:\n".to_owned();
+    for n in 0..servers {
+        let state = if draining.contains(&n) { "draining" } else { "ready" };
+        text +=
+            &format!("  - {{id: plan-{n}, zone: z-{}, address: \"127.0.0.1:9\", state: {state}}}\n", n % 3);
+    }
+    std::fs::write(dir.join("draft"), text)?;
+    std::fs::rename(dir.join("draft"), dir.join("servers.yaml"))
+}
+
+async fn start_steward(dir: &Path, level: &str) -> std::io::Result<Process> {
+    let args = ["steward", "--log", level, "--log-format", "json", "serve"].map(OsString::from).into_iter();
+    let args = args.chain([dir.join("steward.yaml").into_os_string()]).collect();
+    Process::start(args, &dir.join("steward.log")).await
+}
+
+/// Lets time pass until something holds; fails when it never does.
+async fn wait(what: &str, mut holds: impl FnMut() -> bool) -> Result<(), Fault> {
+    const PATIENCE: Duration = Duration::from_secs(120);
+    let began = Instant::now();
+    while !holds() {
+        if began.elapsed() > PATIENCE {
+            return Err(Fault::Failed(format!("not within {PATIENCE:?}: {what}")));
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Ok(())
+}
+
+impl Rig {
+    async fn start(slices: usize, servers: usize, forwarders: usize, level: &str) -> Result<Rig, Fault> {
+        let dir = tempfile::tempdir()?;
+        std::fs::write(dir.path().join("steward.yaml"), settings(slices, forwarders))?;
+        list(dir.path(), servers, &[])?;
+        let steward = start_steward(dir.path(), level).await?;
+        let told: Shared = Rc::default();
+        told.borrow_mut().resize_with(forwarders, Told::default);
+        for number in 0..forwarders {
+            spawn_local(forwarder(steward.address, number, told.clone()));
+        }
+        let rig = Rig { dir, servers, told, steward };
+        rig.settled(slices, &[]).await?;
+        Ok(rig)
+    }
+
+    /// Waits until every forwarder has every slice open for writes, and none at these servers.
+    async fn settled(&self, slices: usize, without: &[usize]) -> Result<(), Fault> {
+        let left: Vec<String> = without.iter().map(|n| format!("plan-{n}")).collect();
+        wait("every slice is open at every forwarder", || {
+            self.told.borrow().iter().all(|told| {
+                let good = |(be, whole): &(u64, bool)| *whole && !left.contains(&told.names[be]);
+                told.lines.len() == slices && told.lines.values().all(good)
+            })
+        })
+        .await
+    }
+
+    fn cpu(&self) -> f64 {
+        let stat = self.steward.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
+        let fields = stat.as_deref().and_then(|stat| stat.rsplit(") ").next()).unwrap_or("");
+        // User and system time are the 12th and 13th behind the name, in hundredths of a second.
+        fields.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
+    }
+
+    fn memory(&self) -> f64 {
+        let status =
+            self.steward.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
+        let line =
+            status.iter().flat_map(|status| status.lines()).find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+    }
+
+    fn clear(&self) {
+        for told in self.told.borrow_mut().iter_mut() {
+            (told.dropped, told.first_line, told.opened) = (None, None, None);
+        }
+    }
+}
+
+/// When the steward's log says that it came to the parts of the turn after a moment, in ms from then: the list read,
+/// the turn decided, its lines durable, its first and its last message handed to a socket.
+fn parts(log: &Path, began: std::time::SystemTime) -> std::io::Result<Option<[f64; 5]>> {
+    const DAY: f64 = 86_400.0;
+    let since = began.duration_since(std::time::UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() % DAY);
+    let mut at = [None; 5];
+    for line in std::fs::read_to_string(log)?.lines() {
+        let Ok(entry) = serde_json::from_str::<serde_json::Value>(line) else { continue };
+        // Times read as 2026-12-01T13:00:02.070942Z.
+        let Some(time) = entry["timestamp"].as_str().and_then(|time| time.get(11..26)) else { continue };
+        let seconds = time
+            .split(':')
+            .filter_map(|part| part.parse::<f64>().ok())
+            .fold(0.0, |sum, part| sum * 60.0 + part);
+        let after = (seconds - since).rem_euclid(DAY) * 1000.0;
+        if after > DAY * 500.0 {
+            continue; // before the moment
+        }
+        let place = match entry["message"].as_str().unwrap_or("") {
+            "the list has changed" => 0,
+            "lines to record" => 1,
+            "lines are durable" => 2,
+            "a message leaves" => 3,
+            _ => continue,
+        };
+        // Each part follows the one before; a second turn's lines end the first.
+        if place == 1 && at[1].is_some() {
+            break;
+        }
+        if place == 0 || at[place - 1].is_some() {
+            at[place] = at[place].or(Some(after));
+            at[4] = if place == 3 { Some(after) } else { at[4] };
+        }
+    }
+    let [Some(a), Some(b), Some(c), Some(d), Some(e)] = at else { return Ok(None) };
+    Ok(Some([a, b, c, d, e]))
+}
+
+fn median(column: &mut [f64]) -> f64 {
+    column.sort_by(f64::total_cmp);
+    column.get(column.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+/// Hand-overs after a drain of one server, by forwarders.
+pub async fn hand_overs(slices: usize, servers: usize, forwarders: &[usize]) -> Result<(), Fault> {
+    const ROUNDS: usize = 5;
+    say(format_args!(
+        "Drain of one of {servers} servers, {slices} slices; ms, median and worst of {ROUNDS} drains.\n"
+    ));
+    say("| forwarders | list to first revoke | to last revoke | to first new line | to last line open for writes |");
+    say("| --- | --- | --- | --- | --- |");
+    let mut within = Vec::new();
+    for &count in forwarders {
+        let rig = Rig::start(slices, servers, count, "debug").await?;
+        let mut columns: [Vec<f64>; 4] = Default::default();
+        let mut inside: [Vec<f64>; 5] = Default::default();
+        let mut gone = Vec::new();
+        for round in 0..ROUNDS {
+            // The ledger's window is past, so that every drain meets the same allowance.
+            tokio::time::sleep(Duration::from_secs(11)).await;
+            rig.clear();
+            gone.push(round);
+            let (began, wall) = (Instant::now(), std::time::SystemTime::now());
+            list(rig.dir.path(), rig.servers, &gone)?;
+            rig.settled(slices, &gone).await?;
+            if let Some(parts) = parts(&rig.dir.path().join("steward.log"), wall)? {
+                inside.iter_mut().zip(parts).for_each(|(column, part)| column.push(part));
+            }
+            let told = rig.told.borrow();
+            let since =
+                |at: Option<Instant>| at.map_or(0.0, |at| at.duration_since(began).as_secs_f64() * 1000.0);
+            let all = |pick: &dyn Fn(&Told) -> Option<Instant>| {
+                told.iter().map(|t| since(pick(t))).collect::<Vec<_>>()
+            };
+            let first = |of: Vec<f64>| of.into_iter().fold(f64::INFINITY, f64::min);
+            let last = |of: Vec<f64>| of.into_iter().fold(0.0, f64::max);
+            columns[0].push(first(all(&|t| t.dropped)));
+            columns[1].push(last(all(&|t| t.dropped)));
+            columns[2].push(first(all(&|t| t.first_line)));
+            columns[3].push(last(all(&|t| t.opened)));
+        }
+        let shown = columns.map(|mut column| {
+            let worst = column.iter().copied().fold(0.0, f64::max);
+            format!("{:.1} / {worst:.1}", median(&mut column))
+        });
+        say(format_args!("| {count} | {} |", shown.join(" | ")));
+        let inside = inside.map(|mut column| format!("{:.2}", median(&mut column)));
+        within.push(format!("| {count} | {} |", inside.join(" | ")));
+    }
+    say("\nThe same drains by the steward's own log: ms from the list's change, median.\n");
+    say("| forwarders | list read | turn decided | lines durable | first message out | last message out |");
+    say("| --- | --- | --- | --- | --- | --- |");
+    within.iter().for_each(say);
+    Ok(())
+}
+
+/// CPU and memory at rest and while a third of the servers leaves in three waves.
+pub async fn load(slices: usize, servers: usize, forwarders: &[usize]) -> Result<(), Fault> {
+    say(format_args!(
+        "\nCPU (share of a core) and memory of the steward, {servers} servers, {slices} slices.\n"
+    ));
+    say("| forwarders | CPU at rest | MiB at rest | release takes | CPU in it | MiB after | messages a forwarder |");
+    say("| --- | --- | --- | --- | --- | --- | --- |");
+    for &count in forwarders {
+        let rig = Rig::start(slices, servers, count, "warn").await?;
+        let (before, began) = (rig.cpu(), Instant::now());
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let rest = (rig.cpu() - before) / began.elapsed().as_secs_f64();
+        let memory = rig.memory();
+        let frames = |rig: &Rig| rig.told.borrow().iter().map(|t| t.frames - t.echoes).sum::<u64>();
+        let (before, began, sent) = (rig.cpu(), Instant::now(), frames(&rig));
+        let mut gone = Vec::new();
+        for wave in 0..3 {
+            gone.extend((0..servers / 9).map(|n| wave * (servers / 9) + n));
+            list(rig.dir.path(), rig.servers, &gone)?;
+            tokio::time::sleep(Duration::from_secs(4)).await;
+        }
+        rig.settled(slices, &gone).await?;
+        let took = began.elapsed().as_secs_f64();
+        let busy = (rig.cpu() - before) / took;
+        let each = (frames(&rig) - sent) as f64 / count as f64;
+        say(format_args!(
+            "| {count} | {rest:.3} | {memory:.1} | {took:.1} s | {busy:.3} | {:.1} | {each:.1} |",
+            rig.memory()
+        ));
+    }
+    Ok(())
+}
+
+/// From the start of the process until it listens, and until a forwarder has the whole table, with slices on record.
+pub async fn starts(slices: &[usize]) -> Result<(), Fault> {
+    say("\nStart with slices on record; ms, median of 5.\n");
+    say("| slices | until it listens | until a forwarder has the whole table |");
+    say("| --- | --- | --- |");
+    for &count in slices {
+        let dir = tempfile::tempdir()?;
+        std::fs::write(dir.path().join("steward.yaml"), settings(count, 1))?;
+        list(dir.path(), 100, &[])?;
+        let failed = |fault: ravenspar_record::Fault| Fault::Failed(fault.to_string());
+        let record = Record::open(&dir.path().join("steward.redb")).map_err(failed)?;
+        let row = |slice: usize| SliceRow {
+            slice: slice as u32,
+            owner: Some(format!("plan-{}", slice % 100)),
+            weight: 1_000_000,
+            mark: 1,
+            term: 1,
+        };
+        record.write(&(0..count).map(row).collect::<Vec<_>>(), None).map_err(failed)?;
+        drop(record);
+        let (mut listens, mut reads) = (Vec::new(), Vec::new());
+        for _ in 0..5 {
+            let began = Instant::now();
+            let mut steward = start_steward(dir.path(), "warn").await?;
+            listens.push(began.elapsed().as_secs_f64() * 1000.0);
+            let told: Shared = Rc::default();
+            told.borrow_mut().push(Told::default());
+            let task = spawn_local(forwarder(steward.address, 0, told.clone()));
+            wait("the table is read", || told.borrow()[0].read).await?;
+            reads.push(began.elapsed().as_secs_f64() * 1000.0);
+            task.abort();
+            steward.end().await;
+        }
+        listens.sort_by(f64::total_cmp);
+        reads.sort_by(f64::total_cmp);
+        say(format_args!("| {count} | {:.1} | {:.1} |", listens[2], reads[2]));
+    }
+    Ok(())
+}
+
+/// Durable writes a second by how many lines share one.
+pub fn writes() -> Result<(), Fault> {
+    say("\nDurable writes, each synced, on the machine's temporary folder.\n");
+    say("| lines a commit | commits/s | lines/s |");
+    say("| --- | --- | --- |");
+    for lines in [1usize, 10, 100, 1_000] {
+        let dir = tempfile::tempdir()?;
+        let failed = |fault: ravenspar_record::Fault| Fault::Failed(fault.to_string());
+        let record = Record::open(&dir.path().join("steward.redb")).map_err(failed)?;
+        let (began, mut commits) = (Instant::now(), 0);
+        while began.elapsed() < Duration::from_secs(3) {
+            let row = |n: usize| SliceRow {
+                slice: ((commits * lines + n) % 20_000) as u32,
+                owner: Some(format!("plan-{}", (commits + n) % 260)),
+                weight: 1_000_000,
+                mark: commits as u64,
+                term: 1,
+            };
+            record.write(&(0..lines).map(row).collect::<Vec<_>>(), None).map_err(failed)?;
+            commits += 1;
+        }
+        let a_second = commits as f64 / began.elapsed().as_secs_f64();
+        say(format_args!("| {lines} | {a_second:.0} | {:.0} |", a_second * lines as f64));
+    }
+    Ok(())
+}
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -41,6 +41,10 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Whether it stands still by a signal, as the system says.
     pub fn is_stopped(&self) -> bool {
         let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -47,6 +47,11 @@
     keeps_the_rules("killed-steward");
 }
 
+#[test]
+fn drain_in_hand_over() {
+    keeps_the_rules("drain-in-hand-over");
+}
+
 #[test]
 fn deaf_forwarder() {
     keeps_the_rules("deaf-forwarder");
--- a/crates/ravenspar/src/list.rs
+++ b/crates/ravenspar/src/list.rs
@@ -60,8 +60,11 @@
                         last = Some(list.clone());
                         Some(News::Whole(list))
                     }
-                    // What was good before still holds, also when the next good list equals it.
-                    Err(faults) => Some(News::Failed(faults.to_string())),
+                    // What was good before still holds; the next good list is told again, to end the fault.
+                    Err(faults) => {
+                        last = None;
+                        Some(News::Failed(faults.to_string()))
+                    }
                 } {
                     if news.send(said).await.is_err() {
                         return;
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -100,6 +100,8 @@
     batches: u64,
     refused: u64,
     list_failed: bool,
+    /// The last ticket that was said to be durable.
+    durable: Option<u64>,
 }
 
 struct Core {
@@ -154,13 +156,27 @@
                 if self.halt.is_some_and(|halt| matches!(halt, Halt::Recorded(n) if self.ran.batches >= n)) {
                     std::process::abort();
                 }
+                if self.ran.durable.replace(ticket) != Some(ticket) {
+                    tracing::debug!(ticket, "lines are durable");
+                }
                 self.host.recorded(ticket);
             }
             self.host.timeout(self.clock.now());
             self.carry_out().await;
         }
         let figures = self.host.figures();
-        tracing::info!(?figures, commits = self.recorder.commits(), refused = self.ran.refused, "ending");
+        tracing::info!(
+            joined = figures.joined,
+            turns = figures.turns,
+            messages = figures.messages,
+            most_waiting = figures.most_waiting,
+            holds = figures.holds,
+            broken = figures.broken,
+            stray_answers = figures.stray_answers,
+            commits = self.recorder.commits(),
+            refused = self.ran.refused,
+            "ending"
+        );
         self.streams.clear();
         self.recorder.end();
         Ok(())
@@ -245,6 +261,9 @@
                     {
                         std::process::abort();
                     }
+                    if body.first() == Some(&ravenspar_protocol::kind::TABLE) {
+                        tracing::debug!(stream, bytes = body.len(), "a message leaves");
+                    }
                     if let Some(stream) = self.streams.get(&stream) {
                         stream.write(body);
                     }
