--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -53,7 +53,9 @@
         tokio::select! {
             body = read.next() => {
                 let Some(body) = body else { return Ok(()) };
-                if let Some(answer) = take(&mut told.borrow_mut()[number], &body?).map_err(broken)? {
+                let body = body?;
+                let answer = take(&mut told.borrow_mut()[number], &body).map_err(broken)?;
+                if let Some(answer) = answer {
                     write.send(answer).await?;
                 }
             }
