--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -356,10 +356,17 @@
     /// hand-over by joining again and again, and none that is echoed holds a line that was revoked without it.
     fn applied(&mut self, now: Time, proxy: usize, end: u64) {
         let entry = &mut self.proxies[proxy];
-        let Some(stream) = entry.stream.filter(|_| entry.asked.is_some_and(|(asked, _)| asked == end)) else {
+        let (Some(stream), Some((asked, _))) = (entry.stream, entry.asked) else {
             self.stray_answers += 1;
             return;
         };
+        if end < asked {
+            return; // to what came before the changes that it is still to answer
+        }
+        if end > asked {
+            self.stray_answers += 1;
+            return;
+        }
         entry.asked = None;
         if entry.joined || !self.channel.is_through(&entry.place) {
             return; // what is still due to it asks again
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clients;
 pub mod forwarder;
 pub mod server;
+pub mod store;
 
 mod wire;
 
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! A stand-in for etcd: keys with revisions, leases and transactions as its public API says, and faults to inject.
+
+mod mvcc;
+mod server;
+
+pub use mvcc::Mvcc;
+pub use server::{Faults, Store};
--- /dev/null
+++ b/crates/standin/src/store/mvcc.rs
@@ -0,0 +1,202 @@
+//! Keys, revisions, leases and transactions. Pure: times are handed in.
+
+use std::collections::BTreeMap;
+
+use ravenspar_etcd::api::compare::{CompareResult, CompareTarget, TargetUnion};
+use ravenspar_etcd::api::request_op::Request;
+use ravenspar_etcd::api::response_op::Response;
+use ravenspar_etcd::api::{
+    Compare, DeleteRangeRequest, DeleteRangeResponse, KeyValue, PutRequest, PutResponse, RangeRequest,
+    RangeResponse, RequestOp, ResponseHeader, ResponseOp, TxnRequest, TxnResponse,
+};
+
+use crate::{Time, SECOND};
+
+#[derive(Clone, Debug)]
+struct Lease {
+    seconds: i64,
+    until: Time,
+}
+
+/// The store's state. A new one has revision 1, as etcd has.
+#[derive(Clone, Debug)]
+pub struct Mvcc {
+    cluster: u64,
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, KeyValue>,
+    leases: BTreeMap<i64, Lease>,
+}
+
+/// Why a call is refused, in the API's words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    LeaseNotFound,
+    LeaseExists,
+    FutureRevision,
+}
+
+impl Mvcc {
+    pub fn new(cluster: u64) -> Mvcc {
+        Mvcc { cluster, revision: 1, keys: BTreeMap::new(), leases: BTreeMap::new() }
+    }
+
+    pub fn header(&self) -> ResponseHeader {
+        ResponseHeader { cluster_id: self.cluster, member_id: 1, revision: self.revision, raft_term: 1 }
+    }
+
+    /// Ends the leases that have run out: the keys of each go at one revision.
+    pub fn expire(&mut self, now: Time) {
+        let over: Vec<i64> =
+            self.leases.iter().filter(|(_, lease)| now >= lease.until).map(|(&id, _)| id).collect();
+        over.into_iter().for_each(|id| _ = self.revoke(id));
+    }
+
+    pub fn grant(&mut self, now: Time, id: i64, seconds: i64) -> Result<i64, Refusal> {
+        let id = if id == 0 { self.leases.keys().last().map_or(1, |last| last + 1) } else { id };
+        if self.leases.contains_key(&id) {
+            return Err(Refusal::LeaseExists);
+        }
+        let seconds = seconds.max(1);
+        self.leases.insert(id, Lease { seconds, until: now + seconds * SECOND });
+        Ok(id)
+    }
+
+    pub fn revoke(&mut self, id: i64) -> Result<(), Refusal> {
+        self.leases.remove(&id).ok_or(Refusal::LeaseNotFound)?;
+        let before = self.keys.len();
+        self.keys.retain(|_, kv| kv.lease != id);
+        self.revision += i64::from(self.keys.len() < before);
+        Ok(())
+    }
+
+    /// The seconds that a renewed lease has; 0 where it is gone.
+    pub fn renew(&mut self, now: Time, id: i64) -> i64 {
+        let Some(lease) = self.leases.get_mut(&id) else { return 0 };
+        lease.until = now + lease.seconds * SECOND;
+        lease.seconds
+    }
+
+    fn within<'a>(&'a self, key: &[u8], end: &[u8]) -> impl Iterator<Item = &'a KeyValue> {
+        let (key, end) = (key.to_vec(), end.to_vec());
+        let from = self.keys.range(key.clone()..);
+        let inside = move |found: &Vec<u8>| match end.as_slice() {
+            [] => *found == key,
+            [0] => true,
+            end => found.as_slice() < end,
+        };
+        from.take_while(move |(found, _)| inside(found)).map(|(_, kv)| kv)
+    }
+
+    pub fn range(&self, request: &RangeRequest) -> Result<RangeResponse, Refusal> {
+        if request.revision > self.revision {
+            return Err(Refusal::FutureRevision);
+        }
+        let all: Vec<&KeyValue> = self.within(&request.key, &request.range_end).collect();
+        let most = if request.limit > 0 { request.limit as usize } else { usize::MAX };
+        let value = |kv: &KeyValue| if request.keys_only { Vec::new() } else { kv.value.clone() };
+        let shown = all.iter().take(if request.count_only { 0 } else { most });
+        Ok(RangeResponse {
+            header: Some(self.header()),
+            kvs: shown.map(|kv| KeyValue { value: value(kv), ..(*kv).clone() }).collect(),
+            more: all.len() > most,
+            count: all.len() as i64,
+        })
+    }
+
+    fn put(&mut self, revision: i64, request: &PutRequest) -> Result<PutResponse, Refusal> {
+        if request.lease != 0 && !self.leases.contains_key(&request.lease) {
+            return Err(Refusal::LeaseNotFound);
+        }
+        let before = self.keys.get(&request.key).cloned();
+        let kv = KeyValue {
+            key: request.key.clone(),
+            create_revision: before.as_ref().map_or(revision, |kv| kv.create_revision),
+            mod_revision: revision,
+            version: before.as_ref().map_or(0, |kv| kv.version) + 1,
+            value: request.value.clone(),
+            lease: request.lease,
+        };
+        self.keys.insert(request.key.clone(), kv);
+        Ok(PutResponse { header: None, prev_kv: before.filter(|_| request.prev_kv) })
+    }
+
+    fn delete(&mut self, request: &DeleteRangeRequest) -> DeleteRangeResponse {
+        let gone: Vec<KeyValue> = self.within(&request.key, &request.range_end).cloned().collect();
+        gone.iter().for_each(|kv| _ = self.keys.remove(&kv.key));
+        let deleted = gone.len() as i64;
+        DeleteRangeResponse {
+            header: None,
+            deleted,
+            prev_kvs: if request.prev_kv { gone } else { Vec::new() },
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let none = KeyValue::default();
+        let kv = self.keys.get(&compare.key);
+        // A key that is not there has no value to compare, and 0 for all else.
+        let found = kv.unwrap_or(&none);
+        let order = match (compare.target(), &compare.target_union) {
+            (CompareTarget::Version, Some(TargetUnion::Version(n))) => found.version.cmp(n),
+            (CompareTarget::Create, Some(TargetUnion::CreateRevision(n))) => found.create_revision.cmp(n),
+            (CompareTarget::Mod, Some(TargetUnion::ModRevision(n))) => found.mod_revision.cmp(n),
+            (CompareTarget::Lease, Some(TargetUnion::Lease(n))) => found.lease.cmp(n),
+            (CompareTarget::Value, Some(TargetUnion::Value(value))) => match kv {
+                Some(kv) => kv.value.cmp(value),
+                None => return false,
+            },
+            _ => return false,
+        };
+        match compare.result() {
+            CompareResult::Equal => order.is_eq(),
+            CompareResult::Greater => order.is_gt(),
+            CompareResult::Less => order.is_lt(),
+            CompareResult::NotEqual => order.is_ne(),
+        }
+    }
+
+    /// All of a transaction or, where it is refused, nothing of it. Its writes have one revision.
+    pub fn txn(&mut self, request: &TxnRequest) -> Result<TxnResponse, Refusal> {
+        let before = self.clone();
+        let result = self.carry_out(request, self.revision + 1);
+        match result {
+            Ok((mut response, wrote)) => {
+                self.revision += i64::from(wrote);
+                response.header = Some(self.header());
+                Ok(response)
+            }
+            Err(refusal) => {
+                *self = before;
+                Err(refusal)
+            }
+        }
+    }
+
+    fn carry_out(&mut self, request: &TxnRequest, revision: i64) -> Result<(TxnResponse, bool), Refusal> {
+        let succeeded = request.compare.iter().all(|compare| self.holds(compare));
+        let operations = if succeeded { &request.success } else { &request.failure };
+        let (mut responses, mut wrote) = (Vec::new(), false);
+        for RequestOp { request } in operations {
+            let response = match request {
+                Some(Request::RequestRange(range)) => Response::ResponseRange(self.range(range)?),
+                Some(Request::RequestPut(put)) => {
+                    wrote = true;
+                    Response::ResponsePut(self.put(revision, put)?)
+                }
+                Some(Request::RequestDeleteRange(delete)) => {
+                    let deleted = self.delete(delete);
+                    wrote |= deleted.deleted > 0;
+                    Response::ResponseDeleteRange(deleted)
+                }
+                Some(Request::RequestTxn(inner)) => {
+                    let (response, inner) = self.carry_out(inner, revision)?;
+                    wrote |= inner;
+                    Response::ResponseTxn(response)
+                }
+                None => continue,
+            };
+            responses.push(ResponseOp { response: Some(response) });
+        }
+        Ok((TxnResponse { header: None, succeeded, responses }, wrote))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/server.rs
@@ -0,0 +1,238 @@
+//! The stand-in on a socket.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ravenspar_etcd::api::kv_server::{Kv, KvServer};
+use ravenspar_etcd::api::lease_server::{Lease, LeaseServer};
+use ravenspar_etcd::api::request_op::Request as Op;
+use ravenspar_etcd::api::response_op::Response as OpResponse;
+use ravenspar_etcd::api::*;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::Stream;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::mvcc::{Mvcc, Refusal};
+use crate::Clock;
+
+/// What goes wrong from now on.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Nothing is carried out; callers hear that the store is away.
+    pub away: bool,
+    /// How long each call takes before it is carried out.
+    pub slow: Duration,
+    /// So many transactions and grants of leases are carried out, and their answers lost.
+    pub lose_answers: u32,
+    /// So many transactions are carried out only this long after their callers heard that nothing is known.
+    pub late: u32,
+    pub late_by: Duration,
+}
+
+struct Inner {
+    mvcc: Mvcc,
+    faults: Faults,
+    requests: u64,
+}
+
+impl Inner {
+    /// Sends an answer, unless it is one that is to be lost.
+    fn answer<T>(&mut self, answer: T) -> Result<Response<T>, Status> {
+        if self.faults.lose_answers == 0 {
+            return Ok(Response::new(answer));
+        }
+        self.faults.lose_answers -= 1;
+        Err(Status::unavailable("etcdserver: request timed out"))
+    }
+}
+
+/// A handle on the store, for tests and days; the sockets share it.
+#[derive(Clone)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+    clock: Clock,
+}
+
+fn refused(refusal: Refusal) -> Status {
+    match refusal {
+        Refusal::LeaseNotFound => Status::not_found("etcdserver: requested lease not found"),
+        Refusal::LeaseExists => Status::failed_precondition("etcdserver: lease already exists"),
+        Refusal::FutureRevision => {
+            Status::out_of_range("etcdserver: mvcc: required revision is a future revision")
+        }
+    }
+}
+
+impl Store {
+    pub fn new(cluster: u64) -> Store {
+        let inner = Inner { mvcc: Mvcc::new(cluster), faults: Faults::default(), requests: 0 };
+        Store { inner: Arc::new(Mutex::new(inner)), clock: Clock::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        inner.mvcc.expire(now);
+        inner
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Calls that came in so far.
+    pub fn requests(&self) -> u64 {
+        self.lock().requests
+    }
+
+    /// The value of a key, and its revision.
+    pub fn get(&self, key: &[u8]) -> Option<(Vec<u8>, i64)> {
+        let range = RangeRequest { key: key.to_vec(), ..RangeRequest::default() };
+        let found = self.lock().mvcc.range(&range).ok()?;
+        found.kvs.into_iter().next().map(|kv| (kv.value, kv.mod_revision))
+    }
+
+    /// Loses a lease before its time.
+    pub fn lose_lease(&self, id: i64) {
+        let _ = self.lock().mvcc.revoke(id);
+    }
+
+    /// Listens on loopback until the runtime ends.
+    pub async fn listen(&self) -> std::io::Result<SocketAddr> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let server = tonic::transport::Server::builder()
+            .add_service(KvServer::new(self.clone()))
+            .add_service(LeaseServer::new(self.clone()));
+        tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+        Ok(address)
+    }
+
+    /// What every call meets first.
+    async fn enter(&self) -> Result<(), Status> {
+        let (away, slow) = {
+            let mut inner = self.lock();
+            inner.requests += 1;
+            (inner.faults.away, inner.faults.slow)
+        };
+        tokio::time::sleep(slow).await;
+        match away {
+            true => Err(Status::unavailable("etcdserver: no leader")),
+            false => Ok(()),
+        }
+    }
+
+    /// One operation, as a transaction of its own.
+    async fn one(&self, op: Op) -> Result<(Option<OpResponse>, ResponseHeader), Status> {
+        self.enter().await?;
+        let request = TxnRequest { success: vec![RequestOp { request: Some(op) }], ..TxnRequest::default() };
+        let mut inner = self.lock();
+        let answer = inner.mvcc.txn(&request).map_err(refused)?;
+        let header = inner.mvcc.header();
+        Ok((answer.responses.into_iter().next().and_then(|op| op.response), header))
+    }
+}
+
+#[tonic::async_trait]
+impl Kv for Store {
+    async fn range(&self, request: Request<RangeRequest>) -> Result<Response<RangeResponse>, Status> {
+        self.enter().await?;
+        Ok(Response::new(self.lock().mvcc.range(request.get_ref()).map_err(refused)?))
+    }
+
+    async fn put(&self, request: Request<PutRequest>) -> Result<Response<PutResponse>, Status> {
+        match self.one(Op::RequestPut(request.into_inner())).await? {
+            (Some(OpResponse::ResponsePut(put)), header) => {
+                Ok(Response::new(PutResponse { header: Some(header), ..put }))
+            }
+            _ => Err(Status::internal("another answer than asked for")),
+        }
+    }
+
+    async fn delete_range(
+        &self,
+        request: Request<DeleteRangeRequest>,
+    ) -> Result<Response<DeleteRangeResponse>, Status> {
+        match self.one(Op::RequestDeleteRange(request.into_inner())).await? {
+            (Some(OpResponse::ResponseDeleteRange(gone)), header) => {
+                Ok(Response::new(DeleteRangeResponse { header: Some(header), ..gone }))
+            }
+            _ => Err(Status::internal("another answer than asked for")),
+        }
+    }
+
+    async fn txn(&self, request: Request<TxnRequest>) -> Result<Response<TxnResponse>, Status> {
+        self.enter().await?;
+        let request = request.into_inner();
+        let late = {
+            let mut inner = self.lock();
+            let late = inner.faults.late > 0;
+            inner.faults.late -= u32::from(late);
+            late.then_some(inner.faults.late_by)
+        };
+        if let Some(wait) = late {
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(wait).await;
+                let _ = store.lock().mvcc.txn(&request);
+            });
+            return Err(Status::unavailable("etcdserver: request timed out"));
+        }
+        let mut inner = self.lock();
+        let answer = inner.mvcc.txn(&request).map_err(refused)?;
+        inner.answer(answer)
+    }
+}
+
+#[tonic::async_trait]
+impl Lease for Store {
+    async fn lease_grant(
+        &self,
+        request: Request<LeaseGrantRequest>,
+    ) -> Result<Response<LeaseGrantResponse>, Status> {
+        self.enter().await?;
+        let LeaseGrantRequest { ttl, id } = request.into_inner();
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let id = inner.mvcc.grant(now, id, ttl).map_err(refused)?;
+        let header = Some(inner.mvcc.header());
+        inner.answer(LeaseGrantResponse { header, id, ttl: ttl.max(1), error: String::new() })
+    }
+
+    async fn lease_revoke(
+        &self,
+        request: Request<LeaseRevokeRequest>,
+    ) -> Result<Response<LeaseRevokeResponse>, Status> {
+        self.enter().await?;
+        let mut inner = self.lock();
+        inner.mvcc.revoke(request.get_ref().id).map_err(refused)?;
+        Ok(Response::new(LeaseRevokeResponse { header: Some(inner.mvcc.header()) }))
+    }
+
+    type LeaseKeepAliveStream = Pin<Box<dyn Stream<Item = Result<LeaseKeepAliveResponse, Status>> + Send>>;
+
+    async fn lease_keep_alive(
+        &self,
+        request: Request<Streaming<LeaseKeepAliveRequest>>,
+    ) -> Result<Response<Self::LeaseKeepAliveStream>, Status> {
+        let (answers, queue) = mpsc::channel(4);
+        let (store, mut requests) = (self.clone(), request.into_inner());
+        tokio::spawn(async move {
+            while let Ok(Some(LeaseKeepAliveRequest { id })) = requests.message().await {
+                let answer = store.enter().await.map(|()| {
+                    let now = store.clock.now();
+                    let mut inner = store.lock();
+                    let ttl = inner.mvcc.renew(now, id);
+                    LeaseKeepAliveResponse { header: Some(inner.mvcc.header()), id, ttl }
+                });
+                if answers.send(answer).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(queue))))
+    }
+}
