--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -295,15 +295,23 @@
     Ok(())
 }
 
+/// What the steward said of its record when it ended, over all of its run: lines, turns with lines, commits.
+fn ended(log: &Path) -> std::io::Result<String> {
+    let text = std::fs::read_to_string(log)?;
+    let entries = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let last = entries.filter(|entry| entry["message"] == "ending").last().unwrap_or_default();
+    Ok(format!("{}, {}, {}", last["lines"], last["batches"], last["commits"]))
+}
+
 /// CPU and memory at rest and while a third of the servers leaves in three waves.
 pub async fn load(slices: usize, servers: usize, forwarders: &[usize]) -> Result<(), Fault> {
     say(format_args!(
         "\nCPU (share of a core) and memory of the steward, {servers} servers, {slices} slices.\n"
     ));
-    say("| forwarders | CPU at rest | MiB at rest | release takes | CPU in it | MiB after | messages a forwarder |");
-    say("| --- | --- | --- | --- | --- | --- | --- |");
+    say("| forwarders | CPU at rest | MiB at rest | release takes | CPU in it | MiB after | messages a forwarder | lines recorded, in turns, in commits |");
+    say("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for &count in forwarders {
-        let rig = Rig::start(slices, servers, count, "warn").await?;
+        let mut rig = Rig::start(slices, servers, count, "info").await?;
         let (before, began) = (rig.cpu(), Instant::now());
         tokio::time::sleep(Duration::from_secs(10)).await;
         let rest = (rig.cpu() - before) / began.elapsed().as_secs_f64();
@@ -320,9 +328,11 @@
         let took = began.elapsed().as_secs_f64();
         let busy = (rig.cpu() - before) / took;
         let each = (frames(&rig) - sent) as f64 / count as f64;
+        let after = rig.memory();
+        rig.steward.end().await;
+        let said = ended(&rig.dir.path().join("steward.log"))?;
         say(format_args!(
-            "| {count} | {rest:.3} | {memory:.1} | {took:.1} s | {busy:.3} | {:.1} | {each:.1} |",
-            rig.memory()
+            "| {count} | {rest:.3} | {memory:.1} | {took:.1} s | {busy:.3} | {after:.1} | {each:.1} | {said} |"
         ));
     }
     Ok(())
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -98,6 +98,8 @@
 struct Ran {
     messages: u64,
     batches: u64,
+    /// Lines handed to the record.
+    lines: u64,
     refused: u64,
     list_failed: bool,
     /// The last ticket that was said to be durable.
@@ -173,6 +175,8 @@
             holds = figures.holds,
             broken = figures.broken,
             stray_answers = figures.stray_answers,
+            lines = self.ran.lines,
+            batches = self.ran.batches,
             commits = self.recorder.commits(),
             refused = self.ran.refused,
             "ending"
@@ -242,6 +246,7 @@
             match output {
                 Output::Record { ticket, mark, lines } => {
                     self.ran.batches += 1;
+                    self.ran.lines += lines.len() as u64;
                     let row = |&(slice, owner, weight): &(usize, Option<usize>, f64)| SliceRow {
                         slice: slice as u32,
                         owner: owner.map(|be| self.host.server(be).id.clone()),
