--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -299,7 +299,7 @@
 fn ended(log: &Path) -> std::io::Result<String> {
     let text = std::fs::read_to_string(log)?;
     let entries = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
-    let last = entries.filter(|entry| entry["message"] == "ending").last().unwrap_or_default();
+    let last = entries.filter(|entry| entry["message"] == "ending").next_back().unwrap_or_default();
     Ok(format!("{}, {}, {}", last["lines"], last["batches"], last["commits"]))
 }
 
