--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -298,8 +298,8 @@
 /// What the steward said of its record when it ended, over all of its run: lines, turns with lines, commits.
 fn ended(log: &Path) -> std::io::Result<String> {
     let text = std::fs::read_to_string(log)?;
-    let entries = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
-    let last = entries.filter(|entry| entry["message"] == "ending").next_back().unwrap_or_default();
+    let mut entries = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let last = entries.rfind(|entry| entry["message"] == "ending").unwrap_or_default();
     Ok(format!("{}, {}, {}", last["lines"], last["batches"], last["commits"]))
 }
 
