--- a/crates/host/tests/leases.rs
+++ b/crates/host/tests/leases.rs
@@ -16,8 +16,9 @@
 const SLICES: usize = 3;
 const PROXIES: usize = 3;
 const SERVERS: [&str; 3] = ["a", "b", "c"];
-/// Seeds that found a fault once.
-const FOUND: [u64; 1] = [1125];
+/// Seeds that found a fault once: 1125 a table read without its levels; 398 and 291 two writers with a safeguard taken out
+/// (answers kept back after a start; joined only when all is applied), which few others find.
+const FOUND: [u64; 3] = [1125, 398, 291];
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
