--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// Answers may be as large as etcd sends them at most; tonic's own bound is 4 MiB.
+fn kv(channel: Channel) -> KvClient<Channel> {
+    const MOST: usize = 64 << 20;
+    KvClient::new(channel).max_decoding_message_size(MOST)
+}
+
 pub struct Client {
     endpoints: Vec<Channel>,
     /// The endpoint that answered last.
@@ -60,6 +66,16 @@
     chance: Mutex<fastrand::Rng>,
 }
 
+/// Whether a text can be an endpoint; fails with what is wrong.
+pub fn check_endpoint(text: &str) -> Result<(), String> {
+    let endpoint = Endpoint::from_shared(text.to_owned()).map_err(|e| format!("{text}: {e}"))?;
+    let uri = endpoint.uri();
+    match uri.scheme_str() == Some("http") && uri.authority().is_some() {
+        true => Ok(()),
+        false => Err(format!("{text}: not an http address")),
+    }
+}
+
 impl Client {
     /// Connects when first needed. `deadline` bounds each single call. Fails with the endpoint that can't be read.
     pub fn new(endpoints: &[String], deadline: Duration, seed: u64) -> Result<Client, String> {
@@ -90,7 +106,7 @@
 
     /// Waits before the nth repeat: up to 50 ms doubled each time, a second at most, drawn evenly so that clients that
     /// failed together don't come back together.
-    async fn rest(&self, repeat: u32) {
+    pub(crate) async fn rest(&self, repeat: u32) {
         let most = (50u64 << repeat.min(5)).min(1_000);
         let wait = self.chance.lock().map_or(most, |mut chance| chance.u64(0..=most));
         tokio::time::sleep(Duration::from_millis(wait)).await;
@@ -122,14 +138,14 @@
     pub async fn range(&self, request: RangeRequest) -> Result<RangeResponse, Fault> {
         self.repeated(|channel| {
             let request = request.clone();
-            async move { Ok(KvClient::new(channel).range(request).await?.into_inner()) }
+            async move { Ok(kv(channel).range(request).await?.into_inner()) }
         })
         .await
     }
 
     /// Carries out a transaction, once. See [`Client::commit`] for one whose outcome has to be known.
     pub async fn txn(&self, request: TxnRequest) -> Result<TxnResponse, Fault> {
-        match KvClient::new(self.channel()).txn(request).await {
+        match kv(self.channel()).txn(request).await {
             Ok(answer) => Ok(answer.into_inner()),
             Err(status) => {
                 self.turn();
@@ -138,6 +154,15 @@
         }
     }
 
+    /// Carries out a transaction that only reads: it may be repeated.
+    pub async fn read(&self, request: TxnRequest) -> Result<TxnResponse, Fault> {
+        self.repeated(|channel| {
+            let request = request.clone();
+            async move { Ok(kv(channel).txn(request).await?.into_inner()) }
+        })
+        .await
+    }
+
     /// Makes a lease of a number that the caller drew at random, and returns its seconds. A repeat that finds the number
     /// taken found its own.
     pub async fn lease_grant(&self, id: i64, seconds: i64) -> Result<i64, Fault> {
--- a/crates/etcd/src/commit.rs
+++ b/crates/etcd/src/commit.rs
@@ -77,6 +77,7 @@
             Err(unknown) => unknown,
         };
         for fence in 0..fences {
+            self.rest(fence).await;
             match self.fence(guarded, fence).await {
                 Ok(committed) => return Ok(committed),
                 Err(fault) => last = fault,
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -7,7 +7,7 @@
 mod client;
 mod commit;
 
-pub use client::{Client, Fault};
+pub use client::{check_endpoint, Client, Fault};
 pub use commit::{Committed, Guarded};
 
 /// The API's messages and services, generated from `proto/etcd.proto`.
--- a/crates/host/src/channel.rs
+++ b/crates/host/src/channel.rs
@@ -169,13 +169,13 @@
     }
 
     /// The next message to a proxy and the newest mark in it: all that is due to it, as far as one frame holds it.
-    /// None where its window is used up; then it waits in line for that.
+    /// None where its window is used up; then it waits in line for that. `asks`: it is to be answered with its end.
     pub fn take(
         &mut self,
         now: Time,
         proxy: usize,
         place: &mut Place,
-        joining: bool,
+        asks: bool,
         limits: &Limits,
     ) -> Option<Message> {
         while place.sent.front().is_some_and(|&at| now - at > limits.window) {
@@ -207,7 +207,7 @@
         if let Some(mark) = mark {
             frame.numbers(tag::MARK, &[mark]);
         }
-        let end = joining.then_some(place.next);
+        let end = asks.then_some(place.next);
         end.iter().for_each(|&end| _ = frame.numbers(tag::END, &[end]));
         place.sent.push_back(now);
         self.free = self.free.max(now * FINE) + (cost as f64 * (FINE * SECOND) as f64 / limits.rate) as i64;
--- /dev/null
+++ b/crates/host/src/charge.rs
@@ -0,0 +1,117 @@
+//! Slices that come into this steward's charge and leave it, where several stewards share them.
+
+use ravenspar_protocol::Frame;
+use ravenspar_steward::{Health, Scope, Time};
+
+use crate::proxy::NEVER;
+use crate::table::{write_charges, write_left, Change};
+use crate::Host;
+
+/// A slice that has come into charge, as it stands on record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Charged {
+    pub slice: usize,
+    /// Larger than any that the slice was in charge under before.
+    pub term: u64,
+    /// Another steward, or another life of this one, was in charge of it before.
+    pub taken_over: bool,
+    /// Its owner's id, weight and last start as whoever granted it knew; none while the slice is on its way.
+    pub owner: Option<(String, f64, Time)>,
+}
+
+impl Host {
+    /// These slices, in order, are in this steward's charge from now on; what the record says of them was read
+    /// **after** that became so. Proxies are told, ahead of any decision on them. A slice that was on its way waits a
+    /// lease and settles anew; one open to reads alone settles; nothing opens early.
+    pub fn charged(&mut self, now: Time, all: &[Charged]) {
+        let known = |charged: &&Charged| charged.slice < self.limits.slices && charged.term > 0;
+        let all: Vec<&Charged> = all.iter().filter(known).collect();
+        if all.is_empty() {
+            return;
+        }
+        let owned = all.iter().filter_map(|charged| charged.owner.as_ref());
+        owned.for_each(|(owner, _, boot)| self.learn_start(owner, *boot));
+        let charges: Vec<(usize, u64)> = all.iter().map(|charged| (charged.slice, charged.term)).collect();
+        let mut fields = Frame::fields();
+        // Their lines are read from the record, as a joining proxy reads them: they cost the channel a line a run.
+        let lines = write_charges(&charges, &mut fields);
+        let mut changes = Vec::with_capacity(2 * all.len());
+        for charged in all {
+            let slice = charged.slice;
+            self.terms[slice] = charged.term;
+            self.taken_over[slice] = if charged.taken_over { now } else { NEVER };
+            self.steward.given(now, slice);
+            changes.push(Change::Charge { slice, term: charged.term });
+            if let Some((owner, weight, _)) = &charged.owner {
+                let (be, weight) = (self.servers.index(owner), *weight);
+                self.steward.on_record(now, slice, be, weight);
+                let held = Change::Held { slice, be, weight };
+                held.write(&self.servers, &mut fields);
+                changes.push(held);
+            }
+        }
+        self.tell(fields, changes, lines);
+    }
+
+    /// These slices, in order, are in this steward's charge no more, **before** anybody else may know of it. What was
+    /// decided of them still goes out ahead of this. From here on no proxy is echoed that has not applied it: by the
+    /// time at which a lease has passed, none holds one of this steward's on any of them.
+    pub fn left(&mut self, slices: &[usize]) {
+        let slices: Vec<usize> = slices.iter().copied().filter(|slice| *slice < self.limits.slices).collect();
+        if slices.is_empty() {
+            return;
+        }
+        let mut fields = Frame::fields();
+        let lines = write_left(&slices, &mut fields);
+        for &slice in &slices {
+            self.terms[slice] = 0;
+            self.steward.taken(slice);
+        }
+        let changes = slices.iter().map(|&slice| Change::Left { slice }).collect();
+        self.left = self.tell(fields, changes, lines) + 1;
+    }
+
+    /// The term under which this steward is in charge of a slice; 0: it is not.
+    pub fn term(&self, slice: usize) -> u64 {
+        self.terms.get(slice).copied().unwrap_or(0)
+    }
+
+    /// Whether a slice has an owner that takes writes, as the tables say: it is in the middle of nothing.
+    pub fn is_at_rest(&self, slice: usize) -> bool {
+        self.table.is_whole(slice)
+    }
+
+    /// When a server last started, as far as list and record say.
+    pub fn boot(&self, be: usize) -> Time {
+        self.servers.boot(be)
+    }
+
+    /// Lines that may still come to wait before decisions have to.
+    pub fn room(&self) -> u64 {
+        self.limits.waiting.saturating_sub(self.channel.waiting())
+    }
+
+    /// A start of a server that the record knows of and the list does not yet. Guards against a list that lags behind
+    /// that of the steward before: hearing of the start later would look as if all it holds had stopped by it.
+    fn learn_start(&mut self, id: &str, boot: Time) {
+        let be = self.servers.index(id);
+        let Some(listed) = self.servers.started(be, boot) else { return };
+        self.steward.list_begin(Scope::Changes);
+        self.steward.list_entry(be, listed.unwrap_or(Health::Ready), boot);
+        if listed.is_none() {
+            self.steward.list_entry(be, Health::Gone, boot);
+        }
+        self.steward.list_end(Scope::Changes);
+    }
+
+    /// A turn with nothing to record; returns its number.
+    fn tell(&mut self, mut fields: Frame, changes: Vec<Change>, lines: u64) -> u64 {
+        let cost = self.limits.head + lines;
+        let turn = self.channel.push(fields.finish(), changes, cost, None, self.following);
+        self.turns += 1;
+        self.news = true;
+        self.unrecorded.push_back((turn, false));
+        self.show();
+        turn
+    }
+}
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -34,18 +34,18 @@
 }
 
 pub struct Host {
-    steward: Steward,
-    limits: Limits,
+    pub(crate) steward: Steward,
+    pub(crate) limits: Limits,
     term: u64,
-    servers: Servers,
+    pub(crate) servers: Servers,
     zones: IdTable<String>,
-    table: Table,
-    channel: Channel,
+    pub(crate) table: Table,
+    pub(crate) channel: Channel,
     proxies: Vec<Proxy>,
     streams: BTreeMap<u64, Stream>,
     joined: usize,
     /// Proxies that are joined or join: those that the log keeps turns for.
-    following: u64,
+    pub(crate) following: u64,
     /// When each stream may have been silent for too long; each open stream stands here once.
     deadlines: BinaryHeap<Reverse<(Time, u64)>>,
     /// When answers kept back count.
@@ -54,13 +54,21 @@
     cycle_at: Time,
     remind_at: Option<Time>,
     /// Something was learnt that decisions may come of.
-    news: bool,
+    pub(crate) news: bool,
     turn_at: Time,
     mark: u64,
+    /// The term under which this steward is in charge of each slice; 0: it is not.
+    pub(crate) terms: Vec<u64>,
+    /// When each slice was taken over from another steward.
+    pub(crate) taken_over: Vec<Time>,
+    /// Answers count from here on: a slice that was revoked had been taken over shortly before.
+    clear: Time,
+    /// The end of the turn with the last slices that were left: who has not applied it is not echoed.
+    pub(crate) left: u64,
     /// Turns with lines to record, by ticket, and those behind them that wait for the same.
-    unrecorded: VecDeque<(u64, bool)>,
+    pub(crate) unrecorded: VecDeque<(u64, bool)>,
     out: VecDeque<Output>,
-    turns: u64,
+    pub(crate) turns: u64,
     messages: u64,
     stray_answers: u64,
     broken: u64,
@@ -76,33 +84,50 @@
         term: u64,
         list: &[(Server, Health, Time)],
         record: &[(usize, String, f64)],
+    ) -> Result<Host, &'static str> {
+        let mut host = Host::sharing(now, seed, cfg, term, list)?;
+        host.table = Table::new(host.limits.slices, term);
+        host.terms = vec![term; host.limits.slices];
+        (0..host.limits.slices).for_each(|slice| host.steward.given(now, slice));
+        for (slice, owner, weight) in record.iter().filter(|(slice, ..)| *slice < host.limits.slices) {
+            let be = host.servers.index(owner);
+            host.steward.on_record(now, *slice, be, *weight);
+            host.table.apply(&Change::Line { slice: *slice, be, weight: *weight });
+        }
+        if term > 1 {
+            // A proxy's earlier life may hold a lease of the steward before this one, unless there was none.
+            host.clear = now + host.limits.lease;
+        }
+        Ok(host)
+    }
+
+    /// A steward among others, in charge of no slice yet; see [`Host::charged`].
+    pub fn sharing(
+        now: Time,
+        seed: u64,
+        cfg: Settings,
+        term: u64,
+        list: &[(Server, Health, Time)],
     ) -> Result<Host, &'static str> {
         let limits = Limits::new(&cfg)?;
         let mut steward = Steward::new(now, seed, cfg)?;
         let mut servers = Servers::default();
-        let mut table = Table::new(limits.slices);
         // The list first: it tells which start of a server the record speaks of.
         steward.list_begin(Scope::Kept);
         for (server, health, boot) in list {
-            steward.list_entry(servers.learn(&server.id, &server.zone, &server.address), *health, *boot);
+            let be = servers.learn(&server.id, &server.zone, &server.address);
+            servers.list(be, *health, *boot);
+            steward.list_entry(be, *health, *boot);
         }
         steward.list_end(Scope::Kept);
-        (0..limits.slices).for_each(|slice| steward.given(now, slice));
-        for (slice, owner, weight) in record.iter().filter(|(slice, ..)| *slice < limits.slices) {
-            let be = servers.index(owner);
-            steward.on_record(now, *slice, be, *weight);
-            table.apply(&Change::Line { slice: *slice, be, weight: *weight });
-        }
-        // A proxy's earlier life may hold a lease of the steward before this one, unless there was none.
-        let clear = if term > 1 { now + limits.lease } else { NEVER };
         Ok(Host {
             steward,
             term,
             servers,
             zones: IdTable::default(),
-            table,
+            table: Table::new(limits.slices, 0),
             channel: Channel::default(),
-            proxies: vec![Proxy::new(clear); limits.proxies],
+            proxies: vec![Proxy::new(); limits.proxies],
             streams: BTreeMap::new(),
             joined: 0,
             following: 0,
@@ -114,6 +139,10 @@
             news: true,
             turn_at: now,
             mark: 0,
+            terms: vec![0; limits.slices],
+            taken_over: vec![NEVER; limits.slices],
+            clear: NEVER,
+            left: 0,
             unrecorded: VecDeque::new(),
             out: VecDeque::new(),
             limits,
@@ -145,11 +174,15 @@
     /// A list follows, entry by entry; `list_end` closes it.
     pub fn list_begin(&mut self, scope: Scope) {
         self.news = true;
+        if scope != Scope::Changes {
+            self.servers.unlist();
+        }
         self.steward.list_begin(scope);
     }
 
     pub fn list_entry(&mut self, id: &str, zone: &str, address: &str, health: Health, boot: Time) {
         let be = self.servers.learn(id, zone, address);
+        self.servers.list(be, health, boot);
         self.steward.list_entry(be, health, boot);
     }
 
@@ -247,11 +280,14 @@
         while let Some(&Reverse((at, proxy))) = self.releases.peek().filter(|r| r.0 .0 <= now) {
             self.releases.pop();
             let entry = &mut self.proxies[proxy];
-            if entry.clear <= at {
-                if let Some(number) = entry.kept_back.take() {
-                    self.news = true;
-                    self.steward.installed(proxy, number);
+            let clear = entry.clear.max(self.clear);
+            if clear > at {
+                if entry.kept_back.is_some() {
+                    self.releases.push(Reverse((clear, proxy)));
                 }
+            } else if let Some(number) = entry.kept_back.take() {
+                self.news = true;
+                self.steward.installed(proxy, number);
             }
         }
         while let Some(&Reverse((_, stream))) = self.deadlines.peek().filter(|d| d.0 .0 <= now) {
@@ -281,11 +317,12 @@
                 self.channel.unqueue(&mut entry.place);
                 continue;
             };
-            let joining = !entry.joined;
-            if let Some(message) = self.channel.take(now, proxy, &mut entry.place, joining, &self.limits) {
+            // Asked until it is joined, and until it has applied that slices were left.
+            let asks = !entry.joined || entry.applied < self.left;
+            if let Some(message) = self.channel.take(now, proxy, &mut entry.place, asks, &self.limits) {
                 stream.busy = Some(now);
                 entry.due.extend(message.mark.map(|mark| (mark, now)));
-                entry.asked = message.end.map(|end| (end, now));
+                entry.asked = message.end.map(|end| (end, now)).or(entry.asked);
                 self.messages += 1;
                 return Some(Output::Frame { stream: number, body: message.body });
             }
@@ -329,6 +366,7 @@
             entry.clear = entry.clear.max(entry.echoed + lease);
         }
         (entry.stream, entry.boot, entry.zone, entry.usual) = (Some(stream), boot, zone, usual);
+        entry.applied = 0;
         let end = self.channel.join(&mut entry.place);
         entry.asked = Some((end, now));
         self.following += 1;
@@ -368,7 +406,12 @@
             return;
         }
         entry.asked = None;
-        if entry.joined || !self.channel.is_through(&entry.place) {
+        entry.applied = end;
+        if entry.joined {
+            self.write_first(now, stream); // an echo may have waited for this
+            return;
+        }
+        if !self.channel.is_through(&entry.place) {
             return; // what is still due to it asks again
         }
         entry.joined = true;
@@ -414,9 +457,10 @@
             }
             entry.due.retain(|&(due, _)| due > mark);
             let number = (mark % 65_536) as u16;
-            if now < entry.clear {
+            let clear = entry.clear.max(self.clear);
+            if now < clear {
                 entry.kept_back = Some(number);
-                self.releases.push(Reverse((entry.clear, proxy)));
+                self.releases.push(Reverse((clear, proxy)));
             } else {
                 self.news = true;
                 self.steward.installed(proxy, number);
@@ -479,10 +523,12 @@
     /// What goes before tables, if the stream has room: the welcome and the whole table, then the newest echo.
     fn write_first(&mut self, now: Time, stream: u64) {
         let Some(entry) = self.streams.get_mut(&stream).filter(|entry| entry.busy.is_none()) else { return };
-        let joined = entry.proxy.is_some_and(|proxy| self.proxies[proxy].joined);
+        // One that has not heard yet of slices left would hold its lease on them.
+        let heard = |proxy: usize| self.proxies[proxy].joined && self.proxies[proxy].applied >= self.left;
+        let echoed = entry.proxy.is_some_and(heard);
         let body = match (entry.first.pop_front(), entry.ping) {
             (Some(body), _) => body,
-            (None, Some(sent)) if joined => {
+            (None, Some(sent)) if echoed => {
                 entry.ping = None;
                 // The lease that this renews runs from `sent`, which lies before now.
                 entry.proxy.iter().for_each(|&proxy| self.proxies[proxy].echoed = now);
@@ -538,9 +584,15 @@
             .filter_map(|change| match *change {
                 Change::Line { slice, be, weight } => Some((slice, Some(be), weight)),
                 Change::Drop { slice } => Some((slice, None, 0.0)),
-                Change::Level { .. } | Change::Withdraw { .. } => None,
+                _ => None,
             })
             .collect();
+        for (slice, owner, _) in &record {
+            // Its proxies may hold leases of the steward before, and an earlier life of one of them does so unseen.
+            if owner.is_none() && self.taken_over[*slice] != NEVER {
+                self.clear = self.clear.max(self.taken_over[*slice] + self.limits.lease);
+            }
+        }
         let mut fields = Frame::fields();
         changes.iter().for_each(|change| change.write(&self.servers, &mut fields));
         // A mark is a line too.
@@ -555,7 +607,7 @@
     }
 
     /// Brings into force every turn that waits for the record no more, in order.
-    fn show(&mut self) {
+    pub(crate) fn show(&mut self) {
         let mut shown = false;
         while let Some((turn, _)) = self.unrecorded.front().copied().filter(|(_, waits)| !waits) {
             self.unrecorded.pop_front();
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 //! of quinn-proto; `docs/design/steward.md` has the reasoning, above all of leases.
 
 mod channel;
+mod charge;
 mod host;
 mod limits;
 mod proxy;
@@ -15,6 +16,7 @@
 
 use bytes::Bytes;
 
+pub use charge::Charged;
 pub use host::{Figures, Host};
 pub use servers::Server;
 
--- a/crates/host/src/proxy.rs
+++ b/crates/host/src/proxy.rs
@@ -18,6 +18,8 @@
     pub joined: bool,
     /// The end of what it was sent while it joins, and since when that is unanswered.
     pub asked: Option<(u64, Time)>,
+    /// The last end that it has answered on its stream.
+    pub applied: u64,
     /// Reqs a second that it usually gets.
     pub usual: f64,
     /// Which life of the proxy's process that is.
@@ -35,17 +37,18 @@
 }
 
 impl Proxy {
-    pub fn new(clear: Time) -> Proxy {
+    pub fn new() -> Proxy {
         Proxy {
             stream: None,
             joined: false,
             asked: None,
+            applied: 0,
             usual: 0.0,
             boot: 0,
             zone: 0,
             place: Place::default(),
             echoed: NEVER,
-            clear,
+            clear: NEVER,
             kept_back: None,
             due: VecDeque::new(),
         }
--- a/crates/host/src/servers.rs
+++ b/crates/host/src/servers.rs
@@ -1,6 +1,6 @@
 //! The servers met so far, by small indices that never change while the host lives.
 
-use ravenspar_steward::IdTable;
+use ravenspar_steward::{Health, IdTable, Time};
 
 /// What a proxy has to know of a server to send to it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -14,6 +14,8 @@
 pub struct Servers {
     index: IdTable<String>,
     all: Vec<Server>,
+    /// What the list now says of each, and the newest start known of it, by list or record.
+    listed: Vec<(Option<Health>, Time)>,
 }
 
 impl Servers {
@@ -22,6 +24,7 @@
         let be = self.index.index(&id.to_owned());
         if be == self.all.len() {
             self.all.push(Server { id: id.to_owned(), ..Server::default() });
+            self.listed.push((None, 0));
         }
         be
     }
@@ -33,6 +36,30 @@
         be
     }
 
+    /// A complete list follows.
+    pub fn unlist(&mut self) {
+        self.listed.iter_mut().for_each(|entry| entry.0 = None);
+    }
+
+    pub fn list(&mut self, be: usize, health: Health, boot: Time) {
+        let entry = &mut self.listed[be];
+        *entry = (Some(health), boot.max(entry.1));
+    }
+
+    /// A start of it that the record tells of. Returns what the list says of it, if the start is news.
+    pub fn started(&mut self, be: usize, boot: Time) -> Option<Option<Health>> {
+        let entry = &mut self.listed[be];
+        (boot > entry.1).then(|| {
+            entry.1 = boot;
+            entry.0
+        })
+    }
+
+    /// When it last started, as far as known.
+    pub fn boot(&self, be: usize) -> Time {
+        self.listed[be].1
+    }
+
     pub fn get(&self, be: usize) -> &Server {
         &self.all[be]
     }
--- a/crates/host/src/table.rs
+++ b/crates/host/src/table.rs
@@ -8,10 +8,38 @@
 /// One changed line. Levels are not kept on record: a steward that starts over closes and opens anew.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
-    Line { slice: usize, be: usize, weight: f64 },
-    Drop { slice: usize },
-    Level { slice: Option<usize>, kinds: u32, share: f64 },
-    Withdraw { be: usize, out: bool },
+    Line {
+        slice: usize,
+        be: usize,
+        weight: f64,
+    },
+    Drop {
+        slice: usize,
+    },
+    Level {
+        slice: Option<usize>,
+        kinds: u32,
+        share: f64,
+    },
+    Withdraw {
+        be: usize,
+        out: bool,
+    },
+    /// The steward is in charge of the slice from here on, under this term; nobody owns it until that is told.
+    Charge {
+        slice: usize,
+        term: u64,
+    },
+    /// Its line on record, read anew.
+    Held {
+        slice: usize,
+        be: usize,
+        weight: f64,
+    },
+    /// The steward is in charge of it no more; what was told of it stands.
+    Left {
+        slice: usize,
+    },
 }
 
 impl Change {
@@ -31,6 +59,12 @@
                 write_server(*be, servers, into);
                 into.numbers(tag::WITHDRAW, &[*be as u64, u64::from(*out)])
             }
+            Change::Charge { slice, term } => into.numbers(tag::CHARGE, &[*slice as u64, 1, *term]),
+            Change::Held { slice, be, weight } => {
+                write_server(*be, servers, into);
+                into.numbers(tag::HELD, &[*slice as u64, *be as u64, millionths(*weight)])
+            }
+            Change::Left { slice } => into.numbers(tag::LEFT, &[*slice as u64, 1]),
         };
     }
 }
@@ -40,8 +74,23 @@
     into.text(tag::SERVER, &[be as u64], &server.id).text(tag::ADDRESS, &[be as u64], &server.address);
 }
 
+/// Writes charges of slices in order, neighbours of one term as one field.
+pub fn write_charges(charges: &[(usize, u64)], into: &mut Frame) -> u64 {
+    let runs = charges.chunk_by(|a, b| b.0 == a.0 + 1 && a.1 == b.1);
+    runs.map(|run| _ = into.numbers(tag::CHARGE, &[run[0].0 as u64, run.len() as u64, run[0].1])).count()
+        as u64
+}
+
+/// The same for slices that are left.
+pub fn write_left(slices: &[usize], into: &mut Frame) -> u64 {
+    let runs = slices.chunk_by(|a, b| *b == a + 1);
+    runs.map(|run| _ = into.numbers(tag::LEFT, &[run[0] as u64, run.len() as u64])).count() as u64
+}
+
 #[derive(Clone, Debug, Default)]
 struct Line {
+    /// The term under which the steward is in charge of it; 0: it is not.
+    term: u64,
     owner: Option<(usize, f64)>,
     /// Levels set since the line was last dropped: kinds, share.
     levels: Vec<(u32, f64)>,
@@ -64,15 +113,27 @@
 }
 
 impl Table {
-    pub fn new(slices: usize) -> Table {
-        Table { lines: vec![Line::default(); slices], ..Table::default() }
+    /// `term`: of the steward in charge of all slices; 0: it is in charge of none yet.
+    pub fn new(slices: usize, term: u64) -> Table {
+        Table { lines: vec![Line { term, ..Line::default() }; slices], ..Table::default() }
+    }
+
+    /// Whether a slice has an owner that takes writes.
+    pub fn is_whole(&self, slice: usize) -> bool {
+        self.lines.get(slice).and_then(|line| line.owner).is_some_and(|(_, weight)| weight >= 1.0)
     }
 
     pub fn apply(&mut self, change: &Change) {
         self.read = None;
         match *change {
             Change::Line { slice, be, weight } => self.lines[slice].owner = Some((be, weight)),
-            Change::Drop { slice } => self.lines[slice] = Line::default(),
+            Change::Drop { slice } => {
+                let term = self.lines[slice].term;
+                self.lines[slice] = Line { term, ..Line::default() };
+            }
+            Change::Charge { slice, term } => self.lines[slice] = Line { term, ..Line::default() },
+            Change::Held { slice, be, weight } => self.lines[slice].owner = Some((be, weight)),
+            Change::Left { slice } => self.lines[slice] = Line::default(),
             Change::Level { slice: Some(slice), kinds, share } => {
                 set_level(&mut self.lines[slice].levels, kinds, share);
             }
@@ -96,6 +157,9 @@
         let mut parts = Vec::new();
         let mut frame = Frame::new(kind::READ);
         let mut told = vec![false; servers.len()];
+        let in_charge = self.lines.iter().enumerate().filter(|(_, line)| line.term > 0);
+        let charges: Vec<(usize, u64)> = in_charge.map(|(slice, line)| (slice, line.term)).collect();
+        write_charges(&charges, &mut frame);
         let lines = self.lines.iter().enumerate().flat_map(|(slice, line)| {
             let owner = line.owner.iter().map(move |&(be, weight)| Change::Line { slice, be, weight });
             let level =
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -69,6 +69,9 @@
     /// Those that answer marks without letting go of any slice that they have an owner for.
     #[serde(default)]
     pub liars: Vec<usize>,
+    /// Those that take in whatever comes last, and any lease for any slice, as if there were no terms.
+    #[serde(default)]
+    pub ignore_terms: Vec<usize>,
     /// A forwarder that stops itself between the pick and the send of its nth write, and for how long.
     #[serde(default)]
     pub stops: Option<Stops>,
@@ -167,17 +170,74 @@
     PauseForwarders { forwarders: usize, lasts: Span },
     /// All forwarders are restarted one after the other.
     RollForwarders { every: Span },
-    /// The steward is killed and started again.
-    KillSteward { back_after: Span },
-    /// The steward is stopped and continued.
-    PauseSteward { lasts: Span },
+    /// Stewards are killed and started again: these, or so many drawn, or one.
+    KillSteward {
+        back_after: Span,
+        #[serde(default)]
+        which: Vec<usize>,
+        #[serde(default = "one")]
+        stewards: usize,
+    },
+    /// Stewards are stopped and continued.
+    PauseSteward {
+        lasts: Span,
+        #[serde(default)]
+        which: Vec<usize>,
+        #[serde(default = "one")]
+        stewards: usize,
+    },
+    /// All stewards, one after the other, end in order and are started again.
+    RollStewards { every: Span },
+    /// Until the end stewards are killed, stopped, cut off from the store or from forwarders, and revived, at random.
+    VexStewards { every: Span, lasts: Span },
+    /// Stewards don't reach the store.
+    CutStore {
+        lasts: Span,
+        #[serde(default)]
+        which: Vec<usize>,
+        #[serde(default = "one")]
+        stewards: usize,
+    },
+    /// No forwarder reaches these stewards.
+    CutSteward {
+        lasts: Span,
+        #[serde(default)]
+        which: Vec<usize>,
+        #[serde(default = "one")]
+        stewards: usize,
+    },
+    /// Forwarders reach one steward alone.
+    OneStewardOnly { forwarders: usize, lasts: Span },
+    /// What a steward sends is held up on the way, and arrives when that ends.
+    HoldSteward { steward: usize, lasts: Span },
+    /// The store answers nobody, and goes on with what it held.
+    StoreAway { lasts: Span },
+    /// The store takes this long for each call.
+    StoreSlow { by: Span, lasts: Span },
+    /// The store loses the membership of a steward before its time.
+    LoseMember,
     /// New servers are switched on, cold.
     Grow { servers: usize },
     /// Clients send so many times as much.
     Overload { times: f64, lasts: Span },
 }
 
+fn one() -> usize {
+    1
+}
+
 impl Day {
+    /// How many stewards share; 1 where the record is embedded.
+    pub fn stewards(&self) -> usize {
+        let shared = self.steward.get("store").is_some_and(|store| store == "etcd");
+        let count = self.steward.get("stewards").and_then(|count| count.as_u64()).unwrap_or(1);
+        if shared {
+            count as usize
+        } else {
+            1
+        }
+    }
+
     /// Fails with all that is wrong, each line with its place.
     pub fn load(path: &Path) -> Result<Day, String> {
         let text = std::fs::read_to_string(path)
--- a/crates/lab/src/judge/drain.rs
+++ b/crates/lab/src/judge/drain.rs
@@ -13,7 +13,8 @@
     // Since when each server is known to leave, and when the steward was last able to learn it.
     let mut leaving: BTreeMap<&str, Time> = BTreeMap::new();
     let mut listed: Vec<&str> = Vec::new();
-    let (mut able, mut running) = (Time::MIN, true);
+    // By steward; one of which nothing was seen runs.
+    let mut states: BTreeMap<usize, (Time, bool)> = BTreeMap::new();
     for event in events {
         match event {
             Event::Listed { at, servers } => {
@@ -33,17 +34,23 @@
                 }
                 listed = now;
             }
-            Event::Steward { at, state } => {
-                running = state == "started" || state == "continued";
-                if running {
-                    able = *at;
+            Event::Steward { at, number, state } => {
+                let entry = states.entry(*number).or_insert((Time::MIN, true));
+                entry.1 = state == "started" || state == "continued";
+                if entry.1 {
+                    entry.0 = *at;
                 }
             }
-            Event::Took { at, server, req, forwarder, .. }
-            | Event::Turned { at, server, req, forwarder, .. } => {
-                let Some(&since) = leaving.get(server.as_str()).filter(|_| running) else { continue };
-                let Some(joined) = view.joined_at(*forwarder, *at) else { continue };
-                let since = since.max(able).max(joined.from);
+            Event::Took { at, server, req, forwarder, slice, .. }
+            | Event::Turned { at, server, req, forwarder, slice, .. } => {
+                let Some(&since) = leaving.get(server.as_str()) else { continue };
+                let charge = view.in_charge(*forwarder, *slice as usize, *at);
+                let Some((charged, steward)) = charge else { continue };
+                let (able, running) = states.get(&steward).copied().unwrap_or((Time::MIN, true));
+                if !running {
+                    continue;
+                }
+                let since = since.max(able).max(charged);
                 if at - since > rules.grace + CROSSING {
                     let late = (at - since - rules.grace) as f64 / ravenspar_standin::SECOND as f64;
                     let what = format!(
--- a/crates/lab/src/judge/limits.rs
+++ b/crates/lab/src/judge/limits.rs
@@ -26,39 +26,42 @@
     (most, waiting(rules, view, breaks))
 }
 
+/// What sockets show of the channel of one life of a steward.
+#[derive(Default)]
+struct Seen {
+    /// Lines of all turns up to a mark, as the fullest row of messages has them.
+    lines: BTreeMap<u64, u64>,
+    /// The last mark that each stream was sent.
+    places: BTreeMap<u64, u64>,
+    newest: u64,
+}
+
 /// A turn that one forwarder has been sent waits for all others that are joined: what sockets show of the channel is
 /// the least that waited in it.
 fn waiting(rules: &Rules, view: &View, breaks: &mut Vec<Break>) -> u64 {
-    // Lines of all turns up to a mark, as the fullest row of messages has them.
-    let mut lines: BTreeMap<u64, u64> = BTreeMap::from([(0, 0)]);
     let upto =
         |lines: &BTreeMap<u64, u64>, mark: u64| lines.range(..=mark).next_back().map_or(0, |(_, &sum)| sum);
-    let mut places: BTreeMap<u64, u64> = BTreeMap::new();
-    let (mut most, mut newest, mut term) = (0, 0, 0);
+    let mut most = 0;
+    // Each life of a steward has a term of its own and counts its marks anew.
+    let mut lives: BTreeMap<u64, Seen> = BTreeMap::new();
     let mut streams: Vec<u64> = Vec::new();
     for message in &view.messages {
         let Some(mark) = message.mark else { continue };
-        if message.term > term {
-            // Another life of the steward counts its marks anew.
-            (lines, places) = (BTreeMap::from([(0, 0)]), BTreeMap::new());
-            (newest, term) = (0, message.term);
-        } else if message.term < term {
-            continue;
-        }
+        let Seen { lines, places, newest } = lives.entry(message.term).or_default();
         // A stream that has just joined is behind by nothing but this.
         let place = *places.get(&message.stream).unwrap_or(&mark.saturating_sub(1));
-        let sum = upto(&lines, place) + message.lines + rules.head;
-        let known = upto(&lines, mark);
+        let sum = upto(lines, place) + message.lines + rules.head;
+        let known = upto(lines, mark);
         lines.insert(mark, sum.max(known));
         places.insert(message.stream, mark);
-        newest = newest.max(mark);
+        *newest = (*newest).max(mark);
         streams.clear();
         streams.extend(
             view.joined.iter().filter(|j| j.from <= message.at && message.at < j.to).map(|j| j.stream),
         );
-        let all = upto(&lines, newest);
+        let all = upto(lines, *newest);
         let behind = streams.iter().filter_map(|stream| places.get(stream));
-        let waits: u64 = behind.map(|&place| all.saturating_sub(upto(&lines, place))).sum();
+        let waits: u64 = behind.map(|&place| all.saturating_sub(upto(lines, place))).sum();
         most = most.max(waits);
         if waits as f64 > rules.waiting {
             let what = format!("{waits} lines were waiting");
--- a/crates/lab/src/judge/mod.rs
+++ b/crates/lab/src/judge/mod.rs
@@ -87,6 +87,8 @@
     pub writes: usize,
     pub most_messages: usize,
     pub most_waiting: u64,
+    /// Fields of lower terms that reached forwarders, as they did by the wire.
+    pub refused: usize,
     /// When clients began; times are told from here.
     pub began: Time,
 }
@@ -107,7 +109,16 @@
     let (most_messages, most_waiting) = limits::judge(rules, &view, &mut breaks);
     breaks.sort_by_key(|b| (b.rule, b.at));
     let service = service::count(events, rules, began);
-    Verdict { breaks, service, gaps: view.gaps(events), writes, most_messages, most_waiting, began }
+    Verdict {
+        breaks,
+        service,
+        gaps: view.gaps(events),
+        writes,
+        most_messages,
+        most_waiting,
+        refused: view.refused,
+        began,
+    }
 }
 
 impl Verdict {
@@ -158,6 +169,9 @@
             "channel      at most {} lines seen waiting, {} messages to one forwarder in a window; {} writes",
             self.most_waiting, self.most_messages, self.writes
         );
+        if self.refused > 0 {
+            let _ = writeln!(text, "terms        {} fields of lower terms reached forwarders", self.refused);
+        }
         let _ = write!(text, "verdict      {}", if self.kept() { "all rules kept" } else { "RULES BROKEN" });
         text
     }
--- a/crates/lab/src/judge/picks.rs
+++ b/crates/lab/src/judge/picks.rs
@@ -30,19 +30,15 @@
 pub fn judge(events: &[Event], rules: &Rules, view: &View, breaks: &mut Vec<Break>) {
     let end = events.last().map_or(0, Event::at);
     let served = served(events, rules, end);
-    for joined in &view.joined {
-        for slice in 0..rules.slices {
-            let spans = view.spans.get(&(joined.forwarder, slice)).map_or(&[][..], Vec::as_slice);
-            let first = spans.iter().find(|span| span.from >= joined.from).map_or(end, |span| span.from);
-            // From joining until it was first told, and whenever it was told of none.
-            let bare = spans.iter().filter(|span| span.server.is_none()).map(|span| (span.from, span.to));
-            for (from, to) in bare.chain([(joined.from, first)]) {
-                let (from, to) = (from.max(joined.from), to.min(joined.to).min(end));
+    for (&(forwarder, slice), spans) in &view.spans {
+        let covered = view.covered(forwarder, slice);
+        for span in spans.iter().filter(|span| span.server.is_none()) {
+            for &(from, to) in &covered {
+                let (from, to) = (from.max(span.from), to.min(span.to).min(end));
                 let longest = served.iter().map(|&(a, b)| (b.min(to) - a.max(from), a.max(from))).max();
                 if let Some((length, since)) = longest.filter(|&(length, _)| length > rules.unserved_most) {
                     let what = format!(
-                        "forwarder {} had no server for slice {slice} for {:.3} s",
-                        joined.forwarder,
+                        "forwarder {forwarder} had no server for slice {slice} for {:.3} s",
                         length as f64 / ravenspar_standin::SECOND as f64
                     );
                     breaks.push(Break { rule: 0, at: since + rules.unserved_most, what });
@@ -50,4 +46,28 @@
             }
         }
     }
+    // One that joins is to be told of slices at once.
+    for joined in &view.joined {
+        let told = view.charged.iter().filter(|((of, _), _)| *of == joined.forwarder);
+        let first =
+            told.filter_map(|(_, all)| all.iter().find(|(at, _)| *at >= joined.from)).map(|c| c.0).min();
+        let known = told_before(view, joined.forwarder, joined.from);
+        let to = first.unwrap_or(end).min(joined.to).min(end);
+        let longest = served.iter().map(|&(a, b)| (b.min(to) - a.max(joined.from), a.max(joined.from))).max();
+        if let Some((length, since)) = longest.filter(|&(length, _)| !known && length > rules.unserved_most) {
+            let what = format!(
+                "forwarder {} was told of no slice for {:.3} s",
+                joined.forwarder,
+                length as f64 / ravenspar_standin::SECOND as f64
+            );
+            breaks.push(Break { rule: 0, at: since + rules.unserved_most, what });
+        }
+    }
+}
+
+/// Whether a forwarder had been told of any slice before.
+fn told_before(view: &View, forwarder: u64, at: Time) -> bool {
+    view.charged
+        .iter()
+        .any(|((of, _), all)| *of == forwarder && all.first().is_some_and(|first| first.0 < at))
 }
--- a/crates/lab/src/judge/tables.rs
+++ b/crates/lab/src/judge/tables.rs
@@ -41,6 +41,14 @@
     pub spans: BTreeMap<(u64, usize), Vec<Span>>,
     pub joined: Vec<Joined>,
     pub messages: Vec<Message>,
+    /// By forwarder and slice: the highest term that it has been told, and the stream that told it.
+    charges: BTreeMap<(u64, usize), (u64, u64)>,
+    /// By forwarder and slice: since when it has been told that a stream's steward is in charge, in order of time.
+    pub charged: BTreeMap<(u64, usize), Vec<(Time, u64)>>,
+    /// The steward at the other end of each stream; those not named are of the only one there is.
+    stewards: BTreeMap<u64, usize>,
+    /// Lines of lower terms, or of slices that their steward was not in charge of, that reached a forwarder.
+    pub refused: usize,
 }
 
 #[derive(Default)]
@@ -50,6 +58,8 @@
     servers: BTreeMap<u64, String>,
     /// The whole table as far as it has been read.
     next: BTreeMap<usize, u64>,
+    /// The charges of the table that is being read.
+    charges: Vec<(usize, u64)>,
 }
 
 impl View {
@@ -64,6 +74,7 @@
                     // A body that can't be read says nothing; whoever sent it has to bear the end of its stream.
                     let _ = view.frame(*at, *stream, entry, *down, &body, slices);
                 }
+                Event::Opened { stream, steward, .. } => _ = view.stewards.insert(*stream, *steward),
                 Event::Shut { at, stream } => view.leave(*at, *stream),
                 Event::Forwarder { at, number, state } if state == "killed" => {
                     // What it held is gone with it.
@@ -94,6 +105,25 @@
         spans.push(Span { from: at, to: Time::MAX, server });
     }
 
+    /// A forwarder is told that a steward is in charge of a slice; whether that counts.
+    fn charge(&mut self, at: Time, forwarder: u64, slice: usize, term: u64, stream: u64) -> bool {
+        let known = self.charges.entry((forwarder, slice)).or_default();
+        let counts = term >= known.0;
+        if counts {
+            *known = (term, stream);
+            self.charged.entry((forwarder, slice)).or_default().push((at, stream));
+        }
+        self.refused += usize::from(!counts);
+        counts
+    }
+
+    /// Whether a line counts: its slice is in charge of the steward at the other end.
+    fn counts(&mut self, forwarder: u64, slice: usize, stream: u64) -> bool {
+        let counts = self.charges.get(&(forwarder, slice)).is_some_and(|known| known.1 == stream);
+        self.refused += usize::from(!counts);
+        counts
+    }
+
     fn frame(
         &mut self,
         at: Time,
@@ -118,6 +148,8 @@
             self.joined.push(Joined { stream: number, forwarder, from: at, to: Time::MAX });
         }
         let (mut lines, mut mark) = (0, None);
+        // Slices that come into charge by this frame, with their lines: one change.
+        let mut fresh: BTreeMap<usize, Option<String>> = BTreeMap::new();
         while let Some((tag, mut field)) = body.field()? {
             match (what, tag) {
                 (kind::WELCOME, tag::TERM) => stream.term = field.number()?,
@@ -125,24 +157,52 @@
                     let be = field.number()?;
                     stream.servers.insert(be, field.text()?.to_owned());
                 }
+                (kind::READ, tag::CHARGE) => {
+                    let (first, count, term) = (field.index()?, field.index()?, field.number()?);
+                    let all = first..first.saturating_add(count).min(slices);
+                    stream.charges.extend(all.map(|slice| (slice, term)));
+                }
                 (kind::READ, tag::LINE) => {
                     stream.next.insert(field.index()?, field.number()?);
                 }
                 (kind::READ, tag::END) => {
                     let next = std::mem::take(&mut stream.next);
-                    for slice in 0..slices {
-                        let server = next.get(&slice).and_then(|be| stream.servers.get(be)).cloned();
-                        self.hold(at, forwarder, slice, server);
+                    for (slice, term) in std::mem::take(&mut stream.charges) {
+                        if self.charge(at, forwarder, slice, term, number) {
+                            let server = next.get(&slice).and_then(|be| stream.servers.get(be)).cloned();
+                            self.hold(at, forwarder, slice, server);
+                        }
+                    }
+                }
+                (kind::TABLE, tag::CHARGE) => {
+                    let (first, count, term) = (field.index()?, field.index()?, field.number()?);
+                    for slice in first..first.saturating_add(count).min(slices) {
+                        if self.charge(at, forwarder, slice, term, number) {
+                            fresh.insert(slice, None);
+                        }
+                    }
+                }
+                (kind::TABLE, tag::HELD) => {
+                    let (slice, be) = (field.index()?, field.number()?);
+                    if self.counts(forwarder, slice, number) {
+                        fresh.insert(slice, stream.servers.get(&be).cloned());
                     }
                 }
                 (kind::TABLE, tag::LINE) => {
                     lines += 1;
                     let (slice, be) = (field.index()?, field.number()?);
-                    self.hold(at, forwarder, slice, stream.servers.get(&be).cloned());
+                    if self.counts(forwarder, slice, number) {
+                        fresh.remove(&slice);
+                        self.hold(at, forwarder, slice, stream.servers.get(&be).cloned());
+                    }
                 }
                 (kind::TABLE, tag::DROP) => {
                     lines += 1;
-                    self.hold(at, forwarder, field.index()?, None);
+                    let slice = field.index()?;
+                    if self.counts(forwarder, slice, number) {
+                        fresh.remove(&slice);
+                        self.hold(at, forwarder, slice, None);
+                    }
                 }
                 (kind::TABLE, tag::LEVEL | tag::WITHDRAW) => lines += 1,
                 (kind::TABLE, tag::MARK) => {
@@ -152,6 +212,9 @@
                 _ => {}
             }
         }
+        for (slice, server) in fresh {
+            self.hold(at, forwarder, slice, server);
+        }
         if what == kind::TABLE {
             self.messages.push(Message { at, stream: number, lines, mark, term: stream.term });
         }
@@ -166,8 +229,31 @@
         before.into_iter().find(|span| span.server.as_deref() == Some(server)).map(|span| span.from)
     }
 
-    pub fn joined_at(&self, forwarder: u64, at: Time) -> Option<&Joined> {
-        self.joined.iter().rev().find(|j| j.forwarder == forwarder && j.from <= at && at < j.to)
+    /// Since when a forwarder has had a slice in charge of a steward that it is joined with, and which one that is; none
+    /// while it is not joined with the one in charge.
+    pub fn in_charge(&self, forwarder: u64, slice: usize, at: Time) -> Option<(Time, usize)> {
+        let charged = self.charged.get(&(forwarder, slice))?;
+        let (since, stream) = *charged.iter().rev().find(|(from, _)| *from <= at)?;
+        let joined = self.joined.iter().rev().find(|j| j.stream == stream && j.from <= at && at < j.to)?;
+        Some((since.max(joined.from), self.stewards.get(&stream).copied().unwrap_or(0)))
+    }
+
+    /// Stretches in which a forwarder was joined with whoever was in charge of a slice, one after the other as one.
+    pub fn covered(&self, forwarder: u64, slice: usize) -> Vec<(Time, Time)> {
+        let charged = self.charged.get(&(forwarder, slice)).map_or(&[][..], Vec::as_slice);
+        let mut covered: Vec<(Time, Time)> = Vec::new();
+        for (i, &(from, stream)) in charged.iter().enumerate() {
+            let to = charged.get(i + 1).map_or(Time::MAX, |next| next.0);
+            for joined in self.joined.iter().filter(|j| j.stream == stream) {
+                let (from, to) = (from.max(joined.from), to.min(joined.to));
+                match covered.last_mut() {
+                    Some(last) if from <= last.1 => last.1 = last.1.max(to),
+                    _ if from < to => covered.push((from, to)),
+                    _ => {}
+                }
+            }
+        }
+        covered
     }
 
     /// How long each hand-over took.
--- a/crates/lab/src/judge/tests.rs
+++ b/crates/lab/src/judge/tests.rs
@@ -33,7 +33,7 @@
 fn joins(at: Time, stream: u64, forwarder: u64) -> Vec<Event> {
     let hello = Frame::new(kind::HELLO).numbers(tag::PROXY, &[forwarder]).finish();
     let mut read = Frame::new(kind::READ);
-    read.text(tag::SERVER, &[A], "a").text(tag::SERVER, &[B], "b");
+    read.text(tag::SERVER, &[A], "a").text(tag::SERVER, &[B], "b").numbers(tag::CHARGE, &[0, 2, 1]);
     read.numbers(tag::LINE, &[0, A, 1_000_000])
         .numbers(tag::LINE, &[1, A, 1_000_000])
         .numbers(tag::END, &[0]);
@@ -156,7 +156,7 @@
     let dropped = [listed(100, &[("b", "ready", 0)]), took(4 * SECOND, "a", 1, 0, 5 * SECOND)];
     assert_eq!(broken(dropped.clone()), [2]);
     // A steward that stood still was not told.
-    let stopped = Event::Steward { at: 90, state: "stopped".to_owned() };
+    let stopped = Event::Steward { at: 90, number: 0, state: "stopped".to_owned() };
     assert_eq!(broken([vec![stopped], dropped.to_vec()].concat()), KEPT);
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,10 +4,12 @@
 mod judge;
 mod listing;
 mod measure;
+mod pipe;
 mod play;
 mod processes;
 mod relay;
 mod troubles;
+mod vex;
 
 use ravenspar::say;
 use std::ffi::OsString;
@@ -90,6 +92,8 @@
     #[arg(long)]
     lies: bool,
     #[arg(long)]
+    ignores_terms: bool,
+    #[arg(long)]
     stop_at: Option<u64>,
 }
 
@@ -186,6 +190,7 @@
         away_after: args.away_after,
         away_for: args.away_for_ms * 10,
         lies: args.lies,
+        ignores_terms: args.ignores_terms,
         stop_at: args.stop_at,
     };
     block_on(forwarder::run(options, |address| say(format_args!("listening on {address}"))))??;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -355,6 +355,7 @@
             weight: 1_000_000,
             mark: 1,
             term: 1,
+            boot: 0,
         };
         record.write(&(0..count).map(row).collect::<Vec<_>>(), None).map_err(failed)?;
         drop(record);
@@ -398,6 +399,7 @@
                 weight: 1_000_000,
                 mark: commits as u64,
                 term: 1,
+                boot: 0,
             };
             record.write(&(0..lines).map(row).collect::<Vec<_>>(), None).map_err(failed)?;
             commits += 1;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -9,12 +9,14 @@
 use ravenspar::{say, settings};
 use ravenspar_standin::clients::{Clients, Kind, Load};
 use ravenspar_standin::server::{Model, Server};
+use ravenspar_standin::store::Store;
 use ravenspar_standin::{duration, Capture, Clock, Event, SECOND};
 use tokio::task::spawn_local;
 
 use crate::day::Day;
 use crate::judge::Rules;
 use crate::listing::Listing;
+use crate::pipe::Pipe;
 use crate::processes::Process;
 use crate::relay::Relay;
 
@@ -36,12 +38,16 @@
     pub capture: Capture,
     pub servers: RefCell<Vec<Rc<Server>>>,
     pub listing: Listing,
-    pub relays: Vec<Rc<Relay>>,
+    /// By forwarder and steward.
+    pub relays: Vec<Vec<Rc<Relay>>>,
     pub forwarders: Vec<tokio::sync::Mutex<Option<Process>>>,
-    pub steward: tokio::sync::Mutex<Option<Process>>,
+    pub stewards: Vec<tokio::sync::Mutex<Option<Process>>>,
+    pub store: Option<Store>,
+    /// Each steward's way to the store.
+    pub pipes: Vec<Rc<Pipe>>,
     pub clients: Rc<Clients>,
     pub chance: RefCell<fastrand::Rng>,
-    target: Rc<Cell<Option<std::net::SocketAddr>>>,
+    targets: Vec<Rc<Cell<Option<std::net::SocketAddr>>>>,
 }
 
 /// Writes the steward's settings into the folder and reads them as the steward will.
@@ -55,6 +61,11 @@
     map.insert("list".to_owned(), serde_json::json!({ "path": "servers.yaml" }));
     map.insert("forwarders".to_owned(), day.forwarders.count.into());
     map.insert("seed".to_owned(), day.seed.into());
+    if map.get("store").is_some_and(|store| store == "etcd") {
+        let share = map.entry("share").or_insert_with(|| serde_json::json!({}));
+        // Each steward gets its own way to the store when it is started.
+        share["endpoints"] = serde_json::json!(["http://127.0.0.1:1"]);
+    }
     let path = dir.join("steward.yaml");
     // JSON is YAML.
     std::fs::write(&path, serde_json::to_string_pretty(&cfg).map_err(|e| Fault::Failed(e.to_string()))?)?;
@@ -72,11 +83,24 @@
     async fn start(day: Day, dir: &Path, rules: &Rules) -> Result<Rc<Fleet>, Fault> {
         let clock = Clock::default();
         let capture = Capture::create(&dir.join("capture.jsonl"), clock)?;
-        let target = Rc::new(Cell::new(None));
+        let targets: Vec<_> = (0..day.stewards()).map(|_| Rc::new(Cell::new(None))).collect();
         let streams = Rc::new(Cell::new(0));
         let mut relays = Vec::new();
         for _ in 0..day.forwarders.count {
-            relays.push(Relay::start(target.clone(), streams.clone(), capture.clone()).await?);
+            let mut own = Vec::new();
+            for (steward, target) in targets.iter().enumerate() {
+                own.push(Relay::start(steward, target.clone(), streams.clone(), capture.clone()).await?);
+            }
+            relays.push(own);
+        }
+        let shared = day.steward.get("store").is_some_and(|store| store == "etcd");
+        let store = shared.then(|| Store::new(day.seed | 1));
+        let mut pipes = Vec::new();
+        if let Some(store) = &store {
+            let address = store.listen().await?;
+            for _ in &targets {
+                pipes.push(Pipe::start(address).await?);
+            }
         }
         let timeout = |k: usize| {
             let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
@@ -113,15 +137,19 @@
             servers: RefCell::default(),
             listing,
             relays,
-            steward: tokio::sync::Mutex::new(None),
+            stewards: targets.iter().map(|_| tokio::sync::Mutex::new(None)).collect(),
+            store,
+            pipes,
             clients,
-            target,
+            targets,
         });
         for _ in 0..fleet.day.servers.count {
             let server = fleet.new_server().await?;
             fleet.listing.show(&server, "ready");
         }
-        fleet.start_steward().await?;
+        for number in 0..fleet.stewards.len() {
+            fleet.start_steward(number).await?;
+        }
         for number in 0..fleet.day.forwarders.count {
             fleet.start_forwarder(number).await?;
         }
@@ -149,23 +177,49 @@
         Ok(server)
     }
 
-    pub async fn start_steward(&self) -> io::Result<()> {
-        let mut place = self.steward.lock().await;
+    pub async fn start_steward(&self, number: usize) -> io::Result<()> {
+        let mut place = self.stewards[number].lock().await;
+        let name = if self.stewards.len() > 1 { format!("steward-{number}") } else { "steward".to_owned() };
+        if let Some(pipe) = self.pipes.get(number) {
+            let text = std::fs::read_to_string(self.dir.join("steward.yaml"))?;
+            let mut cfg: serde_json::Value = serde_json::from_str(&text)?;
+            cfg["record"] = format!("{name}.redb").into();
+            cfg["share"]["name"] = name.clone().into();
+            cfg["share"]["endpoints"] = serde_json::json!([format!("http://{}", pipe.address)]);
+            std::fs::write(self.dir.join(format!("{name}.yaml")), serde_json::to_string_pretty(&cfg)?)?;
+        }
         let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
-        let args = args.into_iter().chain([self.dir.join("steward.yaml").into_os_string()]).collect();
-        let process = Process::start(args, &self.dir.join("steward.log")).await?;
-        self.target.set(Some(process.address));
+        let path = self.dir.join(format!("{name}.yaml"));
+        let args = args.into_iter().chain([path.into_os_string()]).collect();
+        let process = Process::start(args, &self.dir.join(format!("{name}.log"))).await?;
+        self.targets[number].set(Some(process.address));
         *place = Some(process);
-        self.capture.note(|at| Event::Steward { at, state: "started".to_owned() });
+        self.note_steward(number, "started");
         Ok(())
     }
 
-    pub async fn kill_steward(&self) {
-        self.target.set(None);
-        if let Some(mut process) = self.steward.lock().await.take() {
+    fn note_steward(&self, number: usize, state: &str) {
+        self.capture.note(|at| Event::Steward { at, number, state: state.to_owned() });
+    }
+
+    pub async fn kill_steward(&self, number: usize) {
+        self.targets[number].set(None);
+        if let Some(mut process) = self.stewards[number].lock().await.take() {
             process.kill().await;
         }
-        self.capture.note(|at| Event::Steward { at, state: "killed".to_owned() });
+        self.note_steward(number, "killed");
+    }
+
+    /// Asks a steward to end in order, and waits for it.
+    pub async fn end_steward(&self, number: usize) -> Option<i32> {
+        let process = self.stewards[number].lock().await.take();
+        let code = match process {
+            Some(mut process) => process.end().await,
+            None => Some(0),
+        };
+        self.targets[number].set(None);
+        self.note_steward(number, "ended");
+        code
     }
 
     pub async fn start_forwarder(&self, number: usize) -> io::Result<()> {
@@ -177,13 +231,16 @@
             "forwarder".to_owned(),
             format!("--number={number}"),
             format!("--zone={}", zones[number % zones.len()]),
-            format!("--steward={}", self.relays[number].address),
             format!("--seed={}", day.seed.wrapping_add(number as u64)),
             format!("--usual={usual}"),
             format!("--stall-us={}", day.forwarders.stall_us),
             format!("--away-after={}", day.forwarders.away_after),
             format!("--away-for-ms={}", day.forwarders.away_for.0 / 10),
         ];
+        args.extend(self.relays[number].iter().map(|relay| format!("--steward={}", relay.address)));
+        if day.forwarders.ignore_terms.contains(&number) {
+            args.push("--ignores-terms".to_owned());
+        }
         if day.forwarders.liars.contains(&number) {
             args.push("--lies".to_owned());
         }
@@ -212,11 +269,11 @@
         self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: state.to_owned() });
     }
 
-    pub async fn signal_steward(&self, signal: &str, state: &str) {
-        if let Some(process) = self.steward.lock().await.as_ref() {
+    pub async fn signal_steward(&self, number: usize, signal: &str, state: &str) {
+        if let Some(process) = self.stewards[number].lock().await.as_ref() {
             process.signal(signal).await;
         }
-        self.capture.note(|at| Event::Steward { at, state: state.to_owned() });
+        self.note_steward(number, state);
     }
 
     /// Waits until forwarders answer a req for every slice, or says that they never did.
@@ -235,8 +292,10 @@
                             "slice {slice} was never served by forwarder {door}"
                         )));
                     }
-                    if self.steward.lock().await.as_mut().is_none_or(Process::ended) {
-                        return Err(Fault::Failed("the steward ended, see steward.log".to_owned()));
+                    for steward in &self.stewards {
+                        if steward.lock().await.as_mut().is_none_or(Process::ended) {
+                            return Err(Fault::Failed("a steward ended, see its log".to_owned()));
+                        }
                     }
                     tokio::time::sleep(std::time::Duration::from_millis(20)).await;
                 }
@@ -280,13 +339,16 @@
     while fleet.clients.open() > 0 {
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
-    let ended = match fleet.steward.lock().await.as_mut() {
-        Some(process) => process.end().await,
-        None => Some(0),
-    };
+    let mut codes = Vec::new();
+    for number in 0..fleet.stewards.len() {
+        codes.push(fleet.end_steward(number).await);
+    }
+    if let Some(store) = &fleet.store {
+        say(format_args!("the store was asked {} times", store.requests()));
+    }
     fleet.capture.finish()?;
-    match ended {
-        Some(0) => Ok(()),
-        code => Err(Fault::Failed(format!("the steward ended with {code:?}, see steward.log"))),
+    match codes.iter().all(|code| *code == Some(0)) {
+        true => Ok(()),
+        false => Err(Fault::Failed(format!("the stewards ended with {codes:?}, see their logs"))),
     }
 }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -13,15 +13,16 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-/// One forwarder's way to the steward.
+/// One forwarder's way to one steward.
 pub struct Relay {
     pub address: SocketAddr,
+    steward: usize,
     capture: Capture,
     /// Where the steward listens; none while it is not there.
     target: Rc<Cell<Option<SocketAddr>>>,
     next: Rc<Cell<u64>>,
     /// No stream gets through.
-    closed: Cell<bool>,
+    closed: Cell<usize>,
     /// Nothing is read from the steward's side.
     deaf: Cell<bool>,
     heard: Notify,
@@ -31,6 +32,7 @@
 impl Relay {
     /// `next` numbers the streams of all relays.
     pub async fn start(
+        steward: usize,
         target: Rc<Cell<Option<SocketAddr>>>,
         next: Rc<Cell<u64>>,
         capture: Capture,
@@ -38,10 +40,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let relay = Rc::new(Relay {
             address: listener.local_addr()?,
+            steward,
             capture,
             target,
             next,
-            closed: Cell::new(false),
+            closed: Cell::new(0),
             deaf: Cell::new(false),
             heard: Notify::new(),
             streams: RefCell::default(),
@@ -49,7 +52,7 @@
         let accepting = relay.clone();
         spawn_local(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                if !accepting.closed.get() {
+                if accepting.closed.get() == 0 {
                     accepting.open(socket);
                 }
             }
@@ -68,7 +71,8 @@
     }
 
     pub fn set_closed(&self, closed: bool) {
-        self.closed.set(closed);
+        // Of several troubles at a time the last to end opens it.
+        self.closed.set(if closed { self.closed.get() + 1 } else { self.closed.get().saturating_sub(1) });
         if closed {
             self.cut();
         }
@@ -82,6 +86,7 @@
     fn open(self: &Rc<Relay>, socket: TcpStream) {
         let stream = self.next.get();
         self.next.set(stream + 1);
+        self.capture.note(|at| Event::Opened { at, stream, steward: self.steward });
         let relay = self.clone();
         let task = spawn_local(async move {
             relay.carry(stream, socket).await;
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 
 use ravenspar_standin::server::{Ills, Server};
+use ravenspar_standin::store::Faults;
 use ravenspar_standin::{duration, Event, Time, SECOND};
 use tokio::time::sleep;
 
 use crate::day::{Span, Stops, What};
 use crate::play::Fleet;
+use crate::relay::Relay;
 
 /// Causes one piece and sees it to its end.
 pub async fn cause(fleet: &Rc<Fleet>, what: &What, began: Time) -> io::Result<()> {
@@ -118,19 +120,19 @@
             fleet.listing.set_torn(false);
         }
         What::CutStreams { forwarders } => {
-            draw_forwarders(fleet, *forwarders).into_iter().for_each(|number| fleet.relays[number].cut());
+            ways(fleet, &draw_forwarders(fleet, *forwarders)).for_each(|relay| relay.cut());
         }
         What::Isolate { forwarders, lasts } => {
             let numbers = draw_forwarders(fleet, *forwarders);
-            numbers.iter().for_each(|&number| fleet.relays[number].set_closed(true));
+            ways(fleet, &numbers).for_each(|relay| relay.set_closed(true));
             wait(*lasts).await;
-            numbers.iter().for_each(|&number| fleet.relays[number].set_closed(false));
+            ways(fleet, &numbers).for_each(|relay| relay.set_closed(false));
         }
         What::Deafen { forwarders, lasts } => {
             let numbers = draw_forwarders(fleet, *forwarders);
-            numbers.iter().for_each(|&number| fleet.relays[number].set_deaf(true));
+            ways(fleet, &numbers).for_each(|relay| relay.set_deaf(true));
             wait(*lasts).await;
-            numbers.iter().for_each(|&number| fleet.relays[number].set_deaf(false));
+            ways(fleet, &numbers).for_each(|relay| relay.set_deaf(false));
         }
         What::KillForwarders { forwarders, back_after } => {
             let numbers = draw_forwarders(fleet, *forwarders);
@@ -159,15 +161,89 @@
                 wait(*every).await;
             }
         }
-        What::KillSteward { back_after } => {
-            fleet.kill_steward().await;
+        What::KillSteward { back_after, which, stewards } => {
+            let numbers = draw_stewards(fleet, which, *stewards);
+            for &number in &numbers {
+                fleet.kill_steward(number).await;
+            }
             wait(*back_after).await;
-            fleet.start_steward().await?;
+            for number in numbers {
+                fleet.start_steward(number).await?;
+            }
+        }
+        What::PauseSteward { lasts, which, stewards } => {
+            let numbers = draw_stewards(fleet, which, *stewards);
+            for &number in &numbers {
+                fleet.signal_steward(number, "STOP", "stopped").await;
+            }
+            wait(*lasts).await;
+            for number in numbers {
+                fleet.signal_steward(number, "CONT", "continued").await;
+            }
         }
-        What::PauseSteward { lasts } => {
-            fleet.signal_steward("STOP", "stopped").await;
+        What::RollStewards { every } => {
+            for number in 0..fleet.stewards.len() {
+                let code = fleet.end_steward(number).await;
+                if code != Some(0) {
+                    return Err(io::Error::other(format!("steward {number} ended with {code:?}")));
+                }
+                fleet.start_steward(number).await?;
+                wait(*every).await;
+            }
+        }
+        What::VexStewards { every, lasts } => crate::vex::stewards(fleet, *every, *lasts).await?,
+        What::CutStore { lasts, which, stewards } => {
+            let numbers = draw_stewards(fleet, which, *stewards);
+            let pipes: Vec<_> = numbers.iter().filter_map(|&number| fleet.pipes.get(number)).collect();
+            pipes.iter().for_each(|pipe| pipe.set_cut(true));
+            wait(*lasts).await;
+            pipes.iter().for_each(|pipe| pipe.set_cut(false));
+        }
+        What::CutSteward { lasts, which, stewards } => {
+            let numbers = draw_stewards(fleet, which, *stewards);
+            let ways = || numbers.iter().flat_map(|&number| fleet.relays.iter().map(move |own| &own[number]));
+            ways().for_each(|relay| relay.set_closed(true));
+            wait(*lasts).await;
+            ways().for_each(|relay| relay.set_closed(false));
+        }
+        What::OneStewardOnly { forwarders, lasts } => {
+            let numbers = draw_forwarders(fleet, *forwarders);
+            let count = fleet.stewards.len();
+            let kept: Vec<usize> =
+                numbers.iter().map(|_| fleet.chance.borrow_mut().usize(0..count)).collect();
+            let others = |at: usize, number: usize| {
+                let ways = fleet.relays[number].iter().enumerate();
+                ways.filter(|(steward, _)| *steward != kept[at]).map(|(_, relay)| relay).collect::<Vec<_>>()
+            };
+            let all: Vec<_> =
+                numbers.iter().enumerate().flat_map(|(at, &number)| others(at, number)).collect();
+            all.iter().for_each(|relay| relay.set_closed(true));
             wait(*lasts).await;
-            fleet.signal_steward("CONT", "continued").await;
+            all.iter().for_each(|relay| relay.set_closed(false));
+        }
+        What::HoldSteward { steward, lasts } => {
+            let ways = || fleet.relays.iter().filter_map(|own| own.get(*steward));
+            ways().for_each(|relay| relay.set_deaf(true));
+            wait(*lasts).await;
+            ways().for_each(|relay| relay.set_deaf(false));
+        }
+        What::StoreAway { lasts } => {
+            set_store(fleet, Faults { away: true, ..Faults::default() });
+            wait(*lasts).await;
+            set_store(fleet, Faults::default());
+        }
+        What::StoreSlow { by, lasts } => {
+            set_store(fleet, Faults { slow: duration(by.0), ..Faults::default() });
+            wait(*lasts).await;
+            set_store(fleet, Faults::default());
+        }
+        What::LoseMember => {
+            if let Some(store) = &fleet.store {
+                let leases = store.leases();
+                if let Some(&lease) = fleet.chance.borrow_mut().choice(&leases) {
+                    store.lose_lease(lease);
+                }
+            }
         }
         What::Grow { servers } => {
             for _ in 0..*servers {
@@ -216,6 +292,26 @@
     all
 }
 
+fn set_store(fleet: &Fleet, faults: Faults) {
+    fleet.store.iter().for_each(|store| store.set_faults(faults.clone()));
+}
+
+/// All ways of some forwarders to stewards.
+fn ways<'a>(fleet: &'a Fleet, numbers: &'a [usize]) -> impl Iterator<Item = &'a Rc<Relay>> {
+    numbers.iter().flat_map(|&number| &fleet.relays[number])
+}
+
+/// The stewards named, or some that are drawn from the day's seed.
+fn draw_stewards(fleet: &Fleet, which: &[usize], count: usize) -> Vec<usize> {
+    if !which.is_empty() {
+        return which.iter().copied().filter(|&number| number < fleet.stewards.len()).collect();
+    }
+    let mut all: Vec<usize> = (0..fleet.stewards.len()).collect();
+    fleet.chance.borrow_mut().shuffle(&mut all);
+    all.truncate(count);
+    all
+}
+
 fn draw_forwarders(fleet: &Fleet, count: usize) -> Vec<usize> {
     let mut all: Vec<usize> = (0..fleet.day.forwarders.count).collect();
     fleet.chance.borrow_mut().shuffle(&mut all);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -66,6 +66,9 @@
     pub const MET: u8 = 24;
     pub const ARRIVED: u8 = 25;
     pub const REPORT_EVERY: u8 = 26;
+    pub const CHARGE: u8 = 27;
+    pub const HELD: u8 = 28;
+    pub const LEFT: u8 = 29;
 }
 
 /// Cuts a byte stream into bodies of at most `most` bytes; a longer one is an error before it is read.
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod list;
 pub mod settings;
+pub mod shared;
 pub mod yaml;
 
 mod clock;
--- a/crates/ravenspar/src/recorder.rs
+++ b/crates/ravenspar/src/recorder.rs
@@ -1,5 +1,6 @@
-//! Writes the record in a thread of its own: whatever has gathered while one commit ran shares the next.
+//! Makes the record durable, in order: whatever has gathered while one write ran shares the next.
 
+use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -9,8 +10,39 @@
 /// One thing to make durable. Of lists that gather only the newest is written, and before the slices beside it.
 #[derive(Debug)]
 pub enum Batch {
-    Slices { ticket: u64, rows: Vec<SliceRow> },
+    Slices {
+        ticket: u64,
+        rows: Vec<SliceRow>,
+    },
     List(Vec<ServerRow>),
+    /// Cluster and revision of the shared store.
+    Seen(u64, u64),
+}
+
+/// What has gathered, to be made durable at once: each slice at most once, as it stands last.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    pub slices: Vec<SliceRow>,
+    pub list: Option<Vec<ServerRow>>,
+    pub seen: Option<(u64, u64)>,
+}
+
+/// Where a record is kept: the embedded file, or a store shared with other stewards.
+pub trait Keep: Send + 'static {
+    /// Durable on return. After a fault nothing may go out that depends on it.
+    fn write(&mut self, gathered: Gathered) -> impl Future<Output = Result<(), String>> + Send;
+}
+
+impl Keep for Record {
+    async fn write(&mut self, gathered: Gathered) -> Result<(), String> {
+        if let Some(seen) = gathered.seen {
+            self.see(Some(seen)).map_err(|fault| fault.to_string())?;
+        }
+        if gathered.slices.is_empty() && gathered.list.is_none() {
+            return Ok(());
+        }
+        Record::write(self, &gathered.slices, gathered.list.as_deref()).map_err(|fault| fault.to_string())
+    }
 }
 
 /// Batches that may wait. A full queue holds the core up, as nothing may go out before it is on record anyway.
@@ -19,7 +51,12 @@
 pub struct Recorder {
     batches: mpsc::Sender<Batch>,
     done: Arc<Done>,
-    thread: std::thread::JoinHandle<()>,
+    runs: Runs,
+}
+
+enum Runs {
+    Thread(std::thread::JoinHandle<()>),
+    Task(tokio::task::JoinHandle<()>),
 }
 
 #[derive(Default)]
@@ -33,13 +70,25 @@
 }
 
 impl Recorder {
-    pub fn start(record: Record) -> std::io::Result<Recorder> {
+    /// Writes in a thread of its own, for what holds its thread up.
+    pub fn in_thread(keep: impl Keep) -> std::io::Result<Recorder> {
         let (batches, queue) = mpsc::channel(QUEUE);
         let done = Arc::new(Done::default());
         let told = done.clone();
-        let thread =
-            std::thread::Builder::new().name("record".to_owned()).spawn(move || run(record, queue, &told))?;
-        Ok(Recorder { batches, done, thread })
+        let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+        let thread = std::thread::Builder::new()
+            .name("record".to_owned())
+            .spawn(move || runtime.block_on(run(keep, queue, &told)))?;
+        Ok(Recorder { batches, done, runs: Runs::Thread(thread) })
+    }
+
+    /// Writes in a task, for what waits for answers.
+    pub fn in_task(keep: impl Keep) -> Recorder {
+        let (batches, queue) = mpsc::channel(QUEUE);
+        let done = Arc::new(Done::default());
+        let told = done.clone();
+        let task = tokio::spawn(async move { run(keep, queue, &told).await });
+        Recorder { batches, done, runs: Runs::Task(task) }
     }
 
     /// Waits where the queue is full. A batch handed in after a fault is dropped: nothing is durable any more.
@@ -47,6 +96,11 @@
         let _ = self.batches.send(batch).await;
     }
 
+    /// Leaves a batch out where the queue is full.
+    pub fn try_write(&self, batch: Batch) {
+        let _ = self.batches.try_send(batch);
+    }
+
     /// Returns when more has become durable or a fault has come.
     pub async fn changed(&self) {
         self.done.changed.notified().await;
@@ -69,28 +123,34 @@
     }
 
     /// Makes durable what was handed in, and ends.
-    pub fn end(self) {
+    pub async fn end(self) {
         drop(self.batches);
-        let _ = self.thread.join();
+        match self.runs {
+            Runs::Thread(thread) => _ = thread.join(),
+            Runs::Task(task) => _ = task.await,
+        }
     }
 }
 
-fn run(record: Record, mut queue: mpsc::Receiver<Batch>, done: &Done) {
-    let mut gathered = Vec::new();
-    while queue.blocking_recv_many(&mut gathered, QUEUE) > 0 {
-        let (mut slices, mut list, mut last) = (Vec::new(), None, None);
-        for batch in gathered.drain(..) {
+async fn run(mut keep: impl Keep, mut queue: mpsc::Receiver<Batch>, done: &Done) {
+    let mut batches = Vec::new();
+    while queue.recv_many(&mut batches, QUEUE).await > 0 {
+        let (mut gathered, mut last) = (Gathered::default(), None);
+        let mut slices = std::collections::BTreeMap::new();
+        for batch in batches.drain(..) {
             match batch {
                 Batch::Slices { ticket, rows } => {
                     last = Some(ticket);
-                    slices.extend(rows);
+                    slices.extend(rows.into_iter().map(|row| (row.slice, row)));
                 }
-                Batch::List(rows) => list = Some(rows),
+                Batch::List(rows) => gathered.list = Some(rows),
+                Batch::Seen(cluster, revision) => gathered.seen = Some((cluster, revision)),
             }
         }
-        if let Err(fault) = record.write(&slices, list.as_deref()) {
+        gathered.slices = slices.into_values().collect();
+        if let Err(fault) = keep.write(gathered).await {
             if let Ok(mut place) = done.fault.lock() {
-                *place = Some(fault.to_string());
+                *place = Some(fault);
             }
             done.failed.store(true, Ordering::Release);
             done.changed.notify_one();
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -18,6 +18,8 @@
     Number(f64, f64),
     Flag,
     Text,
+    /// A list of texts, one or more; kept a line each.
+    Texts,
     /// One of these words, each with the value that the map has for it.
     Word(&'static [(&'static str, &'static str)]),
 }
@@ -48,7 +50,13 @@
     own("seed", Form::Count(0.0, 9e15), Some("1")),
     entry("forwarders", Form::Count(1.0, 65_535.0), "family_info.proxy_count", None),
     entry("slices", Form::Count(1.0, 65_535.0), "family_info.ranges", None),
-    entry("stewards", Form::Count(1.0, 1.0), "balancers", Some("1")),
+    entry("stewards", Form::Count(1.0, 64.0), "balancers", Some("1")),
+    own("store", Form::Word(&[("embedded", "embedded"), ("etcd", "etcd")]), Some("embedded")),
+    own("share.name", Form::Text, Some("steward")),
+    own("share.endpoints", Form::Texts, Some("")),
+    own("share.prefix", Form::Text, Some("/ravenspar/")),
+    own("share.member_lease", Form::Time, Some("3s")),
+    own("share.call_within", Form::Time, Some("1s")),
     entry("lease", Form::Time, "family_info.write_lease_s", None),
     entry("settle", Form::Time, "family_info.settle_s", None),
     entry("hold", Form::Time, "family_info.hold_s", None),
@@ -98,15 +106,29 @@
     pub record: PathBuf,
     pub list: PathBuf,
     pub seed: u64,
+    /// Where the record is shared with other stewards; none: it is this steward's own file.
+    pub share: Option<Share>,
     pub map: Settings,
 }
 
+/// How stewards share.
+#[derive(Clone, Debug)]
+pub struct Share {
+    pub name: String,
+    pub endpoints: Vec<String>,
+    pub prefix: String,
+    /// Whole seconds, as the store has them.
+    pub member_lease: i64,
+    pub call_within: std::time::Duration,
+}
+
 /// Reads and checks a file. Relative paths in it count from its folder.
 pub fn load(path: &Path) -> Result<Checked, Faults> {
     let tree = yaml::read(path)?;
     let mut check = Check { faults: Vec::new(), map: Settings::default(), own: Vec::new() };
     check.map(&tree, "", TABLE, "", &["kinds"]);
     check.kinds(&tree);
+    let mut check_faults = Vec::new();
     let own = |name: &str| check.own.iter().find(|(path, _)| path == name).map(|(_, value)| value.as_str());
     let folder = path.parent().unwrap_or(Path::new("."));
     let listen = own("listen").unwrap_or_default().to_owned();
@@ -117,13 +139,16 @@
             format!("listen: {listen}: expected an address and a port"),
         ));
     }
+    let share = share(&own, &mut check_faults, &tree);
     let checked = Checked {
+        share,
         listen,
         record: folder.join(own("record").unwrap_or_default()),
         list: folder.join(own("list.path").unwrap_or_default()),
         seed: own("seed").and_then(|seed| seed.parse().ok()).unwrap_or(1),
         map: check.map,
     };
+    check.faults.append(&mut check_faults);
     if check.faults.is_empty() {
         // The last word is the host's and the decisions' own: nothing may be missing when they start.
         if let Err(name) = ravenspar_host::Host::new(0, 1, checked.map.clone(), 1, &[], &[]) {
@@ -139,6 +164,45 @@
     }
 }
 
+/// The settings of the shared store, if there is to be one.
+fn share<'a>(
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+) -> Option<Share> {
+    if own("store") != Some("etcd") {
+        return None;
+    }
+    let text = |name: &str| own(name).unwrap_or_default().to_owned();
+    let endpoints: Vec<String> = text("share.endpoints").lines().map(str::to_owned).collect();
+    if endpoints.is_empty() {
+        let what = "share.endpoints: missing, expected a list of addresses as http://127.0.0.1:2379";
+        faults.push((tree.line, tree.column, what.to_owned()));
+    }
+    for endpoint in &endpoints {
+        if let Err(why) = ravenspar_etcd::check_endpoint(endpoint) {
+            faults.push((
+                tree.line,
+                tree.column,
+                format!("share.endpoints: {why}, expected an address as http://127.0.0.1:2379"),
+            ));
+        }
+    }
+    let seconds = |name: &str| text(name).parse::<f64>().unwrap_or(0.0);
+    let lease = seconds("share.member_lease");
+    if lease.fract() != 0.0 || lease < 1.0 {
+        let what = format!("share.member_lease: {lease}s: expected whole seconds");
+        faults.push((tree.line, tree.column, what));
+    }
+    Some(Share {
+        name: text("share.name"),
+        endpoints,
+        prefix: text("share.prefix"),
+        member_lease: lease as i64,
+        call_within: std::time::Duration::from_secs_f64(seconds("share.call_within")),
+    })
+}
+
 struct Check {
     faults: Vec<(u64, u64, String)>,
     map: Settings,
@@ -191,8 +255,23 @@
     }
 
     fn value(&mut self, at: &Placed, entry: &Entry, index: &str) {
+        let list;
         let text = match &at.node {
             Node::Text(text) => text.as_str(),
+            Node::List(all) if matches!(entry.form, Form::Texts) => {
+                let texts: Option<Vec<&str>> = all
+                    .iter()
+                    .map(|one| match &one.node {
+                        Node::Text(text) => Some(text.as_str()),
+                        _ => None,
+                    })
+                    .collect();
+                let Some(texts) = texts else {
+                    return self.fault(at, format!("{}: expected {}", entry.path, expected(entry.form)));
+                };
+                list = texts.join("\n");
+                &list
+            }
             _ => return self.fault(at, format!("{}: expected {}", entry.path, expected(entry.form))),
         };
         match read(entry.form, text) {
@@ -246,7 +325,7 @@
         Form::Count(low, high) => number(low, high).filter(|text| text.parse::<u64>().is_ok()),
         Form::Number(low, high) => number(low, high),
         Form::Flag => Some(text.to_owned()).filter(|text| text == "true" || text == "false"),
-        Form::Text => Some(text.to_owned()).filter(|text| !text.is_empty()),
+        Form::Text | Form::Texts => Some(text.to_owned()).filter(|text| !text.is_empty()),
         Form::Word(words) => {
             words.iter().find(|(word, _)| *word == text).map(|(_, value)| (*value).to_owned())
         }
@@ -280,6 +359,7 @@
         Form::Number(low, high) => format!("a number from {low} to {high}"),
         Form::Flag => "true or false".to_owned(),
         Form::Text => "a text".to_owned(),
+        Form::Texts => "a list of texts".to_owned(),
         Form::Word(words) => {
             format!("one of {}", words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", "))
         }
--- /dev/null
+++ b/crates/ravenspar/src/shared/life.rs
@@ -0,0 +1,277 @@
+//! One life of a steward as a member: what it asks the store for, and what comes back, as events for the core.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspar_etcd::Client;
+use ravenspar_record::SliceRow;
+use ravenspar_sharing::membership::Membership;
+use ravenspar_sharing::{Fleet, Step};
+use ravenspar_steward::{Time, SECOND};
+use tokio::sync::{mpsc, Mutex};
+use tokio::task::AbortHandle;
+
+use super::rows::{Keys, Member};
+use super::store::{record, snapshot, Hand, Snapshot, Stop};
+use crate::clock::Clock;
+use crate::recorder::{Gathered, Keep, Recorder};
+use crate::settings::Share;
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Event {
+    Snapshot(Snapshot),
+    /// The store could not be asked; what is known stands.
+    Away(String),
+    /// The membership was renewed by the renewal that was sent then.
+    Renewed(Time),
+    /// Slices are in charge under this term, and this is their record.
+    Serves {
+        slices: Vec<(usize, u64)>,
+        rows: Vec<SliceRow>,
+        taken_over: bool,
+    },
+    Gave {
+        slices: Vec<(usize, u64)>,
+        to: u64,
+        term: u64,
+    },
+    /// The step under way has ended.
+    Done,
+    Over(String),
+}
+
+/// Events that may wait for the core; tasks wait where it is full.
+const EVENTS: usize = 64;
+
+/// How often the store is asked who is there and in charge. A planned hand-over waits half of it on average, and its
+/// forwarders hold on meanwhile; four small reads a second cost the store little.
+const POLL: Duration = Duration::from_millis(250);
+
+/// What it takes to join.
+#[derive(Clone)]
+pub struct Joining {
+    pub share: Share,
+    pub client: Arc<Client>,
+    pub keys: Keys,
+    pub clock: Clock,
+    pub slices: usize,
+    /// The shortest time between two rounds of giving.
+    pub pace: Time,
+}
+
+pub struct Life {
+    pub number: u64,
+    pub term: u64,
+    pub fleet: Fleet,
+    pub membership: Membership,
+    pub recorder: Rc<Recorder>,
+    member: Member,
+    joining: Joining,
+    hand: Arc<Mutex<Hand>>,
+    events: mpsc::Sender<Event>,
+    queue: mpsc::Receiver<Event>,
+    tasks: Vec<AbortHandle>,
+    renewals: Arc<std::sync::atomic::AtomicUsize>,
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// Line records go through the hand, so that they are in order with the charges.
+struct Lines(Arc<Mutex<Hand>>);
+
+impl Keep for Lines {
+    async fn write(&mut self, gathered: Gathered) -> Result<(), String> {
+        let written = self.0.lock().await.lines(&gathered.slices).await;
+        written.map_err(|stop| match stop {
+            Stop::Not => "another steward is in charge of a slice that was to be written".to_owned(),
+            Stop::Over(why) => why,
+        })
+    }
+}
+
+impl Life {
+    /// Becomes a member. `number`: of its lease, drawn at random, as no other life's.
+    pub async fn join(joining: &Joining, number: u64, address: &str) -> Result<Life, String> {
+        let Joining { share, client, keys, clock, .. } = joining.clone();
+        let lease = share.member_lease * SECOND;
+        let mut membership = Membership::new(lease, MARGIN);
+        let sent = clock.now();
+        membership.renewing(sent);
+        let seconds =
+            client.lease_grant(number as i64, share.member_lease).await.map_err(|f| f.to_string())?;
+        if seconds != share.member_lease {
+            return Err(format!("the store gives leases of {seconds} s, not of {} s", share.member_lease));
+        }
+        membership.renewed(sent);
+        let member = Member { name: share.name.clone(), address: address.to_owned(), leaving: false };
+        let joined = Hand::join(client, keys, number, &member).await;
+        let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
+        let hand = Arc::new(Mutex::new(hand));
+        // Two looks at who is there: those that start together, or come back with the store, share from the first.
+        let after = 2 * POLL.as_micros() as Time / 100;
+        let fleet = Fleet::new(clock.now(), number, joining.slices, joining.pace, after);
+        let (events, queue) = mpsc::channel(EVENTS);
+        let recorder = Rc::new(Recorder::in_task(Lines(hand.clone())));
+        let mut life = Life {
+            number,
+            term,
+            fleet,
+            membership,
+            recorder,
+            member,
+            joining: joining.clone(),
+            hand,
+            events,
+            queue,
+            tasks: Vec::new(),
+            renewals: Arc::default(),
+        };
+        life.start_polls();
+        Ok(life)
+    }
+
+    pub async fn next(&mut self) -> Event {
+        // There is always a sender: this one's.
+        self.queue.recv().await.unwrap_or_else(|| Event::Over("its tasks have ended".to_owned()))
+    }
+
+    fn start_polls(&mut self) {
+        let (events, joining) = (self.events.clone(), self.joining.clone());
+        let task = tokio::spawn(async move {
+            let mut since = 0;
+            loop {
+                let event = match snapshot(&joining.client, &joining.keys, since).await {
+                    Ok(said) => {
+                        since = said.revision + 1;
+                        Event::Snapshot(said)
+                    }
+                    Err(fault) => Event::Away(fault.to_string()),
+                };
+                if events.send(event).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        });
+        self.tasks.push(task.abort_handle());
+    }
+
+    /// Sends a renewal, beside those that have no answer yet.
+    pub fn renew(&mut self, now: Time) {
+        use std::sync::atomic::Ordering;
+        /// Renewals under way at a time.
+        const MOST: usize = 8;
+        self.membership.renewing(now);
+        if self.renewals.load(Ordering::Relaxed) >= MOST {
+            return;
+        }
+        self.renewals.fetch_add(1, Ordering::Relaxed);
+        let (events, client, renewals) =
+            (self.events.clone(), self.joining.client.clone(), self.renewals.clone());
+        let number = self.number as i64;
+        tokio::spawn(async move {
+            let event = match client.keep_alive(number).await {
+                Ok(Some(_)) => Event::Renewed(now),
+                Ok(None) => Event::Over("the store has let the membership go".to_owned()),
+                Err(fault) => Event::Away(fault.to_string()),
+            };
+            renewals.fetch_sub(1, Ordering::Relaxed);
+            let _ = events.send(event).await;
+        });
+    }
+
+    /// Carries a step out; its events end with [`Event::Done`].
+    pub fn carry_out(&mut self, step: Step) {
+        let (events, hand, joining) = (self.events.clone(), self.hand.clone(), self.joining.clone());
+        let task = tokio::spawn(async move {
+            let ended = match step {
+                Step::Take { slices, gone } => take(&slices, &gone, &hand, &joining, &events).await,
+                Step::Serve { slices } => serve(slices, true, &joining, &events).await,
+                Step::Give { slices, to } => give(slices, to, &hand, &events).await,
+                Step::Left | Step::Lost => Ok(()),
+            };
+            let event = match ended {
+                Ok(()) | Err(Stop::Not) => Event::Done,
+                Err(Stop::Over(why)) => Event::Over(why),
+            };
+            let _ = events.send(event).await;
+        });
+        self.tasks.retain(|task| !task.is_finished());
+        self.tasks.push(task.abort_handle());
+    }
+
+    /// Says that it is leaving.
+    pub fn say_leaving(&mut self) {
+        let (hand, events) = (self.hand.clone(), self.events.clone());
+        let member = Member { leaving: true, ..self.member.clone() };
+        let task = tokio::spawn(async move {
+            if let Err(Stop::Over(why)) = hand.lock().await.say(&member).await {
+                let _ = events.send(Event::Over(why)).await;
+            }
+        });
+        self.tasks.push(task.abort_handle());
+    }
+
+    /// Ends the membership at the store, for one that is in charge of nothing and publishes nothing any more.
+    pub async fn end(self) {
+        // Best effort: the lease runs out by itself.
+        let _ = self.joining.client.lease_revoke(self.number as i64).await;
+    }
+}
+
+/// Taken off a membership by the steward itself: what it takes from a look at the clock to the system's buffer.
+const MARGIN: Time = SECOND / 20;
+
+async fn take(
+    slices: &[(usize, u64)],
+    gone: &[u64],
+    hand: &Mutex<Hand>,
+    joining: &Joining,
+    events: &mpsc::Sender<Event>,
+) -> Result<(), Stop> {
+    let most = Hand::MOST.saturating_sub(gone.len()).max(1);
+    // What was never in charge of anybody has no forwarders that hold leases on it.
+    for fresh in [false, true] {
+        let part: Vec<_> = slices.iter().copied().filter(|(_, term)| (*term == 0) == fresh).collect();
+        for slices in part.chunks(most) {
+            // Another may have been quicker: what is left is looked at anew.
+            let term = hand.lock().await.take(slices, gone).await?;
+            let slices = slices.iter().map(|&(slice, _)| (slice, term)).collect();
+            serve(slices, !fresh, joining, events).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Reads the record of slices in charge, which nobody else can write any more.
+async fn serve(
+    slices: Vec<(usize, u64)>,
+    taken_over: bool,
+    joining: &Joining,
+    events: &mpsc::Sender<Event>,
+) -> Result<(), Stop> {
+    let (Some(&(first, _)), Some(&(last, _))) = (slices.first(), slices.last()) else { return Ok(()) };
+    let mut rows = record(&joining.client, &joining.keys, first, last).await?;
+    rows.retain(|row| slices.binary_search_by_key(&(row.slice as usize), |&(slice, _)| slice).is_ok());
+    let _ = events.send(Event::Serves { slices, rows, taken_over }).await;
+    Ok(())
+}
+
+async fn give(
+    slices: Vec<(usize, u64)>,
+    to: u64,
+    hand: &Mutex<Hand>,
+    events: &mpsc::Sender<Event>,
+) -> Result<(), Stop> {
+    for slices in slices.chunks(Hand::MOST) {
+        let term = hand.lock().await.give(slices, to).await?;
+        let _ = events.send(Event::Gave { slices: slices.to_vec(), to, term }).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -0,0 +1,9 @@
+//! A steward among others: its membership at the shared store, and the steps by which slices change hands.
+
+mod life;
+mod rows;
+mod store;
+
+pub use life::{Event, Joining, Life};
+pub use rows::{Keys, Member};
+pub use store::{record, snapshot, Snapshot};
--- /dev/null
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -0,0 +1,113 @@
+//! Keys and values in the shared store. `docs/design/sharing.md` has the table.
+
+use ravenspar_record::SliceRow;
+use ravenspar_sharing::Life;
+use serde::{Deserialize, Serialize};
+
+/// The keys of one fleet, all under one prefix.
+#[derive(Clone, Debug)]
+pub struct Keys(String);
+
+impl Keys {
+    pub fn new(prefix: &str) -> Keys {
+        Keys(prefix.to_owned())
+    }
+
+    pub fn members(&self) -> Vec<u8> {
+        format!("{}member/", self.0).into_bytes()
+    }
+
+    pub fn member(&self, life: Life) -> Vec<u8> {
+        format!("{}member/{life:016x}", self.0).into_bytes()
+    }
+
+    /// The key that a life's transactions compare and write anew.
+    pub fn witness(&self, life: Life) -> Vec<u8> {
+        format!("{}witness/{life:016x}", self.0).into_bytes()
+    }
+
+    pub fn charges(&self) -> Vec<u8> {
+        format!("{}charge/", self.0).into_bytes()
+    }
+
+    pub fn charge(&self, slice: usize) -> Vec<u8> {
+        format!("{}charge/{slice:05}", self.0).into_bytes()
+    }
+
+    pub fn slices(&self) -> Vec<u8> {
+        format!("{}slice/", self.0).into_bytes()
+    }
+
+    pub fn slice(&self, slice: usize) -> Vec<u8> {
+        format!("{}slice/{slice:05}", self.0).into_bytes()
+    }
+
+    /// The number behind a key's last slash.
+    pub fn number(key: &[u8]) -> Option<usize> {
+        std::str::from_utf8(key).ok()?.rsplit('/').next()?.parse().ok()
+    }
+
+    pub fn life(key: &[u8]) -> Option<Life> {
+        Life::from_str_radix(std::str::from_utf8(key).ok()?.rsplit('/').next()?, 16).ok()
+    }
+}
+
+/// What a member says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub name: String,
+    pub address: String,
+    pub leaving: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Line {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    owner: Option<String>,
+    weight: u64,
+    mark: u64,
+    term: u64,
+    boot: i64,
+}
+
+pub fn write_slice(row: &SliceRow) -> Vec<u8> {
+    let SliceRow { owner, weight, mark, term, boot, .. } = row.clone();
+    serde_json::to_vec(&Line { owner, weight, mark, term, boot }).unwrap_or_default()
+}
+
+/// Fails with what was expected.
+pub fn read_slice(key: &[u8], value: &[u8]) -> Result<SliceRow, String> {
+    let shown = String::from_utf8_lossy(key).into_owned();
+    let slice = Keys::number(key)
+        .ok_or_else(|| format!("{shown}: expected a slice's number behind the last slash"))?;
+    let line: Line = serde_json::from_slice(value).map_err(|e| format!("{shown}: {e}"))?;
+    let Line { owner, weight, mark, term, boot } = line;
+    Ok(SliceRow { slice: slice as u32, owner, weight, mark, term, boot })
+}
+
+/// A charge's value is its steward's life.
+pub fn write_life(life: Life) -> Vec<u8> {
+    format!("{life:016x}").into_bytes()
+}
+
+pub fn read_life(value: &[u8]) -> Option<Life> {
+    Life::from_str_radix(std::str::from_utf8(value).ok()?, 16).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rows_read_back_as_they_were_written() {
+        let keys = Keys::new("/r/");
+        let owned = SliceRow { slice: 7, owner: Some("a".to_owned()), weight: 5, mark: 6, term: 7, boot: -8 };
+        let bare = SliceRow { slice: 65_534, owner: None, weight: 0, mark: 1, term: 2, boot: 0 };
+        for row in [owned, bare] {
+            assert_eq!(read_slice(&keys.slice(row.slice as usize), &write_slice(&row)), Ok(row));
+        }
+        assert!(read_slice(&keys.slice(1), b"{}").is_err_and(|why| why.contains("/r/slice/00001")));
+        assert_eq!(read_life(&write_life(77)), Some(77));
+        assert_eq!(Keys::life(&keys.member(0xabc)), Some(0xabc));
+    }
+}
--- a/crates/ravenspar/src/streams.rs
+++ b/crates/ravenspar/src/streams.rs
@@ -43,6 +43,9 @@
 pub struct Stream {
     frames: mpsc::Sender<Bytes>,
     reader: tokio::task::AbortHandle,
+    writer: tokio::task::AbortHandle,
+    /// The socket once more, to be reset.
+    socket: Option<std::net::TcpStream>,
 }
 
 impl Drop for Stream {
@@ -54,11 +57,21 @@
 impl Stream {
     pub fn start(number: u64, socket: TcpStream, inputs: &mpsc::Sender<Input>) -> Stream {
         let _ = socket.set_nodelay(true);
+        let kept = duplicate(&socket);
         let (read, write) = socket.into_split();
         let (frames, queue) = mpsc::channel(FRAMES);
-        tokio::spawn(write_frames(number, write, queue, inputs.clone()));
+        let writer = tokio::spawn(write_frames(number, write, queue, inputs.clone())).abort_handle();
         let reader = tokio::spawn(read_frames(number, read, inputs.clone())).abort_handle();
-        Stream { frames, reader }
+        Stream { frames, reader, writer, socket: kept }
+    }
+
+    /// Ends the stream at once, with what was handed to the writer and what the system still holds of it: nothing more
+    /// of it arrives.
+    pub fn reset(mut self) {
+        self.writer.abort();
+        if let Some(socket) = self.socket.take() {
+            let _ = socket2::SockRef::from(&socket).set_linger(Some(std::time::Duration::ZERO));
+        }
     }
 
     /// Hands a frame to the writer; the host never has more than its queue holds under way.
@@ -67,6 +80,11 @@
     }
 }
 
+fn duplicate(socket: &TcpStream) -> Option<std::net::TcpStream> {
+    use std::os::fd::AsFd;
+    socket.as_fd().try_clone_to_owned().ok().map(std::net::TcpStream::from)
+}
+
 async fn read_frames(number: u64, read: OwnedReadHalf, inputs: mpsc::Sender<Input>) {
     let mut frames = FramedRead::new(read, codec(MOST_UP));
     // A frame past the bound ends the stream as a broken one does.
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -33,6 +33,8 @@
     pub weight: u64,
     pub mark: u64,
     pub term: u64,
+    /// When the owner had last started, as its grantor knew. Not kept here: the list last seen says it.
+    pub boot: i64,
 }
 
 /// One server of the list last seen.
@@ -111,6 +113,33 @@
         Ok(term)
     }
 
+    /// The cluster and revision of a shared store that were last seen, if any.
+    pub fn seen(&self) -> Result<Option<(u64, u64)>, Fault> {
+        let read = self.base.begin_read().map_err(Fault::read)?;
+        let meta = read.open_table(META).map_err(Fault::read)?;
+        let value = |name| Ok(meta.get(name).map_err(Fault::read)?.map(|value| value.value()));
+        Ok(value("cluster")?.zip(value("revision")?))
+    }
+
+    /// Keeps what was last seen of a shared store, or forgets it; durable on return.
+    pub fn see(&self, seen: Option<(u64, u64)>) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(Fault::write)?;
+        {
+            let mut meta = write.open_table(META).map_err(Fault::write)?;
+            match seen {
+                Some((cluster, revision)) => {
+                    meta.insert("cluster", cluster).map_err(Fault::write)?;
+                    meta.insert("revision", revision).map_err(Fault::write)?;
+                }
+                None => {
+                    meta.remove("cluster").map_err(Fault::write)?;
+                    meta.remove("revision").map_err(Fault::write)?;
+                }
+            }
+        }
+        write.commit().map_err(Fault::write)
+    }
+
     /// Writes slices and, where given, the list, as one; durable on return.
     pub fn write(&self, slices: &[SliceRow], list: Option<&[ServerRow]>) -> Result<(), Fault> {
         let write = self.base.begin_write().map_err(Fault::write)?;
@@ -179,7 +208,7 @@
         let (slice, row) = row.map_err(Fault::read)?;
         let (owner, weight, mark, term) = row.value();
         let owner = Some(owner.to_owned()).filter(|owner| !owner.is_empty());
-        slices.push(SliceRow { slice: slice.value(), owner, weight, mark, term });
+        slices.push(SliceRow { slice: slice.value(), owner, weight, mark, term, boot: 0 });
     }
     let mut servers = Vec::new();
     for row in read.open_table(SERVERS).map_err(Fault::read)?.iter().map_err(Fault::read)? {
--- a/crates/record/tests/files.rs
+++ b/crates/record/tests/files.rs
@@ -6,7 +6,7 @@
 use redb::{Database, TableDefinition};
 
 fn row(slice: u32, owner: Option<&str>, weight: u64) -> SliceRow {
-    SliceRow { slice, owner: owner.map(str::to_owned), weight, mark: 3, term: 1 }
+    SliceRow { slice, owner: owner.map(str::to_owned), weight, mark: 3, term: 1, boot: 0 }
 }
 
 fn server(id: &str) -> ServerRow {
--- a/crates/sharing/src/membership.rs
+++ b/crates/sharing/src/membership.rs
@@ -1,7 +1,6 @@
 //! How long a steward may act on its own membership, by its own clock alone.
 
-/// In whole tenths of a millisecond.
-pub type Time = i64;
+use crate::Time;
 
 /// A steward's lease at the store, as the steward itself may reckon it.
 ///
@@ -14,8 +13,8 @@
     margin: Time,
     /// From here on nothing may be published.
     until: Time,
-    /// When the renewal that is under way was sent.
-    sent: Option<Time>,
+    /// When the next renewal is due.
+    due: Time,
 }
 
 impl Membership {
@@ -24,24 +23,23 @@
 
     /// Not a member yet.
     pub fn new(lease: Time, margin: Time) -> Membership {
-        Membership { lease, margin, until: Time::MIN, sent: None }
+        Membership { lease, margin, until: Time::MIN, due: Time::MIN }
     }
 
-    /// A renewal (or the first grant) is about to be sent. One that has no answer yet is given up: only the last counts.
+    /// A renewal (or the first grant) is about to be sent; several may be under way, so that a store that is slow to
+    /// answer costs no more than its answers are late.
     pub fn renewing(&mut self, now: Time) {
-        self.sent = Some(now);
+        // A fifth of the lease: three may fail, or answers be late by as much, before it runs out here.
+        self.due = now + self.lease / 5;
     }
 
-    /// The store has renewed it, as an answer to the last one sent.
-    pub fn renewed(&mut self) {
-        if let Some(sent) = self.sent.take() {
-            self.until = self.until.max(sent + self.lease - self.lease / Self::RATES - self.margin);
-        }
+    /// The store has renewed it, as an answer to the renewal that was sent then.
+    pub fn renewed(&mut self, sent: Time) {
+        self.until = self.until.max(sent + self.lease - self.lease / Self::RATES - self.margin);
     }
 
     /// The store says that the lease is gone.
     pub fn lost(&mut self) {
-        self.sent = None;
         self.until = Time::MIN;
     }
 
@@ -50,8 +48,13 @@
         now < self.until
     }
 
-    /// When the next renewal is due: after a third of the lease, so that two may fail.
+    /// From when on nothing may be published any more.
+    pub fn until(&self) -> Time {
+        self.until
+    }
+
+    /// When the next renewal is due.
     pub fn renew_at(&self) -> Time {
-        self.until.saturating_sub((self.lease / 3) * 2)
+        self.due
     }
 }
--- a/crates/sharing/src/shares.rs
+++ b/crates/sharing/src/shares.rs
@@ -1,11 +1,13 @@
 //! Even shares by count, with the fewest moves of charge.
 
+use crate::Life;
+
 /// One slice's charge that has to change hands: from nobody where it has none, or where its steward is no member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Move {
     pub slice: usize,
-    pub from: Option<usize>,
-    pub to: usize,
+    pub from: Option<Life>,
+    pub to: Life,
 }
 
 /// The moves that leave every member with an even share of the slices, give or take one; those that nobody is in charge
@@ -15,13 +17,13 @@
 /// No other set of moves to even shares is smaller: those who hold most keep the larger shares, and nobody gives away
 /// more than what is past its share. The same charges and members give the same moves, so that stewards which see the
 /// same agree without a word.
-pub fn moves(charge: &[Option<usize>], members: &[usize]) -> Vec<Move> {
+pub fn moves(charge: &[Option<Life>], members: &[Life]) -> Vec<Move> {
     if members.is_empty() {
         return Vec::new();
     }
     let mut members = members.to_vec();
     members.sort_unstable();
-    let place = |steward: usize| members.binary_search(&steward).ok();
+    let place = |steward: Life| members.binary_search(&steward).ok();
     let mut held = vec![0usize; members.len()];
     charge.iter().flatten().filter_map(|&steward| place(steward)).for_each(|at| held[at] += 1);
     let (base, larger) = (charge.len() / members.len(), charge.len() % members.len());
--- a/crates/sharing/tests/sharing.rs
+++ b/crates/sharing/tests/sharing.rs
@@ -3,8 +3,9 @@
 use proptest::prelude::*;
 use ravenspar_sharing::membership::Membership;
 use ravenspar_sharing::shares::{moves, Move};
+use ravenspar_sharing::Life;
 
-fn after(charge: &[Option<usize>], moves: &[Move]) -> Vec<Option<usize>> {
+fn after(charge: &[Option<Life>], moves: &[Move]) -> Vec<Option<Life>> {
     let mut charge = charge.to_vec();
     for step in moves {
         assert_eq!(charge[step.slice].filter(|_| step.from.is_some()), step.from);
@@ -13,22 +14,22 @@
     charge
 }
 
-fn held(charge: &[Option<usize>], members: &[usize]) -> Vec<usize> {
+fn held(charge: &[Option<Life>], members: &[Life]) -> Vec<usize> {
     members.iter().map(|member| charge.iter().filter(|steward| **steward == Some(*member)).count()).collect()
 }
 
-fn even(charge: &[Option<usize>], members: &[usize]) -> bool {
+fn even(charge: &[Option<Life>], members: &[Life]) -> bool {
     let held = held(charge, members);
     held.iter().sum::<usize>() == charge.len()
         && held.iter().max().unwrap_or(&0) - held.iter().min().unwrap_or(&0) <= 1
 }
 
 /// The fewest changes to any even charge, by trying all of them.
-fn fewest(charge: &[Option<usize>], members: &[usize]) -> usize {
+fn fewest(charge: &[Option<Life>], members: &[Life]) -> usize {
     let mut best = usize::MAX;
     for number in 0..members.len().pow(charge.len() as u32) {
         let mut left = number;
-        let tried: Vec<Option<usize>> = charge
+        let tried: Vec<Option<Life>> = charge
             .iter()
             .map(|_| {
                 let member = members[left % members.len()];
@@ -46,8 +47,8 @@
 proptest! {
     #[test]
     fn shares_are_even_by_the_fewest_moves(
-        charge in prop::collection::vec(prop::option::of(0usize..4), 0..6),
-        members in prop::sample::subsequence(vec![0usize, 1, 2, 3, 9], 1..4),
+        charge in prop::collection::vec(prop::option::of(0u64..4), 0..6),
+        members in prop::sample::subsequence(vec![0u64, 1, 2, 3, 9], 1..4),
     ) {
         let moves = moves(&charge, &members);
         prop_assert!(even(&after(&charge, &moves), &members));
@@ -56,8 +57,8 @@
 
     #[test]
     fn large_shares_are_even_and_stay(
-        charge in prop::collection::vec(prop::option::of(0usize..9), 0..2_000),
-        members in prop::sample::subsequence((0usize..12).collect::<Vec<_>>(), 1..10),
+        charge in prop::collection::vec(prop::option::of(0u64..9), 0..2_000),
+        members in prop::sample::subsequence((0u64..12).collect::<Vec<_>>(), 1..10),
     ) {
         let charge = after(&charge, &moves(&charge, &members));
         prop_assert!(even(&charge, &members));
@@ -72,6 +73,7 @@
         let (mut now, mut at_store) = (0, i64::MIN);
         for (there, back, answered) in steps {
             membership.renewing(now);
+            let sent = now;
             let took = now + there;
             if took < at_store || at_store == i64::MIN {
                 at_store = took + LEASE;
@@ -82,7 +84,7 @@
             }
             now = took + back;
             if answered {
-                membership.renewed();
+                membership.renewed(sent);
             }
             for later in (now..now + 2 * LEASE).step_by(97) {
                 prop_assert!(!membership.holds(later) || later < at_store, "at {} here, {} there", later, at_store);
@@ -93,7 +95,7 @@
 
 #[test]
 fn a_leaver_s_slices_go_to_the_others_and_no_other_moves() {
-    let charge: Vec<Option<usize>> = (0..9).map(|slice| Some(slice % 3)).collect();
+    let charge: Vec<Option<Life>> = (0..9).map(|slice| Some(slice % 3)).collect();
     let moves = moves(&charge, &[0, 2]);
     assert!(moves.iter().all(|step| charge[step.slice] == Some(1)), "{moves:?}");
     assert_eq!(moves.len(), 3);
--- a/crates/standin/src/capture.rs
+++ b/crates/standin/src/capture.rs
@@ -20,6 +20,12 @@
         down: bool,
         body: String,
     },
+    /// A stream between a forwarder and a steward was opened.
+    Opened {
+        at: Time,
+        stream: u64,
+        steward: usize,
+    },
     /// A stream between a forwarder and a steward has ended.
     Shut {
         at: Time,
@@ -102,9 +108,11 @@
         number: u64,
         state: String,
     },
-    /// The steward's process: `started`, `killed`, `stopped`, `continued`.
+    /// A steward's process: `started`, `killed`, `ended`, `stopped`, `continued`.
     Steward {
         at: Time,
+        #[serde(default)]
+        number: usize,
         state: String,
     },
     /// Clients begin; service counts from here.
@@ -127,6 +135,7 @@
     pub fn at(&self) -> Time {
         match *self {
             Event::Frame { at, .. }
+            | Event::Opened { at, .. }
             | Event::Shut { at, .. }
             | Event::Listed { at, .. }
             | Event::Up { at, .. }
--- a/crates/standin/src/forwarder/mod.rs
+++ b/crates/standin/src/forwarder/mod.rs
@@ -39,6 +39,8 @@
     pub away_for: Time,
     /// It answers marks without letting go of any slice that it has an owner for.
     pub lies: bool,
+    /// It takes in whatever comes last, and any lease for any slice, as if there were no terms.
+    pub ignores_terms: bool,
     /// It stops itself between the pick and the send of its write of this number.
     pub stop_at: Option<u64>,
 }
@@ -57,11 +59,11 @@
     clock: Clock,
     chance: fastrand::Rng,
     table: Table,
-    /// No write is sent from here on.
-    lease_until: Time,
-    pool: BTreeMap<u64, Rc<pool::Line>>,
-    away: BTreeMap<u64, (u32, Time)>,
-    met: BTreeMap<u64, Met>,
+    pool: BTreeMap<SocketAddr, Rc<pool::Line>>,
+    away: BTreeMap<SocketAddr, (u32, Time)>,
+    /// By steward and its number of the server.
+    met: BTreeMap<(usize, u64), Met>,
+    /// By slice and request kind.
     arrived: BTreeMap<(u64, u64), u64>,
     writes: u64,
 }
@@ -80,10 +82,9 @@
     let forwarder = Rc::new(Forwarder {
         core: RefCell::new(Core {
             chance: fastrand::Rng::with_seed(options.seed),
+            table: Table::new(options.stewards.len(), options.ignores_terms),
             options,
             clock: Clock::default(),
-            table: Table::default(),
-            lease_until: Time::MIN,
             pool: BTreeMap::new(),
             away: BTreeMap::new(),
             met: BTreeMap::new(),
@@ -92,7 +93,7 @@
         }),
         changed: Notify::new(),
     });
-    spawn_local(stream::follow(forwarder.clone()));
+    stream::follow(&forwarder);
     loop {
         let (socket, _) = listener.accept().await?;
         spawn_local(client(forwarder.clone(), socket));
@@ -184,10 +185,10 @@
                         return status::DENIED;
                     }
                 }
-                Pick::Server(be, line) => {
+                Pick::Server(line) => {
                     drop(changed);
                     let Some(slice) = slice else { return status::DENIED };
-                    if let Some(status) = self.send(req, slice, be, &line, taken).await {
+                    if let Some(status) = self.send(req, slice, &line, taken).await {
                         return status;
                     }
                 }
@@ -196,17 +197,17 @@
     }
 
     /// Sends a try; none where the pick no longer held once there was a connection.
-    async fn send(&self, req: &Req, slice: u64, be: u64, line: &Rc<pool::Line>, taken: Time) -> Option<u64> {
+    async fn send(&self, req: &Req, slice: u64, line: &Rc<pool::Line>, taken: Time) -> Option<u64> {
         let left = duration(taken + req.waits - self.core.borrow().clock.now());
         let ready = tokio::time::timeout(left, pool::ready(self, line)).await;
         let began = self.core.borrow().clock.now();
         let Ok(Ok(())) = ready else {
-            self.learn(be, began, false, None);
+            self.learn(slice, line.address, began, false, None);
             return Some(status::ERRORED).filter(|_| ready.is_err()).or(Some(status::FULL));
         };
         let writes = {
             let mut core = self.core.borrow_mut();
-            if !matches!(core.pick(Some(slice), req), Pick::Server(now, _) if now == be) {
+            if !matches!(core.pick(Some(slice), req), Pick::Server(now) if now.address == line.address) {
                 return None;
             }
             core.table.writes(req.kind)
@@ -221,12 +222,12 @@
         let answer = {
             let core = self.core.borrow();
             // The lease again, in the plan server's own time: what is held up from here on is refused there.
-            let start_by = if writes { core.lease_until } else { taken + req.waits };
+            let start_by = if writes { core.table.lease_until(slice) } else { taken + req.waits };
             let finish_by = if writes { taken + core.table.settle } else { taken + req.waits };
             line.send(&core, req, slice, writes, start_by, finish_by)
         };
         let Some(answer) = answer else {
-            self.learn(be, began, false, None);
+            self.learn(slice, line.address, began, false, None);
             return Some(status::FULL);
         };
         let answer = tokio::time::timeout(left, answer).await;
@@ -234,23 +235,27 @@
             Ok(Ok((status, util))) => (status, Some(util)),
             _ => (status::ERRORED, None),
         };
-        self.learn(be, began, status == status::DONE, util);
+        self.learn(slice, line.address, began, status == status::DONE, util);
         Some(status)
     }
 
-    fn learn(&self, be: u64, began: Time, good: bool, util: Option<f64>) {
+    /// Takes in how a try went, for the steward in charge of its slice, as long as that has the slice at this server.
+    fn learn(&self, slice: u64, address: SocketAddr, began: Time, good: bool, util: Option<f64>) {
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
         let now = core.clock.now();
-        let met = core.met.entry(be).or_default();
-        met.tries += 1;
-        met.util = util.or(met.util);
-        let (failures, until) = core.away.entry(be).or_insert((0, Time::MIN));
+        let owner = core.table.owner(slice).filter(|(_, now)| *now == address);
+        if let Some(be) = owner.and_then(|(be, _)| be) {
+            let met = core.met.entry((core.table.steward(slice), be)).or_default();
+            met.tries += 1;
+            met.util = util.or(met.util);
+            met.took += if good { now - began } else { 0 };
+            met.failed += u64::from(!good);
+        }
+        let (failures, until) = core.away.entry(address).or_insert((0, Time::MIN));
         if good {
-            met.took += now - began;
             *failures = 0;
         } else {
-            met.failed += 1;
             *failures += 1;
             if core.options.away_after > 0 && *failures >= core.options.away_after {
                 (*failures, *until) = (0, now + core.options.away_for);
@@ -273,7 +278,7 @@
 }
 
 enum Pick {
-    Server(u64, Rc<pool::Line>),
+    Server(Rc<pool::Line>),
     /// The slice has no server.
     Wait,
     Denied,
@@ -288,18 +293,16 @@
             return Pick::Denied;
         }
         let Some((be, address)) = self.table.owner(slice) else { return Pick::Wait };
-        let away = self.away.get(&be).is_some_and(|&(_, until)| now < until);
-        if away || self.table.withdrawn(be) {
+        let away = self.away.get(&address).is_some_and(|&(_, until)| now < until);
+        if away || self.table.withdrawn(slice, be) {
             return Pick::Denied;
         }
-        if self.table.writes(req.kind) && (now >= self.lease_until || self.table.reads_only(slice)) {
+        let unleased = now >= self.table.lease_until(slice);
+        if self.table.writes(req.kind) && (unleased || self.table.reads_only(slice)) {
             return Pick::Denied;
         }
-        let line = self.pool.entry(be).or_insert_with(|| Rc::new(pool::Line::new(address)));
-        if line.address != address {
-            *line = Rc::new(pool::Line::new(address));
-        }
-        Pick::Server(be, line.clone())
+        let line = self.pool.entry(address).or_insert_with(|| Rc::new(pool::Line::new(address)));
+        Pick::Server(line.clone())
     }
 
     /// Where a req stands between 0 and 1: a client that comes again is refused again.
--- a/crates/standin/src/forwarder/stream.rs
+++ b/crates/standin/src/forwarder/stream.rs
@@ -1,5 +1,6 @@
 //! The stream to a steward: hello, the whole table, changes, marks, pings and reports.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,34 +12,43 @@
 use tokio::time::{interval, sleep, timeout, Instant};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::{Forwarder, Table};
+use super::table::Reading;
+use super::{Forwarder, Met};
 use crate::{duration, Time};
 
-/// Follows one steward after the other, for ever. What is held stays while there is none.
-pub async fn follow(forwarder: Rc<Forwarder>) {
+/// Follows all stewards, each for ever. What one said stays while it is not there.
+pub fn follow(forwarder: &Rc<Forwarder>) {
     let (stewards, boot) = {
         let mut core = forwarder.core.borrow_mut();
         // Another life has another number, though the seed is the same.
         let boot = core.clock.now() as u64 ^ core.chance.u64(..);
         (core.options.stewards.clone(), boot)
     };
-    let mut newest_term = 0;
-    for steward in stewards.iter().cycle() {
-        let _ = joined(&forwarder, *steward, boot, &mut newest_term).await;
-        let wait = forwarder.core.borrow_mut().chance.u64(50..300);
-        sleep(Duration::from_millis(wait)).await;
+    for (number, address) in stewards.into_iter().enumerate() {
+        let forwarder = forwarder.clone();
+        tokio::task::spawn_local(async move {
+            let mut newest_term = 0;
+            loop {
+                let _ = joined(&forwarder, number, address, boot, &mut newest_term).await;
+                let wait = forwarder.core.borrow_mut().chance.u64(50..300);
+                sleep(Duration::from_millis(wait)).await;
+            }
+        });
     }
 }
 
 /// What a stream is about: learnt by its welcome, and by whether the whole table has been read on it.
 struct Joined {
+    /// Which of the stewards it is.
+    steward: usize,
     lease: Time,
     read: bool,
-    next: Table,
+    next: Reading,
 }
 
 async fn joined(
     forwarder: &Forwarder,
+    number: usize,
     steward: SocketAddr,
     boot: u64,
     newest_term: &mut u64,
@@ -51,7 +61,7 @@
     let (mut read, mut write) =
         (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_UP)));
     write.send(hello(forwarder, boot)).await?;
-    let mut state = Joined { lease: 0, read: false, next: Table::default() };
+    let mut state = Joined { steward: number, lease: 0, read: false, next: Reading::default() };
     let (mut ping_every, mut report_every) = (Duration::from_secs(1), Duration::from_secs(1));
     let (mut ping, mut report) = (interval(ping_every), interval(report_every));
     let mut echoed = Instant::now();
@@ -66,7 +76,8 @@
                 match fields.kind() {
                     kind::WELCOME => {
                         let term;
-                        (state, term, ping_every, report_every) = welcome(fields).map_err(broken)?;
+                        (state.lease, term, ping_every, report_every) =
+                            welcome(forwarder, fields).map_err(broken)?;
                         if term < *newest_term {
                             return Err(std::io::Error::other("a steward of a lower term"));
                         }
@@ -104,7 +115,7 @@
                 write.send(Frame::new(kind::PING).numbers(tag::SENT, &[now as u64]).finish()).await?;
             }
             _ = report.tick() => {
-                if let Some(body) = reported(forwarder, report_every) {
+                if let Some(body) = reported(forwarder, number, report_every) {
                     write.send(body).await?;
                 }
             }
@@ -124,7 +135,8 @@
         .finish()
 }
 
-fn welcome(mut body: Body) -> Result<(Joined, u64, Duration, Duration), Fault> {
+/// Returns the lease, the steward's term, and how often to ping and to report.
+fn welcome(forwarder: &Forwarder, mut body: Body) -> Result<(Time, u64, Duration, Duration), Fault> {
     let (mut term, mut lease, mut hold, mut settle, mut slices) = (0, 0, 0, 0, 0);
     let (mut ping, mut report) = (Duration::from_secs(1), Duration::from_secs(1));
     let mut kinds = Vec::new();
@@ -141,8 +153,8 @@
             _ => {}
         }
     }
-    let next = Table::new(slices, kinds, hold, settle);
-    Ok((Joined { lease, read: false, next }, term, ping, report))
+    forwarder.core.borrow_mut().table.shape(slices, kinds, hold, settle);
+    Ok((lease, term, ping, report))
 }
 
 /// A part of the whole table; with its end the table takes the place of the one before, and that is answered.
@@ -150,11 +162,11 @@
     let mut answer = None;
     while let Some((tag, mut field)) = body.field()? {
         if tag != tag::END {
-            state.next.take(tag, field)?;
+            forwarder.core.borrow().table.read(&mut state.next, tag, field)?;
             continue;
         }
         answer = Some(Frame::new(kind::ANSWER).numbers(tag::END, &[field.number()?]).finish());
-        forwarder.core.borrow_mut().table = std::mem::take(&mut state.next);
+        forwarder.core.borrow_mut().table.replace(state.steward, std::mem::take(&mut state.next));
         state.read = true;
         forwarder.changed.notify_waiters();
     }
@@ -173,7 +185,7 @@
             answer.numbers(tag, &[field.number()?]);
             asked = true;
         } else if !core.options.lies || core.table.keeps_owners(tag, field.clone()) {
-            lines += u64::from(core.table.take(tag, field)?);
+            lines += u64::from(core.table.take(state.steward, tag, field)?);
         }
     }
     std::thread::sleep(Duration::from_micros(lines * core.options.stall_us));
@@ -185,20 +197,27 @@
 /// An echo renews the lease from when its ping was sent, if the whole table has been read on this stream.
 fn renew(forwarder: &Forwarder, state: &Joined, sent: Time) {
     if state.read {
-        let mut core = forwarder.core.borrow_mut();
-        core.lease_until = core.lease_until.max(sent + state.lease);
+        forwarder.core.borrow_mut().table.renew(state.steward, sent + state.lease);
     }
 }
 
-fn reported(forwarder: &Forwarder, window: Duration) -> Option<Bytes> {
+/// What a steward is to hear: of its servers, and of the slices that it is in charge of.
+fn reported(forwarder: &Forwarder, steward: usize, window: Duration) -> Option<Bytes> {
     let mut core = forwarder.core.borrow_mut();
-    let (met, arrived) = (std::mem::take(&mut core.met), std::mem::take(&mut core.arrived));
+    let core = &mut *core;
+    let (met, rest) = std::mem::take(&mut core.met).into_iter().partition(|&((of, _), _)| of == steward);
+    core.met = rest;
+    let met: BTreeMap<(usize, u64), Met> = met;
+    let own = |&((slice, _), _): &((u64, u64), u64)| core.table.steward(slice) == steward;
+    let (arrived, rest) = std::mem::take(&mut core.arrived).into_iter().partition(own);
+    core.arrived = rest;
+    let arrived: BTreeMap<(u64, u64), u64> = arrived;
     if met.is_empty() && arrived.is_empty() {
         return None;
     }
     let mut frame = Frame::new(kind::REPORT);
     frame.numbers(tag::WINDOW, &[window.as_micros() as u64 / 100]);
-    for (be, met) in met {
+    for ((_, be), met) in met {
         let took = met.took as u64 / (met.tries - met.failed).max(1);
         let mut row = vec![be, met.tries, met.failed, took];
         row.extend(met.util.map(millionths));
--- a/crates/standin/src/store/mvcc.rs
+++ b/crates/standin/src/store/mvcc.rs
@@ -1,6 +1,6 @@
 //! Keys, revisions, leases and transactions. Pure: times are handed in.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ravenspar_etcd::api::compare::{CompareResult, CompareTarget, TargetUnion};
 use ravenspar_etcd::api::request_op::Request;
@@ -33,8 +33,13 @@
     LeaseNotFound,
     LeaseExists,
     FutureRevision,
+    TooManyOps,
+    DuplicateKey,
 }
 
+/// Operations of a transaction, as etcd takes them unless told otherwise (`--max-txn-ops`).
+const MOST_OPS: usize = 128;
+
 impl Mvcc {
     pub fn new(cluster: u64) -> Mvcc {
         Mvcc { cluster, revision: 1, keys: BTreeMap::new(), leases: BTreeMap::new() }
@@ -69,6 +74,10 @@
         Ok(())
     }
 
+    pub fn leases(&self) -> Vec<i64> {
+        self.leases.keys().copied().collect()
+    }
+
     /// The seconds that a renewed lease has; 0 where it is gone.
     pub fn renew(&mut self, now: Time, id: i64) -> i64 {
         let Some(lease) = self.leases.get_mut(&id) else { return 0 };
@@ -91,7 +100,8 @@
         if request.revision > self.revision {
             return Err(Refusal::FutureRevision);
         }
-        let all: Vec<&KeyValue> = self.within(&request.key, &request.range_end).collect();
+        let newer = |kv: &&KeyValue| kv.mod_revision >= request.min_mod_revision;
+        let all: Vec<&KeyValue> = self.within(&request.key, &request.range_end).filter(newer).collect();
         let most = if request.limit > 0 { request.limit as usize } else { usize::MAX };
         let value = |kv: &KeyValue| if request.keys_only { Vec::new() } else { kv.value.clone() };
         let shown = all.iter().take(if request.count_only { 0 } else { most });
@@ -155,26 +165,44 @@
         }
     }
 
+    /// Why operations would be refused, which undoes a transaction whole.
+    fn refuses(&self, operations: &[RequestOp]) -> Result<(), Refusal> {
+        let mut keys = BTreeSet::new();
+        for operation in operations {
+            match &operation.request {
+                Some(Request::RequestPut(put)) => {
+                    if put.lease != 0 && !self.leases.contains_key(&put.lease) {
+                        return Err(Refusal::LeaseNotFound);
+                    }
+                    if !keys.insert(&put.key) {
+                        return Err(Refusal::DuplicateKey);
+                    }
+                }
+                Some(Request::RequestRange(range)) if range.revision > self.revision => {
+                    return Err(Refusal::FutureRevision);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
     /// All of a transaction or, where it is refused, nothing of it. Its writes have one revision.
     pub fn txn(&mut self, request: &TxnRequest) -> Result<TxnResponse, Refusal> {
-        let before = self.clone();
-        let result = self.carry_out(request, self.revision + 1);
-        match result {
-            Ok((mut response, wrote)) => {
-                self.revision += i64::from(wrote);
-                response.header = Some(self.header());
-                Ok(response)
-            }
-            Err(refusal) => {
-                *self = before;
-                Err(refusal)
-            }
+        let sizes = [request.compare.len(), request.success.len(), request.failure.len()];
+        if sizes.into_iter().any(|size| size > MOST_OPS) {
+            return Err(Refusal::TooManyOps);
         }
+        let (mut response, wrote) = self.carry_out(request, self.revision + 1)?;
+        self.revision += i64::from(wrote);
+        response.header = Some(self.header());
+        Ok(response)
     }
 
     fn carry_out(&mut self, request: &TxnRequest, revision: i64) -> Result<(TxnResponse, bool), Refusal> {
         let succeeded = request.compare.iter().all(|compare| self.holds(compare));
         let operations = if succeeded { &request.success } else { &request.failure };
+        self.refuses(operations)?;
         let (mut responses, mut wrote) = (Vec::new(), false);
         for RequestOp { request } in operations {
             let response = match request {
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -63,6 +63,8 @@
         Refusal::FutureRevision => {
             Status::out_of_range("etcdserver: mvcc: required revision is a future revision")
         }
+        Refusal::TooManyOps => Status::invalid_argument("etcdserver: too many operations in txn request"),
+        Refusal::DuplicateKey => Status::invalid_argument("etcdserver: duplicate key given in txn request"),
     }
 }
 
@@ -95,6 +97,11 @@
         found.kvs.into_iter().next().map(|kv| (kv.value, kv.mod_revision))
     }
 
+    /// The leases that there are.
+    pub fn leases(&self) -> Vec<i64> {
+        self.lock().mvcc.leases()
+    }
+
     /// Loses a lease before its time.
     pub fn lose_lease(&self, id: i64) {
         let _ = self.lock().mvcc.revoke(id);
