--- /dev/null
+++ b/crates/host/tests/charges.rs
@@ -0,0 +1,168 @@
+//! Slices that come into charge and leave it, where several stewards share them.
+
+mod common;
+
+use common::*;
+use ravenspar_host::{Charged, Host, Output};
+use ravenspar_protocol::{kind, tag};
+use ravenspar_steward::{Health, Scope, Time, SECOND};
+
+fn sharing(now: Time, slices: usize, proxies: usize, servers: &[&str]) -> Host {
+    let mut host = Host::sharing(now, 7, settings(slices, proxies), 5, &[]).expect("all settings are there");
+    list(&mut host, servers, Health::Ready);
+    host
+}
+
+fn charged(slice: usize, term: u64, owner: Option<(&str, f64)>) -> Charged {
+    let owner = owner.map(|(id, weight)| (id.to_owned(), weight, 0));
+    Charged { slice, term, taken_over: true, owner }
+}
+
+fn join(host: &mut Host, now: Time, stream: u64, proxy: u64) {
+    host.opened(now, stream);
+    host.frame(now, stream, &hello(proxy, 1));
+    let frames = settle(host, now);
+    answer_all(host, now, &frames);
+    settle(host, now);
+}
+
+fn tags(frames: &[(u64, Vec<u8>)], wanted: u8) -> Vec<u64> {
+    frames.iter().flat_map(|(_, body)| read(body, wanted).1).collect()
+}
+
+#[test]
+fn nothing_is_decided_of_slices_that_are_not_in_charge() {
+    let mut host = sharing(0, 4, 1, &["a"]);
+    join(&mut host, 0, 1, 0);
+    let frames = pass(&mut host, 0, 3 * (LEASE + SETTLE), &[1]);
+    assert!(tags(&frames, tag::LINE).is_empty());
+    host.charged(0, &[charged(1, 9, None), charged(2, 9, None)]);
+    let now = 3 * (LEASE + SETTLE);
+    let frames = pass(&mut host, now, now + 3 * (LEASE + SETTLE), &[1]);
+    assert_eq!(tags(&frames, tag::CHARGE), [1], "two slices in one run");
+    let mut granted = tags(&frames, tag::LINE);
+    granted.dedup();
+    granted.sort_unstable();
+    granted.dedup();
+    assert_eq!(granted, [1, 2]);
+}
+
+/// The heir of a slice on its way neither grants early nor opens writes early.
+#[test]
+fn a_slice_on_its_way_waits_a_lease_and_settles_at_its_heir() {
+    let mut host = sharing(0, 2, 1, &["a", "b"]);
+    join(&mut host, 0, 1, 0);
+    let at = 10 * SECOND;
+    let before = pass(&mut host, 0, at, &[1]);
+    assert!(tags(&before, tag::LINE).is_empty());
+    host.charged(at, &[charged(0, 9, None), charged(1, 9, Some(("a", 0.5)))]);
+    let mut now = at;
+    let (mut granted, mut opened) = (None, None);
+    while now < at + 4 * (LEASE + SETTLE) {
+        let frames = pass(&mut host, now, now + SECOND / 10, &[1]);
+        for (_, body) in frames.iter().filter(|(_, body)| body[0] == kind::TABLE) {
+            for slice in read(body, tag::LINE).1 {
+                match slice {
+                    0 => granted = granted.or(Some(now)),
+                    _ => opened = opened.or(Some(now)),
+                }
+            }
+        }
+        now += SECOND / 10;
+    }
+    assert!(granted.is_some_and(|granted| granted >= at + LEASE), "granted at {granted:?}");
+    assert!(opened.is_some_and(|opened| opened >= at + SETTLE - SECOND / 10), "opened at {opened:?}");
+}
+
+#[test]
+fn who_has_not_heard_what_was_left_is_not_echoed() {
+    let mut host = sharing(0, 2, 2, &["a"]);
+    host.charged(0, &[charged(0, 9, Some(("a", 1.0))), charged(1, 9, Some(("a", 1.0)))]);
+    join(&mut host, 0, 1, 0);
+    join(&mut host, 0, 2, 1);
+    host.left(&[0]);
+    let frames = settle(&mut host, 10);
+    assert_eq!(tags(&frames, tag::LEFT), [0, 0]);
+    // The first answers, the second does not.
+    answer_all(&mut host, 20, &frames.into_iter().filter(|(stream, _)| *stream == 1).collect::<Vec<_>>());
+    host.frame(30, 1, &ping(25));
+    host.frame(30, 2, &ping(26));
+    let echoes = settle(&mut host, 30);
+    let echoed: Vec<u64> =
+        echoes.iter().filter(|(_, body)| body[0] == kind::ECHO).map(|(stream, _)| *stream).collect();
+    assert_eq!(echoed, [1]);
+    assert_eq!((host.term(0), host.term(1)), (0, 9));
+}
+
+/// What another steward's proxies were echoed lasts a lease: until then answers to a revoke don't count, as an earlier
+/// life of a proxy may hold it unseen.
+#[test]
+fn a_slice_taken_over_is_not_granted_within_a_lease() {
+    let mut host = sharing(0, 1, 1, &["a", "b"]);
+    join(&mut host, 0, 1, 0);
+    let at = 5 * SECOND;
+    pass(&mut host, 0, at, &[1]);
+    host.charged(at, &[charged(0, 9, Some(("a", 1.0)))]);
+    pass(&mut host, at, at + SECOND / 10, &[1]);
+    host.list_begin(Scope::Whole);
+    host.list_entry("a", "zone", "127.0.0.1:1", Health::Draining, 0);
+    host.list_entry("b", "zone", "127.0.0.1:1", Health::Ready, 0);
+    host.list_end(Scope::Whole);
+    let mut now = at + SECOND / 10;
+    let (mut dropped, mut granted) = (None, None);
+    while granted.is_none() && now < at + 10 * LEASE {
+        let frames = pass(&mut host, now, now + SECOND / 20, &[1]);
+        dropped = dropped.or((!tags(&frames, tag::DROP).is_empty()).then_some(now));
+        granted = granted.or((!tags(&frames, tag::LINE).is_empty()).then_some(now));
+        now += SECOND / 20;
+    }
+    assert!(dropped.is_some_and(|dropped| dropped < at + LEASE), "revoked at {dropped:?}");
+    assert!(granted.is_some_and(|granted| granted >= at + LEASE - SECOND / 20), "granted at {granted:?}");
+}
+
+/// A list that lags behind the record must not make an old start look like news: what a server holds by a later one
+/// would count as stopped.
+#[test]
+fn a_start_that_the_record_tells_of_is_no_news_in_the_list() {
+    let mut host = sharing(0, 1, 1, &["a", "b"]);
+    join(&mut host, 0, 1, 0);
+    let owner = Some(("a".to_owned(), 1.0, 77));
+    host.charged(0, &[Charged { slice: 0, term: 9, taken_over: false, owner }]);
+    assert_eq!(host.boot(host_index(&host, "a")), 77);
+    pass(&mut host, 0, SECOND, &[1]);
+    // The list now shows that start, and that the server drains: it is revoked, and settles as any.
+    host.list_begin(Scope::Whole);
+    host.list_entry("a", "zone", "127.0.0.1:1", Health::Draining, 77);
+    host.list_entry("b", "zone", "127.0.0.1:1", Health::Ready, 0);
+    host.list_end(Scope::Whole);
+    let mut now = SECOND;
+    let (mut dropped, mut opened) = (None, None);
+    while opened.is_none() && now < 20 * (LEASE + SETTLE) {
+        host.frame(now, 1, &ping(now));
+        host.timeout(now);
+        let mut frames = Vec::new();
+        while let Some(output) = host.poll(now) {
+            match output {
+                Output::Frame { stream, body } => {
+                    frames.push((stream, body.to_vec()));
+                    host.sent(now, stream);
+                }
+                Output::Record { ticket, lines, .. } => {
+                    dropped = dropped.or(lines.iter().any(|line| line.1.is_none()).then_some(now));
+                    opened =
+                        opened.or(lines.iter().any(|line| line.1.is_some() && line.2 >= 1.0).then_some(now));
+                    host.recorded(ticket);
+                }
+                _ => {}
+            }
+        }
+        answer_all(&mut host, now, &frames);
+        now += SECOND / 20;
+    }
+    let (dropped, opened) = (dropped.expect("revoked"), opened.expect("opened"));
+    assert!(opened - dropped >= SETTLE, "writes opened {} after the revoke", opened - dropped);
+}
+
+fn host_index(host: &Host, id: &str) -> usize {
+    (0..2).find(|&be| host.server(be).id == id).expect("known")
+}
--- a/crates/lab/src/judge/tables.rs
+++ b/crates/lab/src/judge/tables.rs
@@ -51,6 +51,9 @@
     pub refused: usize,
 }
 
+/// No stream has this number: nobody is in charge of a slice, as far as a forwarder was told.
+const NOBODY: u64 = u64::MAX;
+
 #[derive(Default)]
 struct Stream {
     forwarder: Option<u64>,
@@ -182,6 +185,15 @@
                         }
                     }
                 }
+                (kind::TABLE, tag::LEFT) => {
+                    let (first, count) = (field.index()?, field.index()?);
+                    for slice in first..first.saturating_add(count).min(slices) {
+                        if self.counts(forwarder, slice, number) {
+                            // What it was told of the slice stands, but nobody answers for it until it is told who.
+                            self.charged.entry((forwarder, slice)).or_default().push((at, NOBODY));
+                        }
+                    }
+                }
                 (kind::TABLE, tag::HELD) => {
                     let (slice, be) = (field.index()?, field.number()?);
                     if self.counts(forwarder, slice, number) {
--- a/crates/lab/src/judge/tests.rs
+++ b/crates/lab/src/judge/tests.rs
@@ -160,6 +160,21 @@
     assert_eq!(broken([vec![stopped], dropped.to_vec()].concat()), KEPT);
 }
 
+/// A forwarder that is cut off from the steward that a slice was given to is not one of that steward's.
+#[test]
+fn rule_3_binds_whoever_is_in_charge() {
+    let left = down(5, 1, Frame::new(kind::TABLE).numbers(tag::LEFT, &[0, 2]));
+    let late = took(4 * SECOND, "a", 1, 7, 5 * SECOND);
+    let day = |left: Option<Event>| {
+        let mut events = joins(0, 1, 7);
+        events.extend(left);
+        events.extend([listed(10, &[("a", "draining", 0), ("b", "ready", 0)]), late.clone()]);
+        events
+    };
+    assert_eq!(broken(day(None)), [2]);
+    assert_eq!(broken(day(Some(left))), KEPT);
+}
+
 #[test]
 fn rule_4_a_cold_server_pushed_over() {
     let fell =
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod play;
 mod processes;
 mod relay;
+mod soak;
 mod troubles;
 mod vex;
 
@@ -60,6 +61,21 @@
         #[arg(long)]
         hand_overs: bool,
     },
+    /// Plays a day again and again with one seed after the other. Exit code 1 if one of them broke a rule.
+    Soak {
+        #[arg(long)]
+        minutes: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Days played beside each other.
+        #[arg(long, default_value_t = 1)]
+        at_once: usize,
+        #[arg(long, default_value = "examples/days/stewards-killed.yaml")]
+        file: PathBuf,
+        /// Where captures of days that broke a rule are left.
+        #[arg(long, value_name = "DIR", default_value = "target/soak")]
+        keep: PathBuf,
+    },
     /// The steward's own program, which days start.
     #[command(hide = true, disable_help_flag = true)]
     Steward {
@@ -104,6 +120,9 @@
         Command::Measure { forwarders, slices, servers, hand_overs } => {
             measure(&forwarders, slices, servers, hand_overs)
         }
+        Command::Soak { minutes, seed, at_once, file, keep } => {
+            run_soak(&file, minutes, seed, at_once, &keep)
+        }
         Command::Steward { args } => {
             return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
         }
@@ -169,6 +188,14 @@
     Ok(true)
 }
 
+fn run_soak(file: &Path, minutes: f64, seed: u64, at_once: usize, keep: &Path) -> Result<bool, Fault> {
+    if !(minutes > 0.0 && minutes <= 1e4) || !(1..=64).contains(&at_once) {
+        return Err(Fault::Input("soak: expected more than 0 minutes, and 1 to 64 days at once".to_owned()));
+    }
+    Day::load(file).map_err(Fault::Input)?;
+    block_on(soak::soak(file, minutes, seed, at_once, keep))?
+}
+
 fn judge_dir(dir: &Path) -> Result<bool, Fault> {
     let (_, rules) = play::rules(dir).map_err(Fault::Input)?;
     let path = dir.join("capture.jsonl");
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -97,6 +97,16 @@
         streams.push((stream, task.abort_handle()));
     }
 
+    async fn hears(&self) {
+        loop {
+            let heard = self.heard.notified();
+            if !self.deaf.get() {
+                return;
+            }
+            heard.await;
+        }
+    }
+
     async fn carry(self: &Rc<Relay>, stream: u64, forwarder: TcpStream) {
         let Some(target) = self.target.get() else { return };
         let Ok(steward) = TcpStream::connect(target).await else { return };
@@ -118,14 +128,10 @@
             let mut frames = FramedRead::new(from_steward, codec(MOST_DOWN));
             let mut out = FramedWrite::new(to_forwarder, codec(MOST_DOWN));
             loop {
-                loop {
-                    let heard = self.heard.notified();
-                    if !self.deaf.get() {
-                        break;
-                    }
-                    heard.await;
-                }
+                self.hears().await;
                 let Some(Ok(body)) = frames.next().await else { return };
+                // What was on its way when it went deaf is held too.
+                self.hears().await;
                 let captured = hex(&body);
                 if out.send(body.freeze()).await.is_err() {
                     return;
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -8,7 +8,7 @@
 use ravenspar_record::Record;
 
 use crate::serve::{serve, Fault, Halt};
-use crate::{logs, say, settings};
+use crate::{logs, say, settings, shared};
 
 #[derive(Parser)]
 #[command(name = "ravenspar", version, about = "Publishes key ranges to plain proxies")]
@@ -40,6 +40,15 @@
     },
     /// Says whether a settings file can be served by.
     Check { file: PathBuf },
+    /// Shows the stewards that share a store, and how many slices each is in charge of.
+    Members {
+        file: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Takes a shared store that is another, or older, than the one last seen: after it was restored from a backup.
+    /// Only once every other steward is stopped, and every forwarder's lease is over.
+    Accept { file: PathBuf },
     /// Shows the record that a settings file names.
     Record {
         file: PathBuf,
@@ -64,6 +73,8 @@
     end(match cli.command {
         Command::Serve { file, halt } => start(&file, halt),
         Command::Check { file } => check(&file),
+        Command::Members { file, json } => members(&file, json),
+        Command::Accept { file } => accept(&file),
         Command::Record { file, json } => show(&file, json),
     })
 }
@@ -101,12 +112,10 @@
 
 fn show(file: &Path, json: bool) -> Result<(), Fault> {
     let cfg = load(file)?;
+    if let Some(share) = &cfg.share {
+        return show_shared(&cfg, share, json);
+    }
     let record = Record::read(&cfg.record).map_err(|fault| Fault::Input(fault.to_string()))?;
-    let state = |owner: &Option<String>, weight: u64| match owner {
-        None => "ownerless",
-        Some(_) if weight < 1_000_000 => "reads only",
-        Some(_) => "owned",
-    };
     if json {
         let slices: Vec<_> = record
             .slices
@@ -129,3 +138,119 @@
     }
     Ok(())
 }
+
+fn state(owner: &Option<String>, weight: u64) -> &'static str {
+    match owner {
+        None => "ownerless",
+        Some(_) if weight < 1_000_000 => "reads only",
+        Some(_) => "owned",
+    }
+}
+
+/// Asks the shared store, from a runtime of its own.
+fn ask<T>(
+    share: &settings::Share,
+    call: impl AsyncFnOnce(&ravenspar_etcd::Client, &shared::Keys) -> Result<T, ravenspar_etcd::Fault>,
+) -> Result<T, Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Fault::Failed(format!("the runtime: {e}")))?;
+    runtime.block_on(async {
+        let client =
+            ravenspar_etcd::Client::new(&share.endpoints, share.call_within, u64::from(std::process::id()));
+        let client = client.map_err(Fault::Input)?;
+        let answer = call(&client, &shared::Keys::new(&share.prefix)).await;
+        answer.map_err(|fault| Fault::Failed(format!("the shared store: {fault}")))
+    })
+}
+
+fn shared_of(cfg: &settings::Checked, file: &Path) -> Result<settings::Share, Fault> {
+    cfg.share.clone().ok_or_else(|| Fault::Input(format!("{}: expected store: etcd", file.display())))
+}
+
+fn members(file: &Path, json: bool) -> Result<(), Fault> {
+    let cfg = load(file)?;
+    let share = shared_of(&cfg, file)?;
+    let said = ask(&share, async |client, keys| shared::snapshot(client, keys, 0).await)?;
+    let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
+    let count = |life: u64| said.charges.iter().filter(|(_, steward, _)| *steward == life).count();
+    let there = |life: u64| said.members.iter().any(|(member, _)| *member == life);
+    let orphans =
+        slices - said.charges.iter().filter(|(slice, life, _)| *slice < slices && there(*life)).count();
+    if json {
+        let all: Vec<_> = said
+            .members
+            .iter()
+            .map(|(life, member)| {
+                serde_json::json!({
+                    "life": format!("{life:016x}"), "name": member.name, "address": member.address,
+                    "leaving": member.leaving, "slices": count(*life),
+                })
+            })
+            .collect();
+        let cluster = format!("{:x}", said.cluster);
+        say(serde_json::json!({
+            "cluster": cluster, "revision": said.revision, "members": all, "in_charge_of_nobody": orphans,
+        }));
+        return Ok(());
+    }
+    say(format_args!("{:<16}  {:<20}  {:<21}  {:>6}  state", "life", "name", "address", "slices"));
+    for (life, member) in &said.members {
+        let state = if member.leaving { "leaving" } else { "in" };
+        let (name, address) = (&member.name, &member.address);
+        say(format_args!("{life:016x}  {name:<20}  {address:<21}  {:>6}  {state}", count(*life)));
+    }
+    say(format_args!(
+        "in charge of nobody: {orphans} of {slices} slices; cluster {:x}, revision {}",
+        said.cluster, said.revision
+    ));
+    Ok(())
+}
+
+fn accept(file: &Path) -> Result<(), Fault> {
+    let cfg = load(file)?;
+    shared_of(&cfg, file)?;
+    let record = Record::open(&cfg.record).map_err(|fault| Fault::Input(fault.to_string()))?;
+    record.see(None).map_err(|fault| Fault::Failed(fault.to_string()))?;
+    say(format_args!("{}: whatever store is there next is taken", cfg.record.display()));
+    Ok(())
+}
+
+/// The record in a shared store, with who is in charge of each slice.
+fn show_shared(cfg: &settings::Checked, share: &settings::Share, json: bool) -> Result<(), Fault> {
+    let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
+    let (said, rows) = ask(share, async |client, keys| {
+        let said = shared::snapshot(client, keys, 0).await?;
+        Ok((said, shared::record(client, keys, 0, slices.saturating_sub(1)).await?))
+    })?;
+    let name = |life: u64| {
+        let member = said.members.iter().find(|(member, _)| *member == life);
+        member.map_or("gone", |(_, member)| &member.name)
+    };
+    let all = said.charges.iter().map(|&(slice, life, term)| {
+        let row = rows.iter().find(|row| row.slice as usize == slice);
+        let owner = row.and_then(|row| row.owner.clone());
+        let (weight, mark) = row.map_or((0, 0), |row| (row.weight, row.mark));
+        (slice, life, term, state(&owner, weight), owner, mark)
+    });
+    if json {
+        let all: Vec<_> = all
+            .map(|(slice, life, term, state, owner, mark)| {
+                serde_json::json!({
+                    "slice": slice, "steward": name(life), "life": format!("{life:016x}"), "term": term,
+                    "owner": owner, "state": state, "mark": mark,
+                })
+            })
+            .collect();
+        say(serde_json::json!({ "revision": said.revision, "slices": all }));
+        return Ok(());
+    }
+    say(format_args!(
+        "{:>6}  {:<20}  {:>8}  {:<24}  {:<10}  {:>8}",
+        "slice", "steward", "term", "owner", "state", "mark"
+    ));
+    for (slice, life, term, state, owner, mark) in all {
+        let owner = owner.as_deref().unwrap_or("-");
+        say(format_args!("{slice:>6}  {:<20}  {term:>8}  {owner:<24}  {state:<10}  {mark:>8}", name(life)));
+    }
+    Ok(())
+}
--- a/crates/sharing/src/fleet.rs
+++ b/crates/sharing/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::{Life, Time};
 
 /// One step at the store. The next comes once this one's outcome has been told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Step {
     /// Take slices over whose steward is gone: on condition that each charge still has this term (0: there never was
     /// one), and that none of `gone` is a member.
@@ -22,13 +22,13 @@
     Lost,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Charge {
     steward: Life,
     term: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Fleet {
     me: Life,
     /// Members, and whether each is leaving.
--- a/crates/standin/src/forwarder/mod.rs
+++ b/crates/standin/src/forwarder/mod.rs
@@ -39,7 +39,8 @@
     pub away_for: Time,
     /// It answers marks without letting go of any slice that it has an owner for.
     pub lies: bool,
-    /// It takes in whatever comes last, and any lease for any slice, as if there were no terms.
+    /// It takes in whatever comes last, and any lease for any slice, as if there were no terms, from however old a
+    /// stream.
     pub ignores_terms: bool,
     /// It stops itself between the pick and the send of its write of this number.
     pub stop_at: Option<u64>,
