Notes between stewards over UDP: hints that make others look sooner

A steward that is given slices sees it at its next look at the store, 125 ms later on average.

A note makes its receiver look at the store or read its list before its time, at most once in 20 ms, and nothing else.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -189,7 +189,8 @@
 }
 
 fn run_soak(file: &Path, minutes: f64, seed: u64, at_once: usize, keep: &Path) -> Result<bool, Fault> {
-    if !(minutes > 0.0 && minutes <= 1e4) || !(1..=64).contains(&at_once) {
+    let plays = minutes > 0.0 && minutes <= 1e4 && (1..=64).contains(&at_once);
+    if !plays {
         return Err(Fault::Input("soak: expected more than 0 minutes, and 1 to 64 days at once".to_owned()));
     }
     Day::load(file).map_err(Fault::Input)?;
--- a/crates/ravenspar/src/list.rs
+++ b/crates/ravenspar/src/list.rs
@@ -26,15 +26,15 @@
 /// A YAML file, read anew when it changes.
 pub struct File {
     pub path: PathBuf,
+    /// Reads it before its time when notified.
+    pub look: std::sync::Arc<tokio::sync::Notify>,
 }
 
 impl Source for File {
     fn follow(&self, news: mpsc::Sender<News>) {
         use notify::Watcher;
-        use tokio::sync::Notify;
-
         let path = self.path.clone();
-        let changed = std::sync::Arc::new(Notify::new());
+        let changed = self.look.clone();
         let told = changed.clone();
         // The folder is watched, as a file that is replaced is another file.
         let watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use ravenspar_host::{Charged, Host, Output, Server};
+use ravenspar_notes::kind;
 use ravenspar_record::{Record, ServerRow, SliceRow};
 use ravenspar_sharing::Step;
 use ravenspar_steward::{Health, Scope, Time, SECOND};
@@ -16,7 +17,7 @@
 use crate::list::{self, File, News, Source};
 use crate::recorder::{Batch, Recorder};
 use crate::settings::Checked;
-use crate::shared::{Event, Joining, Keys, Life, Snapshot};
+use crate::shared::{Event, Joining, Keys, Life, Office, Snapshot};
 use crate::streams::{self, Input, Stream};
 
 /// Where to stop dead, as a kill would, so that tests can meet a steward at its worst moments.
@@ -59,6 +60,8 @@
     clock: Clock,
     listener: TcpListener,
     list: mpsc::Receiver<News>,
+    /// Has the list read before its time.
+    look: std::sync::Arc<tokio::sync::Notify>,
     /// Where the list last seen is kept, and without a shared store the slices too.
     kept: Rc<Recorder>,
     terminate: Signal,
@@ -102,11 +105,13 @@
     let listener = streams::listen(at).map_err(failed(&cfg.listen))?;
     let address = listener.local_addr().map_err(failed("listen"))?;
     let (news, list) = mpsc::channel(4);
-    File { path: cfg.list.clone() }.follow(news);
+    let look = std::sync::Arc::new(tokio::sync::Notify::new());
+    File { path: cfg.list.clone(), look: look.clone() }.follow(news);
     let mut door = Door {
         clock: Clock::new(),
         listener,
         list,
+        look,
         kept: Rc::new(Recorder::in_thread(record).map_err(failed("the record's thread"))?),
         terminate: signal(SignalKind::terminate()).map_err(failed("signals"))?,
         interrupt: signal(SignalKind::interrupt()).map_err(failed("signals"))?,
@@ -161,7 +166,12 @@
     let client = ravenspar_etcd::Client::new(&share.endpoints, share.call_within, chance.u64(..));
     let client = std::sync::Arc::new(client.map_err(Fault::Input)?);
     let keys = Keys::new(&share.prefix);
+    let office = match &share.notes {
+        Some(notes) => Some(Office::open(notes).await.map_err(Fault::Input)?),
+        None => None,
+    };
     let joining = Joining {
+        office,
         client: client.clone(),
         keys: keys.clone(),
         clock: door.clock,
@@ -393,6 +403,9 @@
             refused = self.ran.refused,
             "ending"
         );
+        if let Some(post) = self.shared.as_ref().and_then(|shared| shared.life.post.as_ref()) {
+            tracing::info!(refused = post.inbox.refused, "notes");
+        }
         let streams = std::mem::take(&mut self.streams);
         if matches!(end, Ok(End::Over(_))) {
             // Not a line that was decided in this life may arrive any more.
@@ -479,6 +492,7 @@
         tracing::info!(slices = shared.life.fleet.count(), "leaving");
         shared.life.fleet.leave(now + REST);
         shared.life.say_leaving();
+        shared.life.tell(kind::LOOK, u64::MAX);
         shared.give_up = now + MOST;
         false
     }
@@ -503,6 +517,8 @@
                 said.charges.iter().for_each(|&(slice, life, term)| fleet.charge(slice, life, term));
                 let members: Vec<_> = said.members.iter().map(|(life, m)| (*life, m.leaving)).collect();
                 fleet.members(&members);
+                let me = shared.life.number;
+                shared.life.post.iter_mut().for_each(|post| post.members(me, &said.members));
             }
             Event::Away(why) => {
                 if !std::mem::replace(&mut shared.away, true) {
@@ -527,7 +543,19 @@
             Event::Gave { slices, to, term } => {
                 tracing::info!(slices = slices.len(), to = %format_args!("{to:016x}"), term, "gave slices");
                 fleet.gave(&slices, to, term);
+                shared.life.tell(kind::LOOK, term);
             }
+            Event::Note(bytes) => match shared.life.post.as_mut().map(|post| post.inbox.open(&bytes)) {
+                // Only what was not seen yet is worth a look.
+                Some(Ok((_, kind::LOOK, revision)))
+                    if shared.seen.is_none_or(|(_, seen)| seen < revision) =>
+                {
+                    shared.life.look();
+                }
+                Some(Ok((_, kind::LIST, _))) => self.door.look.notify_one(),
+                Some(Err(why)) => tracing::debug!(?why, "a note is not taken in"),
+                _ => {}
+            },
             Event::Done => {
                 shared.stepping = false;
                 shared.since = 0; // what has arrived is told at once
@@ -641,6 +669,9 @@
                 }
                 self.host.list_end(Scope::Whole);
                 self.door.rows = rows;
+                if let Some(shared) = &mut self.shared {
+                    shared.life.tell(kind::LIST, 0);
+                }
             }
             News::Failed(why) => {
                 if !std::mem::replace(&mut self.ran.list_failed, true) {
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -57,6 +57,9 @@
     own("share.prefix", Form::Text, Some("/ravenspar/")),
     own("share.member_lease", Form::Time, Some("3s")),
     own("share.call_within", Form::Time, Some("1s")),
+    own("share.notes.listen", Form::Text, Some("")),
+    own("share.notes.address", Form::Text, Some("")),
+    own("share.notes.key", Form::Text, Some("")),
     entry("lease", Form::Time, "family_info.write_lease_s", None),
     entry("settle", Form::Time, "family_info.settle_s", None),
     entry("hold", Form::Time, "family_info.hold_s", None),
@@ -120,6 +123,17 @@
     /// Whole seconds, as the store has them.
     pub member_lease: i64,
     pub call_within: std::time::Duration,
+    pub notes: Option<Notes>,
+}
+
+/// How notes to other stewards travel.
+#[derive(Clone, Debug)]
+pub struct Notes {
+    pub listen: std::net::SocketAddr,
+    /// Where others reach it; none: where it listens.
+    pub address: Option<std::net::SocketAddr>,
+    /// The file with the key that all stewards have.
+    pub key: PathBuf,
 }
 
 /// Reads and checks a file. Relative paths in it count from its folder.
@@ -139,7 +153,7 @@
             format!("listen: {listen}: expected an address and a port"),
         ));
     }
-    let share = share(&own, &mut check_faults, &tree);
+    let share = share(&own, &mut check_faults, &tree, folder);
     let checked = Checked {
         share,
         listen,
@@ -169,6 +183,7 @@
     own: &impl Fn(&str) -> Option<&'a str>,
     faults: &mut Vec<(u64, u64, String)>,
     tree: &Placed,
+    folder: &Path,
 ) -> Option<Share> {
     if own("store") != Some("etcd") {
         return None;
@@ -194,12 +209,29 @@
         let what = format!("share.member_lease: {lease}s: expected whole seconds");
         faults.push((tree.line, tree.column, what));
     }
+    let mut address = |name: &str| {
+        let text = text(name);
+        let address = text.parse::<std::net::SocketAddr>().ok();
+        if address.is_none() && !text.is_empty() {
+            let what = format!("{name}: {text}: expected an address and a port");
+            faults.push((tree.line, tree.column, what));
+        }
+        address
+    };
+    let (listen, shown) = (address("share.notes.listen"), address("share.notes.address"));
+    let key = text("share.notes.key");
+    if listen.is_some() && key.is_empty() {
+        let what = "share.notes.key: missing, expected the file of the key that all stewards have";
+        faults.push((tree.line, tree.column, what.to_owned()));
+    }
+    let notes = listen.map(|listen| Notes { listen, address: shown, key: folder.join(key) });
     Some(Share {
         name: text("share.name"),
         endpoints,
         prefix: text("share.prefix"),
         member_lease: lease as i64,
         call_within: std::time::Duration::from_secs_f64(seconds("share.call_within")),
+        notes,
     })
 }
 
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -9,9 +9,10 @@
 use ravenspar_sharing::membership::Membership;
 use ravenspar_sharing::{Fleet, Step};
 use ravenspar_steward::{Time, SECOND};
-use tokio::sync::{mpsc, Mutex};
+use tokio::sync::{mpsc, Mutex, Notify};
 use tokio::task::AbortHandle;
 
+use super::post::{Office, Post};
 use super::rows::{Keys, Member};
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
 use crate::clock::Clock;
@@ -37,6 +38,8 @@
         to: u64,
         term: u64,
     },
+    /// A note has come in, unread.
+    Note(Vec<u8>),
     /// The step under way has ended.
     Done,
     Over(String),
@@ -57,6 +60,7 @@
     pub keys: Keys,
     pub clock: Clock,
     pub slices: usize,
+    pub office: Option<Office>,
     /// The shortest time between two rounds of giving.
     pub pace: Time,
 }
@@ -67,6 +71,9 @@
     pub fleet: Fleet,
     pub membership: Membership,
     pub recorder: Rc<Recorder>,
+    pub post: Option<Post>,
+    /// The store is to be looked at before its time.
+    look: Arc<Notify>,
     member: Member,
     joining: Joining,
     hand: Arc<Mutex<Hand>>,
@@ -109,7 +116,8 @@
             return Err(format!("the store gives leases of {seconds} s, not of {} s", share.member_lease));
         }
         membership.renewed(sent);
-        let member = Member { name: share.name.clone(), address: address.to_owned(), leaving: false };
+        let notes = joining.office.as_ref().map_or(String::new(), |office| office.address.to_string());
+        let member = Member { name: share.name.clone(), address: address.to_owned(), notes, leaving: false };
         let joined = Hand::join(client, keys, number, &member).await;
         let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
         let hand = Arc::new(Mutex::new(hand));
@@ -124,6 +132,8 @@
             fleet,
             membership,
             recorder,
+            post: joining.office.clone().map(|office| Post::new(office, number)),
+            look: Arc::default(),
             member,
             joining: joining.clone(),
             hand,
@@ -133,6 +143,8 @@
             renewals: Arc::default(),
         };
         life.start_polls();
+        let receiver = life.post.as_ref().map(|post| post.receive(life.events.clone()));
+        life.tasks.extend(receiver);
         Ok(life)
     }
 
@@ -142,7 +154,9 @@
     }
 
     fn start_polls(&mut self) {
-        let (events, joining) = (self.events.clone(), self.joining.clone());
+        /// Looks that hints ask for are so far apart at least: they can't make up for the store's rate.
+        const APART: Duration = Duration::from_millis(20);
+        let (events, joining, look) = (self.events.clone(), self.joining.clone(), self.look.clone());
         let task = tokio::spawn(async move {
             let mut since = 0;
             loop {
@@ -156,12 +170,25 @@
                 if events.send(event).await.is_err() {
                     return;
                 }
-                tokio::time::sleep(POLL).await;
+                tokio::select! {
+                    () = tokio::time::sleep(POLL) => {}
+                    () = look.notified() => tokio::time::sleep(APART).await,
+                }
             }
         });
         self.tasks.push(task.abort_handle());
     }
 
+    /// Looks at the store sooner.
+    pub fn look(&self) {
+        self.look.notify_one();
+    }
+
+    /// Tells the other members something that may be of use to them.
+    pub fn tell(&mut self, kind: u8, number: u64) {
+        self.post.iter_mut().for_each(|post| post.tell(kind, number));
+    }
+
     /// Sends a renewal, beside those that have no answer yet.
     pub fn renew(&mut self, now: Time) {
         use std::sync::atomic::Ordering;
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -1,9 +1,11 @@
 //! A steward among others: its membership at the shared store, and the steps by which slices change hands.
 
 mod life;
+mod post;
 mod rows;
 mod store;
 
 pub use life::{Event, Joining, Life};
+pub use post::{Office, Post};
 pub use rows::{Keys, Member};
 pub use store::{record, snapshot, Snapshot};
--- a/crates/ravenspar/src/shared/rows.rs
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -57,6 +57,9 @@
 pub struct Member {
     pub name: String,
     pub address: String,
+    /// Where its notes are to be sent; empty: it takes none.
+    #[serde(default)]
+    pub notes: String,
     pub leaving: bool,
 }
 
