Measure take-overs, planned hand-overs and what the store is asked

What a death, a join and a leave cost has to be known beside what leases and settling allow.

ravenspar-lab measure-sharing starts 3, 5 and 9 stewards on a stand-in store with 12 light forwarders; notes may be lost, doubled and late on the way.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -35,6 +35,9 @@
     pub clients: Clients,
     /// Between what happens to a server and what the list says of it.
     pub notice: Span,
+    /// Where stewards send each other notes: the share of them that is lost.
+    #[serde(default)]
+    pub notes_lost: Option<f64>,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,8 @@
 mod judge;
 mod listing;
 mod measure;
+mod measure_sharing;
+mod notes_way;
 mod pipe;
 mod play;
 mod processes;
@@ -61,6 +63,15 @@
         #[arg(long)]
         hand_overs: bool,
     },
+    /// Measures stewards that share a store: take-overs, planned hand-overs, moves, store requests.
+    MeasureSharing {
+        #[arg(long, value_delimiter = ',', default_values_t = [3, 5, 9])]
+        stewards: Vec<usize>,
+        #[arg(long, value_delimiter = ',', default_values_t = [1_700, 20_000])]
+        slices: Vec<usize>,
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
     /// Plays a day again and again with one seed after the other. Exit code 1 if one of them broke a rule.
     Soak {
         #[arg(long)]
@@ -120,6 +131,19 @@
         Command::Measure { forwarders, slices, servers, hand_overs } => {
             measure(&forwarders, slices, servers, hand_overs)
         }
+        Command::MeasureSharing { stewards, slices, rounds } => {
+            let known = stewards.iter().all(|count| (2..=64).contains(count))
+                && slices.iter().all(|count| (1..=65_535).contains(count))
+                && rounds > 0;
+            match known {
+                true => block_on(measure_sharing::sharing(&stewards, &slices, rounds))
+                    .and_then(|measured| measured.map(|()| true)),
+                false => Err(Fault::Input(
+                    "measure-sharing: expected 2 to 64 stewards, 1 to 65535 slices, 1 round or more"
+                        .to_owned(),
+                )),
+            }
+        }
         Command::Soak { minutes, seed, at_once, file, keep } => {
             run_soak(&file, minutes, seed, at_once, &keep)
         }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -119,7 +119,7 @@
     )
 }
 
-fn list(dir: &Path, servers: usize, draining: &[usize]) -> std::io::Result<()> {
+pub fn list(dir: &Path, servers: usize, draining: &[usize]) -> std::io::Result<()> {
     let mut text = "servers:\n".to_owned();
     for n in 0..servers {
         let state = if draining.contains(&n) { "draining" } else { "ready" };
@@ -137,7 +137,7 @@
 }
 
 /// Lets time pass until something holds; fails when it never does.
-async fn wait(what: &str, mut holds: impl FnMut() -> bool) -> Result<(), Fault> {
+pub async fn wait(what: &str, mut holds: impl FnMut() -> bool) -> Result<(), Fault> {
     const PATIENCE: Duration = Duration::from_secs(120);
     let began = Instant::now();
     while !holds() {
--- /dev/null
+++ b/crates/lab/src/measure_sharing.rs
@@ -0,0 +1,424 @@
+//! Measures stewards that share: take-overs, planned hand-overs, moves, and what the store is asked. Prints Markdown.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar::say;
+use ravenspar_protocol::{codec, kind, tag, Body, Fault as Unreadable, Frame, MOST_DOWN, VERSION};
+use ravenspar_standin::store::Store;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::measure::{list, wait};
+use crate::notes_way::NotesWay;
+use crate::play::Fault;
+use crate::processes::Process;
+
+const SERVERS: usize = 60;
+const FORWARDERS: usize = 12;
+/// Seconds of a membership, as forwarders' leases.
+const LEASE: u64 = 3;
+
+/// What a forwarder holds of a slice.
+#[derive(Clone, Default)]
+struct Held {
+    term: u64,
+    steward: usize,
+    open: bool,
+    /// When its steward left it, and since when it is in charge of the next.
+    left: Option<Instant>,
+    charged: Option<Instant>,
+    /// When it could be written last under the steward before, and first under this one.
+    until: Option<Instant>,
+    written: Option<Instant>,
+}
+
+#[derive(Default)]
+struct Told {
+    slices: Vec<Held>,
+    /// By steward: how long its lease lasts.
+    leases: Vec<Option<Instant>>,
+    charges: u64,
+}
+
+type Shared = Rc<RefCell<Vec<Told>>>;
+
+/// A light forwarder's streams to one steward, one after the other.
+async fn follow(
+    address: Rc<RefCell<Vec<Option<std::net::SocketAddr>>>>,
+    steward: usize,
+    number: usize,
+    told: Shared,
+) {
+    loop {
+        let at = address.borrow()[steward];
+        if let Some(at) = at {
+            let _ = stream(at, steward, number, &told).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn stream(
+    address: std::net::SocketAddr,
+    steward: usize,
+    number: usize,
+    told: &Shared,
+) -> std::io::Result<()> {
+    let broken = |fault: Unreadable| std::io::Error::other(fault.to_string());
+    let socket = TcpStream::connect(address).await?;
+    socket.set_nodelay(true)?;
+    let (read, write) = socket.into_split();
+    let (mut read, mut write) =
+        (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_DOWN)));
+    let mut hello = Frame::new(kind::HELLO);
+    hello.numbers(tag::VERSION, &[VERSION]).numbers(tag::PROXY, &[number as u64]).numbers(tag::BOOT, &[1]);
+    write.send(hello.numbers(tag::USUAL, &[1_000_000]).finish()).await?;
+    let began = Instant::now();
+    let mut lease = Duration::ZERO;
+    let mut ping = tokio::time::interval(Duration::from_millis(250));
+    loop {
+        tokio::select! {
+            body = read.next() => {
+                let Some(body) = body else { return Ok(()) };
+                let body = body?;
+                let answer = take(&mut told.borrow_mut()[number], steward, &body, began, &mut lease).map_err(broken)?;
+                if let Some(answer) = answer {
+                    write.send(answer).await?;
+                }
+            }
+            _ = ping.tick() => {
+                let sent = began.elapsed().as_micros() as u64 / 100;
+                write.send(Frame::new(kind::PING).numbers(tag::SENT, &[sent]).finish()).await?;
+            }
+        }
+    }
+}
+
+fn take(
+    told: &mut Told,
+    steward: usize,
+    body: &[u8],
+    began: Instant,
+    lease: &mut Duration,
+) -> Result<Option<Bytes>, Unreadable> {
+    let now = Instant::now();
+    let mut body = Body::new(body)?;
+    let (mut answer, mut asked) = (Frame::new(kind::ANSWER), false);
+    while let Some((tag, mut field)) = body.field()? {
+        match tag {
+            tag::LEASE => *lease = Duration::from_micros(field.number()? * 100),
+            tag::SENT if body.kind() == kind::ECHO => {
+                let until = began + Duration::from_micros(field.number()? * 100) + *lease;
+                told.leases[steward] = told.leases[steward].max(Some(until));
+                // Slices that came with no lease yet can be written from here on.
+                let held = told.slices.iter_mut().filter(|held| held.steward == steward && held.open);
+                held.for_each(|held| held.written = held.written.or(Some(now)));
+            }
+            tag::CHARGE => {
+                let (first, count, term) = (field.index()?, field.index()?, field.number()?);
+                for slice in first..first + count {
+                    if told.slices[slice].term < term {
+                        let old = told.slices[slice].clone();
+                        let until = told.leases[old.steward].filter(|_| old.open && old.term > 0);
+                        told.slices[slice] = Held {
+                            term,
+                            steward,
+                            left: old.left,
+                            charged: Some(now),
+                            until,
+                            ..Held::default()
+                        };
+                        told.charges += 1;
+                    }
+                }
+            }
+            tag::LINE | tag::HELD => {
+                let (slice, _, whole) = (field.index()?, field.number()?, field.fraction()? >= 1.0);
+                let leased = told.leases[steward].is_some_and(|until| until > now);
+                let held = &mut told.slices[slice];
+                if held.steward == steward {
+                    held.open = whole;
+                    if whole && leased {
+                        held.written = held.written.or(Some(now));
+                    }
+                }
+            }
+            tag::LEFT => {
+                let (first, count) = (field.index()?, field.index()?);
+                for held in &mut told.slices[first..first + count] {
+                    if held.steward == steward {
+                        held.left = Some(now);
+                    }
+                }
+            }
+            tag::DROP => {
+                let held = &mut told.slices[field.index()?];
+                if held.steward == steward {
+                    held.open = false;
+                }
+            }
+            tag::MARK | tag::END => {
+                answer.numbers(tag, &[field.number()?]);
+                asked = true;
+            }
+            _ => {}
+        }
+    }
+    Ok(asked.then(|| answer.finish()))
+}
+
+struct Rig {
+    dir: tempfile::TempDir,
+    store: Store,
+    stewards: Vec<Option<Process>>,
+    addresses: Rc<RefCell<Vec<Option<std::net::SocketAddr>>>>,
+    told: Shared,
+    notes: Option<NotesWay>,
+}
+
+impl Rig {
+    async fn start(stewards: usize, slices: usize, lose: Option<f64>) -> Result<Rig, Fault> {
+        let dir = tempfile::tempdir()?;
+        list(dir.path(), SERVERS, &[])?;
+        let store = Store::new(1);
+        let address = store.listen().await?;
+        let notes = match lose {
+            Some(lose) => Some(NotesWay::start(stewards, lose, dir.path()).await?),
+            None => None,
+        };
+        for steward in 0..stewards {
+            let notes = notes.as_ref().map_or(String::new(), |notes| notes.settings(steward));
+            std::fs::write(
+                dir.path().join(format!("{steward}.yaml")),
+                settings(steward, stewards, slices, address, &notes),
+            )?;
+        }
+        let told: Shared = Rc::default();
+        let new = || Told { slices: vec![Held::default(); slices], leases: vec![None; stewards], charges: 0 };
+        told.borrow_mut().resize_with(FORWARDERS, new);
+        let mut rig = Rig {
+            dir,
+            store,
+            stewards: (0..stewards).map(|_| None).collect(),
+            addresses: Rc::new(RefCell::new(vec![None; stewards])),
+            told,
+            notes,
+        };
+        for steward in 0..stewards {
+            rig.start_steward(steward).await?;
+        }
+        for number in 0..FORWARDERS {
+            for steward in 0..stewards {
+                spawn_local(follow(rig.addresses.clone(), steward, number, rig.told.clone()));
+            }
+        }
+        rig.settled(None).await?;
+        Ok(rig)
+    }
+
+    async fn start_steward(&mut self, steward: usize) -> Result<(), Fault> {
+        let args = ["steward", "--log", "warn", "serve"].map(OsString::from).into_iter();
+        let args = args.chain([self.dir.path().join(format!("{steward}.yaml")).into_os_string()]).collect();
+        let process = Process::start(args, &self.dir.path().join(format!("{steward}.log"))).await?;
+        self.addresses.borrow_mut()[steward] = Some(process.address);
+        self.stewards[steward] = Some(process);
+        Ok(())
+    }
+
+    /// Waits until every slice can be written at every forwarder, in even shares, by none but those who are there.
+    async fn settled(&self, gone: Option<usize>) -> Result<(), Fault> {
+        let there: Vec<usize> = (0..self.stewards.len()).filter(|steward| Some(*steward) != gone).collect();
+        wait("slices are open in even shares", || {
+            self.told.borrow().iter().all(|told| {
+                let mut counts = vec![0; self.stewards.len()];
+                let open = told.slices.iter().all(|held| {
+                    counts[held.steward] += 1;
+                    held.open && held.written.is_some() && there.contains(&held.steward)
+                });
+                let shares = there.iter().map(|&steward| counts[steward]);
+                open && shares.clone().max().unwrap_or(0) - shares.min().unwrap_or(0) <= 1
+            })
+        })
+        .await
+    }
+
+    /// Slices by steward, as the first forwarder has them.
+    fn shares(&self) -> BTreeMap<usize, Vec<usize>> {
+        let mut shares: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for (slice, held) in self.told.borrow()[0].slices.iter().enumerate() {
+            shares.entry(held.steward).or_default().push(slice);
+        }
+        shares
+    }
+
+    /// From a moment until each of some slices could be written again, and how long it could not, in ms, in order.
+    fn gaps(&self, slices: &[usize], from: Instant) -> (Vec<f64>, Vec<f64>) {
+        let ms = |span: Duration| span.as_secs_f64() * 1e3;
+        let (mut until, mut gaps) = (Vec::new(), Vec::new());
+        for told in self.told.borrow().iter() {
+            for held in slices.iter().map(|&slice| &told.slices[slice]) {
+                if let Some(written) = held.written {
+                    until.push(ms(written.saturating_duration_since(from)));
+                    gaps.push(ms(held
+                        .until
+                        .map_or(Duration::ZERO, |last| written.saturating_duration_since(last))));
+                }
+            }
+        }
+        until.sort_by(f64::total_cmp);
+        gaps.sort_by(f64::total_cmp);
+        (until, gaps)
+    }
+}
+
+fn settings(
+    steward: usize,
+    stewards: usize,
+    slices: usize,
+    store: std::net::SocketAddr,
+    notes: &str,
+) -> String {
+    format!(
+        "listen: 127.0.0.1:0\nrecord: {steward}.redb\nlist: {{path: servers.yaml}}\nforwarders: {FORWARDERS}\n\
+         slices: {slices}\nstewards: {stewards}\nstore: etcd\n\
+         share: {{name: steward-{steward}, endpoints: [\"http://{store}\"], member_lease: {LEASE}s{notes}}}\n\
+         lease: 4s\nsettle: 1s\nhold: 300ms\nunserved_most: 20s\nsilent_after: 3s\n\
+         channel: {{lines_per_s: 130000, waiting_lines: 260000, message_cost: 16, messages: 20, messages_within: 10s}}\n\
+         reports: {{every: 2s, lines_per_s: 600}}\n\
+         cold: {{from: 0.2, for: 18s, fall_multiple: 2.5, fall_for: 2s}}\ndrain: {{grace: 3s}}\nkinds:\n  \
+         - {{name: quote, response_target: 3s, client_timeout: 7500ms, credit: 1, repeats: replayable, writes: false}}\n  \
+         - {{name: commit, response_target: 3s, client_timeout: 5s, credit: 3, repeats: non-replayable, writes: true}}\n"
+    )
+}
+
+fn quantiles(of: &[f64]) -> String {
+    let at = |q: f64| {
+        of.get(((of.len() as f64 * q) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(0.0)
+    };
+    format!("{:.0} / {:.0} / {:.0}", at(0.5), at(0.99), of.last().copied().unwrap_or(0.0))
+}
+
+/// The fewest charges that have to change hands for even shares.
+fn fewest(shares: &BTreeMap<usize, Vec<usize>>, before: usize, after: usize, slices: usize) -> usize {
+    if after < before {
+        // Those of whoever leaves.
+        return shares.values().map(Vec::len).min().unwrap_or(0);
+    }
+    slices / after
+}
+
+/// Deaths, leaves and joins: `rounds` of each.
+pub async fn take_overs(stewards: &[usize], slices: &[usize], rounds: usize) -> Result<(), Fault> {
+    say(format_args!(
+        "\n{FORWARDERS} forwarders, memberships of {LEASE} s, forwarders' leases of 4 s, no notes; ms as median / 99th / worst \
+         over slices and forwarders, {rounds} rounds. Reads have an owner throughout."
+    ));
+    say("\n| stewards | slices | at rest: store requests/s | death: to next write | death: without writes | requests in it | join: moves (fewest) | leave: moves (fewest) |");
+    say("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    for &count in stewards {
+        for &slices in slices {
+            let mut rig = Rig::start(count, slices, None).await?;
+            let (mut until, mut gaps) = (Vec::new(), Vec::new());
+            let (mut asked, mut joins, mut leaves) = (0, Vec::new(), Vec::new());
+            let (before, began) = (rig.store.requests(), Instant::now());
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            let rest = (rig.store.requests() - before) as f64 / began.elapsed().as_secs_f64();
+            for round in 0..rounds {
+                let gone = round % count;
+                let own = rig.shares().remove(&gone).unwrap_or_default();
+                let before = rig.store.requests();
+                rig.addresses.borrow_mut()[gone] = None;
+                let from = Instant::now();
+                if let Some(mut process) = rig.stewards[gone].take() {
+                    process.kill().await;
+                }
+                rig.settled(Some(gone)).await?;
+                asked += rig.store.requests() - before;
+                let (mut a, mut b) = rig.gaps(&own, from);
+                until.append(&mut a);
+                gaps.append(&mut b);
+                let moved = |rig: &Rig| rig.told.borrow()[0].charges;
+                let (shares, before) = (rig.shares(), moved(&rig));
+                rig.start_steward(gone).await?;
+                rig.settled(None).await?;
+                joins.push((moved(&rig) - before, fewest(&shares, count - 1, count, slices)));
+                let (shares, before) = (rig.shares(), moved(&rig));
+                let leaver = (gone + 1) % count;
+                rig.addresses.borrow_mut()[leaver] = None;
+                if let Some(mut process) = rig.stewards[leaver].take() {
+                    process.end().await;
+                }
+                rig.settled(Some(leaver)).await?;
+                leaves.push((moved(&rig) - before, fewest(&shares, count, count - 1, slices)));
+                rig.start_steward(leaver).await?;
+                rig.settled(None).await?;
+            }
+            until.sort_by(f64::total_cmp);
+            gaps.sort_by(f64::total_cmp);
+            let moves = |all: &[(u64, usize)]| {
+                all.iter().map(|(moved, fewest)| format!("{moved} ({fewest})")).collect::<Vec<_>>().join(", ")
+            };
+            say(format_args!(
+                "| {count} | {slices} | {rest:.1} | {} | {} | {} | {} | {} |",
+                quantiles(&until),
+                quantiles(&gaps),
+                asked / rounds as u64,
+                moves(&joins),
+                moves(&leaves)
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Planned hand-overs with notes off, on, and partly lost.
+pub async fn planned(stewards: usize, slices: usize, rounds: usize) -> Result<(), Fault> {
+    say(format_args!(
+        "\nA steward of {stewards} ends in order, {slices} slices, {rounds} times: from a forwarder's hearing that a slice is \
+         left until it hears who is in charge; ms as median / 99th / worst. Writes go on meanwhile."
+    ));
+    say("\n| notes | left to in charge | without writes |");
+    say("| --- | ---: | ---: |");
+    for (name, lose) in [("off", None), ("on", Some(0.0)), ("30% lost, doubled, late", Some(0.3))] {
+        let mut rig = Rig::start(stewards, slices, lose).await?;
+        let (mut waits, mut gaps) = (Vec::new(), Vec::new());
+        for round in 0..rounds {
+            let leaver = round % stewards;
+            let own = rig.shares().remove(&leaver).unwrap_or_default();
+            let from = Instant::now();
+            if let Some(mut process) = rig.stewards[leaver].take() {
+                process.end().await;
+            }
+            rig.addresses.borrow_mut()[leaver] = None;
+            rig.settled(Some(leaver)).await?;
+            for told in rig.told.borrow().iter() {
+                for held in own.iter().map(|&slice| &told.slices[slice]) {
+                    if let (Some(left), Some(charged)) = (held.left, held.charged) {
+                        waits.push(charged.saturating_duration_since(left).as_secs_f64() * 1e3);
+                    }
+                }
+            }
+            gaps.append(&mut rig.gaps(&own, from).1);
+            rig.start_steward(leaver).await?;
+            rig.settled(None).await?;
+        }
+        waits.sort_by(f64::total_cmp);
+        gaps.sort_by(f64::total_cmp);
+        let lost = rig.notes.as_ref().map_or(String::new(), |notes| format!(" ({})", notes.counts()));
+        say(format_args!("| {name}{lost} | {} | {} |", quantiles(&waits), quantiles(&gaps)));
+    }
+    Ok(())
+}
+
+/// All of it.
+pub async fn sharing(stewards: &[usize], slices: &[usize], rounds: usize) -> Result<(), Fault> {
+    take_overs(stewards, slices, rounds).await?;
+    planned(3, 1_700, rounds.max(3)).await
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -16,6 +16,7 @@
 use crate::day::Day;
 use crate::judge::Rules;
 use crate::listing::Listing;
+use crate::notes_way::NotesWay;
 use crate::pipe::Pipe;
 use crate::processes::Process;
 use crate::relay::Relay;
@@ -43,6 +44,7 @@
     pub forwarders: Vec<tokio::sync::Mutex<Option<Process>>>,
     pub stewards: Vec<tokio::sync::Mutex<Option<Process>>>,
     pub store: Option<Store>,
+    pub notes: Option<NotesWay>,
     /// Each steward's way to the store.
     pub pipes: Vec<Rc<Pipe>>,
     pub clients: Rc<Clients>,
@@ -102,6 +104,10 @@
                 pipes.push(Pipe::start(address).await?);
             }
         }
+        let notes = match day.notes_lost.filter(|_| store.is_some()) {
+            Some(lost) => Some(NotesWay::start(targets.len(), lost, dir).await?),
+            None => None,
+        };
         let timeout = |k: usize| {
             let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
             let text = kinds.and_then(|kind| kind.get("client_timeout")).and_then(|t| t.as_str());
@@ -139,6 +145,7 @@
             relays,
             stewards: targets.iter().map(|_| tokio::sync::Mutex::new(None)).collect(),
             store,
+            notes,
             pipes,
             clients,
             targets,
@@ -186,6 +193,9 @@
             cfg["record"] = format!("{name}.redb").into();
             cfg["share"]["name"] = name.clone().into();
             cfg["share"]["endpoints"] = serde_json::json!([format!("http://{}", pipe.address)]);
+            if let Some(notes) = &self.notes {
+                cfg["share"]["notes"] = notes.share(number);
+            }
             std::fs::write(self.dir.join(format!("{name}.yaml")), serde_json::to_string_pretty(&cfg)?)?;
         }
         let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
