--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -33,6 +33,9 @@
     pub servers: Servers,
     pub forwarders: Forwarders,
     pub clients: Clients,
+    /// Stewards that stop themselves at a point, and for how long.
+    #[serde(default)]
+    pub pauses: Vec<Pause>,
     /// Between what happens to a server and what the list says of it.
     pub notice: Span,
     /// Where stewards send each other notes: the share of them that is lost.
@@ -80,6 +83,16 @@
     pub stops: Option<Stops>,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pause {
+    pub steward: usize,
+    /// As `ravenspar serve --pause` has it.
+    pub at: String,
+    #[serde(rename = "for")]
+    pub lasts: Span,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Stops {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -200,7 +200,12 @@
         }
         let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
         let path = self.dir.join(format!("{name}.yaml"));
-        let args = args.into_iter().chain([path.into_os_string()]).collect();
+        let mut args: Vec<OsString> = args.into_iter().chain([path.into_os_string()]).collect();
+        // At its first start alone: a pause is met once.
+        let pause = self.day.pauses.iter().find(|pause| pause.steward == number);
+        if let Some(pause) = pause.filter(|_| !self.dir.join(format!("{name}.log")).exists()) {
+            args.extend(["--pause".into(), OsString::from(&pause.at)]);
+        }
         let process = Process::start(args, &self.dir.join(format!("{name}.log"))).await?;
         self.targets[number].set(Some(process.address));
         *place = Some(process);
@@ -208,7 +213,7 @@
         Ok(())
     }
 
-    fn note_steward(&self, number: usize, state: &str) {
+    pub fn note_steward(&self, number: usize, state: &str) {
         self.capture.note(|at| Event::Steward { at, number, state: state.to_owned() });
     }
 
@@ -339,6 +344,9 @@
     if let Some(stops) = fleet.day.forwarders.stops.clone() {
         spawn_local(crate::troubles::continue_stopped(fleet.clone(), stops));
     }
+    for pause in fleet.day.pauses.clone() {
+        spawn_local(crate::troubles::continue_paused(fleet.clone(), pause));
+    }
     fleet.clients.arrive(began + fleet.day.length.0).await;
     for trouble in troubles {
         // A trouble that outlasts the clients still ends: what it leaves behind is judged too.
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -9,7 +9,7 @@
 use ravenspar_standin::{duration, Event, Time, SECOND};
 use tokio::time::sleep;
 
-use crate::day::{Span, Stops, What};
+use crate::day::{Pause, Span, Stops, What};
 use crate::play::Fleet;
 use crate::relay::Relay;
 
@@ -280,6 +280,24 @@
     }
 }
 
+/// The same for a steward.
+pub async fn continue_paused(fleet: Rc<Fleet>, pause: Pause) {
+    loop {
+        sleep(std::time::Duration::from_millis(20)).await;
+        let place = fleet.stewards[pause.steward].lock().await;
+        if place.as_ref().is_some_and(|process| process.is_stopped()) {
+            drop(place);
+            let said = format!("steward {} stands still at {}", pause.steward, pause.at);
+            say(&said);
+            fleet.capture.note(|at| Event::Trouble { at, text: said });
+            fleet.note_steward(pause.steward, "stopped");
+            sleep(duration(pause.lasts.0)).await;
+            fleet.signal_steward(pause.steward, "CONT", "continued").await;
+            return;
+        }
+    }
+}
+
 fn up(fleet: &Fleet) -> Vec<Rc<Server>> {
     fleet.servers.borrow().iter().filter(|server| server.is_up()).cloned().collect()
 }
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -7,7 +7,8 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use ravenspar_record::Record;
 
-use crate::serve::{serve, Fault, Halt};
+use crate::halt::Halt;
+use crate::serve::{serve, Fault};
 use crate::{logs, say, settings, shared};
 
 #[derive(Parser)]
@@ -34,9 +35,12 @@
     /// Runs a steward until SIGTERM; prints `listening on ADDRESS` when it does.
     Serve {
         file: PathBuf,
-        /// Stop dead at a point, for tests: recorded:N or message:N.
+        /// Die at a point, for tests: recorded:N, message:N, take:N or renew:N.
         #[arg(long, hide = true)]
         halt: Option<Halt>,
+        /// Stand still at a point, for tests.
+        #[arg(long, hide = true, conflicts_with = "halt")]
+        pause: Option<Halt>,
     },
     /// Says whether a settings file can be served by.
     Check { file: PathBuf },
@@ -71,7 +75,7 @@
         return end(Err(Fault::Input(why)));
     }
     end(match cli.command {
-        Command::Serve { file, halt } => start(&file, halt),
+        Command::Serve { file, halt, pause } => start(&file, halt.or(pause.map(Halt::that_stands_still))),
         Command::Check { file } => check(&file),
         Command::Members { file, json } => members(&file, json),
         Command::Accept { file } => accept(&file),
--- /dev/null
+++ b/crates/ravenspar/src/core.rs
@@ -0,0 +1,278 @@
+//! One loop that hands the host what sockets, record, list and store bring, and carries out what it says.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use ravenspar_host::{Host, Output};
+use ravenspar_notes::kind;
+use ravenspar_record::SliceRow;
+use ravenspar_steward::{Scope, Time};
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::halt::{Halt, Point};
+use crate::list::{self, News};
+use crate::recorder::{Batch, Recorder};
+use crate::serve::{Door, Fault};
+use crate::shared::Event;
+use crate::sharing::{Shared, GATHER};
+use crate::streams::{self, Input, Stream};
+
+/// How a life as a core came to its end, where nothing failed.
+pub enum End {
+    Stopped,
+    /// It may not go on as a member, and nothing of it may go out any more.
+    Over(String),
+}
+
+#[derive(Default)]
+pub struct Ran {
+    pub messages: u64,
+    pub batches: u64,
+    /// Lines handed to the record.
+    pub lines: u64,
+    pub refused: u64,
+    pub list_failed: bool,
+    /// The last ticket that was handed to the record.
+    pub ticket: Option<u64>,
+    /// The last ticket that was said to be durable.
+    pub durable: Option<u64>,
+}
+
+pub struct Core<'a> {
+    pub door: &'a mut Door,
+    pub clock: Clock,
+    pub host: Host,
+    pub term: u64,
+    /// Where lines of slices are made durable.
+    pub recorder: Rc<Recorder>,
+    pub shared: Option<Shared>,
+    pub streams: BTreeMap<u64, Stream>,
+    pub inputs: mpsc::Sender<Input>,
+    pub queue: mpsc::Receiver<Input>,
+    /// The number of the next stream.
+    pub next: u64,
+    pub ran: Ran,
+}
+
+/// The next event of a life; none ever without one.
+async fn next(shared: &mut Option<Shared>) -> Event {
+    match shared {
+        Some(shared) => shared.life.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+impl<'a> Core<'a> {
+    pub fn new(door: &'a mut Door, host: Host, term: u64, shared: Option<Shared>) -> Core<'a> {
+        let (inputs, queue) = mpsc::channel(streams::INPUTS);
+        let clock = door.clock;
+        let recorder = shared.as_ref().map_or(&door.kept, |shared| &shared.life.recorder).clone();
+        Core {
+            door,
+            clock,
+            host,
+            term,
+            recorder,
+            shared,
+            streams: BTreeMap::new(),
+            inputs,
+            queue,
+            next: 0,
+            ran: Ran::default(),
+        }
+    }
+
+    pub async fn run(&mut self) -> Result<End, Fault> {
+        let end = self.steps().await;
+        let figures = self.host.figures();
+        tracing::info!(
+            joined = figures.joined,
+            turns = figures.turns,
+            messages = figures.messages,
+            most_waiting = figures.most_waiting,
+            holds = figures.holds,
+            broken = figures.broken,
+            stray_answers = figures.stray_answers,
+            lines = self.ran.lines,
+            batches = self.ran.batches,
+            commits = self.recorder.commits(),
+            refused = self.ran.refused,
+            "ending"
+        );
+        if let Some(post) = self.shared.as_ref().and_then(|shared| shared.life.post.as_ref()) {
+            tracing::info!(refused = post.inbox.refused, "notes");
+        }
+        let streams = std::mem::take(&mut self.streams);
+        if matches!(end, Ok(End::Over(_))) {
+            // Not a line that was decided in this life may arrive any more.
+            streams.into_values().for_each(Stream::reset);
+        }
+        end
+    }
+
+    async fn steps(&mut self) -> Result<End, Fault> {
+        loop {
+            let wake = tokio::time::Instant::from_std(self.clock.instant(self.wake(self.clock.now())));
+            let mut event = None;
+            tokio::select! {
+                _ = self.door.terminate.recv() => if self.stop() { return Ok(End::Stopped) },
+                _ = self.door.interrupt.recv() => if self.stop() { return Ok(End::Stopped) },
+                Ok((socket, _)) = self.door.listener.accept() => self.accept(socket),
+                Some(input) = self.queue.recv() => {
+                    self.input(input);
+                    // What has come in meanwhile is learnt before anything is decided.
+                    for _ in 0..streams::INPUTS {
+                        let Ok(input) = self.queue.try_recv() else { break };
+                        self.input(input);
+                    }
+                }
+                Some(news) = self.door.list.recv() => self.news(news).await,
+                said = next(&mut self.shared) => event = Some(said),
+                () = self.recorder.changed() => {}
+                () = tokio::time::sleep_until(wake) => {}
+            }
+            if let Some(why) = event.and_then(|event| self.event(event)) {
+                return Ok(End::Over(why));
+            }
+            if let Some(fault) = self.door.kept.fault() {
+                return Err(Fault::Failed(format!(
+                    "the record failed, and nothing may go out without it: {fault}"
+                )));
+            }
+            if let Some(fault) = self.recorder.fault() {
+                return Ok(End::Over(fault));
+            }
+            if let Some(ticket) = self.recorder.durable() {
+                if self.ran.durable.replace(ticket) != Some(ticket) {
+                    tracing::debug!(ticket, "lines are durable");
+                    Halt::meet(&mut self.door.halt, Point::Recorded);
+                }
+                self.host.recorded(ticket);
+            }
+            self.host.timeout(self.clock.now());
+            if let Some(end) = self.share() {
+                return Ok(end);
+            }
+            if let Some(why) = self.carry_out().await {
+                return Ok(End::Over(why));
+            }
+        }
+    }
+
+    /// When to look again.
+    fn wake(&self, now: Time) -> Time {
+        let host = self.host.next_timeout(now);
+        let Some(shared) = &self.shared else { return host };
+        let fleet = if shared.stepping { Time::MAX } else { shared.life.fleet.next_at() };
+        let membership = shared.life.membership.renew_at().min(shared.life.membership.until());
+        let arrived = if shared.arrived.is_empty() { Time::MAX } else { shared.since + GATHER };
+        host.min(fleet).min(membership).min(arrived).min(shared.give_up)
+    }
+
+    fn accept(&mut self, socket: tokio::net::TcpStream) {
+        if self.streams.len() >= self.door.most {
+            self.ran.refused += 1;
+            tracing::warn!(open = self.streams.len(), "a stream is refused: as many are open as may be");
+            return;
+        }
+        let number = self.next;
+        self.next += 1;
+        self.streams.insert(number, Stream::start(number, socket, &self.inputs));
+        self.host.opened(self.clock.now(), number);
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.clock.now();
+        match input {
+            Input::Frame(stream, body) => self.host.frame(now, stream, &body),
+            Input::Sent(stream) => self.host.sent(now, stream),
+            Input::Closed(stream) => {
+                if self.streams.remove(&stream).is_some() {
+                    tracing::info!(stream, "a stream ended");
+                }
+                self.host.closed(now, stream);
+            }
+        }
+    }
+
+    async fn news(&mut self, news: News) {
+        let now = self.clock.now();
+        match news {
+            News::Whole(rows) => {
+                tracing::info!(servers = rows.len(), "the list has changed");
+                self.ran.list_failed = false;
+                // On record before any slice goes to a server that only this list names.
+                self.door.kept.write(Batch::List(rows.clone())).await;
+                self.host.list_begin(Scope::Whole);
+                for row in &rows {
+                    self.host.list_entry(
+                        &row.id,
+                        &row.zone,
+                        &row.address,
+                        list::health(row.health),
+                        row.boot,
+                    );
+                }
+                self.host.list_end(Scope::Whole);
+                self.door.rows = rows;
+                if let Some(shared) = &mut self.shared {
+                    shared.life.tell(kind::LIST, 0);
+                }
+            }
+            News::Failed(why) => {
+                if !std::mem::replace(&mut self.ran.list_failed, true) {
+                    tracing::error!(%why, "the list can't be read, the last good one holds");
+                }
+                self.host.list_failed(now);
+            }
+        }
+    }
+
+    /// Returns why this life is over, if it is.
+    async fn carry_out(&mut self) -> Option<String> {
+        loop {
+            let now = self.clock.now();
+            // Looked at before each thing that goes out: a pause may fall between any two.
+            if self.shared.as_ref().is_some_and(|shared| !shared.life.membership.holds(now)) {
+                return Some("the membership could not be renewed in time".to_owned());
+            }
+            let output = self.host.poll(now)?;
+            match output {
+                Output::Record { ticket, mark, lines } => {
+                    self.ran.batches += 1;
+                    self.ran.lines += lines.len() as u64;
+                    let row = |&(slice, owner, weight): &(usize, Option<usize>, f64)| SliceRow {
+                        slice: slice as u32,
+                        owner: owner.map(|be| self.host.server(be).id.clone()),
+                        weight: (weight * 1e6).round() as u64,
+                        mark,
+                        term: if self.shared.is_some() { self.host.term(slice) } else { self.term },
+                        boot: owner.map_or(0, |be| self.host.boot(be)),
+                    };
+                    let rows: Vec<SliceRow> = lines.iter().map(row).collect();
+                    tracing::debug!(mark, lines = rows.len(), "lines to record");
+                    self.ran.ticket = Some(ticket);
+                    self.recorder.write(Batch::Slices { ticket, rows }).await;
+                }
+                Output::Frame { stream, body } => {
+                    self.ran.messages += u64::from(body.first() == Some(&ravenspar_protocol::kind::TABLE));
+                    if body.first() == Some(&ravenspar_protocol::kind::TABLE) {
+                        Halt::meet(&mut self.door.halt, Point::Message);
+                        tracing::debug!(stream, bytes = body.len(), "a message leaves");
+                    }
+                    if let Some(stream) = self.streams.get(&stream) {
+                        stream.write(body);
+                    }
+                }
+                Output::Close { stream, why } => {
+                    tracing::warn!(stream, ?why, "a stream is broken off");
+                    self.streams.remove(&stream);
+                }
+                Output::Joined { stream, proxy } => tracing::info!(stream, proxy, "a proxy has joined"),
+                // The file source tells of every change unasked.
+                Output::Watch => {}
+            }
+        }
+    }
+}
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod yaml;
 
 mod clock;
+mod core;
+mod halt;
 mod logs;
 mod recorder;
 mod serve;
+mod sharing;
 mod streams;
 
 /// Prints a line on standard output; that nobody reads it any more is no reason to stop.
--- /dev/null
+++ b/crates/ravenspar/src/sharing.rs
@@ -0,0 +1,199 @@
+//! What the core of a steward among others does beside its host: membership, steps, hints.
+
+use ravenspar_host::Charged;
+use ravenspar_notes::kind;
+use ravenspar_sharing::Step;
+use ravenspar_steward::{Time, SECOND};
+
+use crate::core::{Core, End};
+use crate::halt::{Halt, Point};
+use crate::recorder::Batch;
+use crate::serve::backward;
+use crate::shared::{Event, Life};
+
+/// Slices that come into charge within this time are told to forwarders in one message: a take-over is a row of
+/// transactions a few milliseconds apart.
+pub const GATHER: Time = SECOND / 10;
+
+/// What a steward among others has beside its host.
+pub struct Shared {
+    pub life: Life,
+    /// Cluster and revision of the store.
+    pub seen: Option<(u64, u64)>,
+    pub noted: Time,
+    /// A step that waits until lines up to a ticket are durable.
+    pub waits: Option<(Option<u64>, Step)>,
+    /// Slices that have come into charge and are to be told with others, and since when the first waits.
+    pub arrived: Vec<Charged>,
+    pub since: Time,
+    pub stepping: bool,
+    pub away: bool,
+    /// When leaving is given up.
+    pub give_up: Time,
+}
+
+impl Shared {
+    pub fn new(life: Life, seen: Option<(u64, u64)>) -> Shared {
+        Shared {
+            life,
+            seen,
+            noted: 0,
+            waits: None,
+            arrived: Vec::new(),
+            since: 0,
+            stepping: false,
+            away: false,
+            give_up: Time::MAX,
+        }
+    }
+}
+
+impl Core<'_> {
+    /// Whether the process is to end at once: one that shares gives its slices away first.
+    pub fn stop(&mut self) -> bool {
+        /// How long leaving may take. Then the others take over as from one that died, once its lease is over.
+        const MOST: Time = 10 * SECOND;
+        /// How long slices in the middle of something are waited for.
+        const REST: Time = 2 * SECOND;
+        let now = self.clock.now();
+        let Some(shared) = self.shared.as_mut().filter(|shared| !shared.life.fleet.is_leaving()) else {
+            return true;
+        };
+        tracing::info!(slices = shared.life.fleet.count(), "leaving");
+        shared.life.fleet.leave(now + REST);
+        shared.life.say_leaving();
+        shared.life.tell(kind::LOOK, u64::MAX);
+        shared.give_up = now + MOST;
+        false
+    }
+
+    /// What the store or a step says. Returns why this life is over, if it is.
+    pub fn event(&mut self, event: Event) -> Option<String> {
+        let now = self.clock.now();
+        let shared = self.shared.as_mut()?;
+        let fleet = &mut shared.life.fleet;
+        match event {
+            Event::Snapshot(said) => {
+                if let Some(why) = backward(&said, shared.seen) {
+                    return Some(why);
+                }
+                for key in &said.unread {
+                    tracing::error!(%key, "a key of the shared store can't be read and is left alone");
+                }
+                if std::mem::take(&mut shared.away) {
+                    tracing::info!("the store answers again");
+                }
+                shared.seen = Some((said.cluster, said.revision as u64));
+                said.charges.iter().for_each(|&(slice, life, term)| fleet.charge(slice, life, term));
+                let members: Vec<_> = said.members.iter().map(|(life, m)| (*life, m.leaving)).collect();
+                fleet.members(&members);
+                let me = shared.life.number;
+                shared.life.post.iter_mut().for_each(|post| post.members(me, &said.members));
+            }
+            Event::Away(why) => {
+                if !std::mem::replace(&mut shared.away, true) {
+                    tracing::warn!(%why, "the store does not answer");
+                }
+            }
+            Event::Renewed(sent) => shared.life.membership.renewed(sent),
+            Event::Serves { slices, mut rows, taken_over } => {
+                fleet.served(&slices);
+                if shared.arrived.is_empty() {
+                    shared.since = now;
+                }
+                rows.sort_by_key(|row| row.slice);
+                shared.arrived.extend(slices.into_iter().map(|(slice, term)| {
+                    let row =
+                        rows.binary_search_by_key(&(slice as u32), |row| row.slice).ok().map(|at| &rows[at]);
+                    let owner =
+                        row.and_then(|row| Some((row.owner.clone()?, row.weight as f64 / 1e6, row.boot)));
+                    Charged { slice, term, taken_over, owner }
+                }));
+            }
+            Event::Gave { slices, to, term } => {
+                tracing::info!(slices = slices.len(), to = %format_args!("{to:016x}"), term, "gave slices");
+                fleet.gave(&slices, to, term);
+                shared.life.tell(kind::LOOK, term);
+            }
+            Event::Note(bytes) => match shared.life.post.as_mut().map(|post| post.inbox.open(&bytes)) {
+                // Only what was not seen yet is worth a look.
+                Some(Ok((_, kind::LOOK, revision)))
+                    if shared.seen.is_none_or(|(_, seen)| seen < revision) =>
+                {
+                    shared.life.look();
+                }
+                Some(Ok((_, kind::LIST, _))) => self.door.look.notify_one(),
+                Some(Err(why)) => tracing::debug!(?why, "a note is not taken in"),
+                _ => {}
+            },
+            Event::Done => {
+                shared.stepping = false;
+                shared.since = 0; // what has arrived is told at once
+                fleet.done();
+            }
+            Event::Over(why) => return Some(why),
+        }
+        None
+    }
+
+    /// Renews the membership, and takes the next step towards even shares. Returns how this life ends, if it does.
+    pub fn share(&mut self) -> Option<End> {
+        let now = self.clock.now();
+        let shared = self.shared.as_mut()?;
+        if !shared.life.membership.holds(now) {
+            return Some(End::Over("the membership could not be renewed in time".to_owned()));
+        }
+        if now >= shared.life.membership.renew_at() {
+            shared.life.renew(now);
+            Halt::meet(&mut self.door.halt, Point::Renew);
+        }
+        if now >= shared.noted + 10 * SECOND {
+            shared.noted = now;
+            if let Some((cluster, revision)) = shared.seen {
+                // Left out where the disk is behind: the next one says more anyway.
+                self.door.kept.try_write(Batch::Seen(cluster, revision));
+            }
+        }
+        if !shared.arrived.is_empty() && now >= shared.since + GATHER && self.host.room() > 0 {
+            let mut arrived = std::mem::take(&mut shared.arrived);
+            arrived.sort_by_key(|charged| charged.slice);
+            tracing::info!(slices = arrived.len(), taken_over = arrived[0].taken_over, "in charge of slices");
+            self.host.charged(now, &arrived);
+        }
+        if now >= shared.give_up {
+            tracing::warn!(slices = shared.life.fleet.count(), "left before all slices were given away");
+            return Some(End::Stopped);
+        }
+        if let Some((ticket, step)) = shared.waits.take() {
+            if ticket > shared.life.recorder.durable() {
+                shared.waits = Some((ticket, step));
+            } else {
+                shared.life.carry_out(step);
+            }
+        }
+        if shared.stepping || !shared.arrived.is_empty() {
+            return None;
+        }
+        let host = &self.host;
+        match shared.life.fleet.next(now, |slice| host.is_at_rest(slice))? {
+            Step::Left => Some(End::Stopped),
+            Step::Lost => Some(End::Over("another steward is in charge of what this one was".to_owned())),
+            Step::Give { slices, to } => {
+                shared.stepping = true;
+                let left: Vec<usize> = slices.iter().map(|&(slice, _)| slice).collect();
+                self.host.left(&left);
+                // What was decided on them goes on record first.
+                shared.waits = Some((self.ran.ticket, Step::Give { slices, to }));
+                self.share()
+            }
+            step => {
+                if matches!(step, Step::Take { .. }) {
+                    Halt::meet(&mut self.door.halt, Point::Take);
+                }
+                shared.stepping = true;
+                shared.life.carry_out(step);
+                None
+            }
+        }
+    }
+}
