--- a/crates/lab/src/measure_sharing.rs
+++ b/crates/lab/src/measure_sharing.rs
@@ -30,6 +30,8 @@
 struct Held {
     term: u64,
     steward: usize,
+    /// Whether it has an owner, for reads at least.
+    owned: bool,
     open: bool,
     /// When its steward left it, and since when it is in charge of the next.
     left: Option<Instant>,
@@ -45,6 +47,8 @@
     /// By steward: how long its lease lasts.
     leases: Vec<Option<Instant>>,
     charges: u64,
+    /// Slices that came into another's charge and had no owner once the frame was taken in.
+    bare: u64,
 }
 
 type Shared = Rc<RefCell<Vec<Told>>>;
@@ -111,6 +115,7 @@
     let now = Instant::now();
     let mut body = Body::new(body)?;
     let (mut answer, mut asked) = (Frame::new(kind::ANSWER), false);
+    let mut came = Vec::new();
     while let Some((tag, mut field)) = body.field()? {
         match tag {
             tag::LEASE => *lease = Duration::from_micros(field.number()? * 100),
@@ -136,6 +141,7 @@
                             ..Held::default()
                         };
                         told.charges += 1;
+                        came.extend(Some(slice).filter(|_| old.term > 0));
                     }
                 }
             }
@@ -144,7 +150,7 @@
                 let leased = told.leases[steward].is_some_and(|until| until > now);
                 let held = &mut told.slices[slice];
                 if held.steward == steward {
-                    held.open = whole;
+                    (held.owned, held.open) = (true, whole);
                     if whole && leased {
                         held.written = held.written.or(Some(now));
                     }
@@ -161,7 +167,7 @@
             tag::DROP => {
                 let held = &mut told.slices[field.index()?];
                 if held.steward == steward {
-                    held.open = false;
+                    (held.owned, held.open) = (false, false);
                 }
             }
             tag::MARK | tag::END => {
@@ -171,6 +177,7 @@
             _ => {}
         }
     }
+    told.bare += came.into_iter().filter(|&slice| !told.slices[slice].owned).count() as u64;
     Ok(asked.then(|| answer.finish()))
 }
 
@@ -201,7 +208,12 @@
             )?;
         }
         let told: Shared = Rc::default();
-        let new = || Told { slices: vec![Held::default(); slices], leases: vec![None; stewards], charges: 0 };
+        let new = || Told {
+            slices: vec![Held::default(); slices],
+            leases: vec![None; stewards],
+            charges: 0,
+            bare: 0,
+        };
         told.borrow_mut().resize_with(FORWARDERS, new);
         let mut rig = Rig {
             dir,
@@ -318,10 +330,10 @@
 pub async fn take_overs(stewards: &[usize], slices: &[usize], rounds: usize) -> Result<(), Fault> {
     say(format_args!(
         "\n{FORWARDERS} forwarders, memberships of {LEASE} s, forwarders' leases of 4 s, no notes; ms as median / 99th / worst \
-         over slices and forwarders, {rounds} rounds. Reads have an owner throughout."
+         over slices and forwarders, {rounds} rounds. `bare`: slices that had no owner for reads when they came into another's charge."
     ));
-    say("\n| stewards | slices | at rest: store requests/s | death: to next write | death: without writes | requests in it | join: moves (fewest) | leave: moves (fewest) |");
-    say("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    say("\n| stewards | slices | at rest: store requests/s | bare | death: to next write | death: without writes | requests in it | join: moves (fewest) | leave: moves (fewest) |");
+    say("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
     for &count in stewards {
         for &slices in slices {
             let mut rig = Rig::start(count, slices, None).await?;
@@ -365,8 +377,9 @@
             let moves = |all: &[(u64, usize)]| {
                 all.iter().map(|(moved, fewest)| format!("{moved} ({fewest})")).collect::<Vec<_>>().join(", ")
             };
+            let bare: u64 = rig.told.borrow().iter().map(|told| told.bare).sum();
             say(format_args!(
-                "| {count} | {slices} | {rest:.1} | {} | {} | {} | {} | {} |",
+                "| {count} | {slices} | {rest:.1} | {bare} | {} | {} | {} | {} | {} |",
                 quantiles(&until),
                 quantiles(&gaps),
                 asked / rounds as u64,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,7 +14,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// The version of the stream; a peer that names another one is told so and closed.
-pub const VERSION: u64 = 1;
+pub const VERSION: u64 = 2;
 
 /// The most bytes of a body that a proxy may send: a report of some thousand lines.
 pub const MOST_UP: usize = 64 * 1024;
