Reckon with a membership that the store lets go before its time

A store may lose a member's lease early; its steward learns that at its next look and echoes forwarders until then. An heir counted its waits from the take.

Slices taken from a member that is gone count their waits from half a second later, two looks; what stays uncovered is in docs/design/sharing.md.

--- a/crates/host/src/charge.rs
+++ b/crates/host/src/charge.rs
@@ -13,8 +13,9 @@
     pub slice: usize,
     /// Larger than any that the slice was in charge under before.
     pub term: u64,
-    /// Another steward, or another life of this one, was in charge of it before.
-    pub taken_over: bool,
+    /// Until when the steward in charge before, another or another life of this one, may have echoed forwarders; none
+    /// where nobody was.
+    pub echoed_until: Option<Time>,
     /// Its owner's id, weight and last start as whoever granted it knew; none while the slice is on its way.
     pub owner: Option<(String, f64, Time)>,
 }
@@ -39,8 +40,8 @@
         for charged in all {
             let slice = charged.slice;
             self.terms[slice] = charged.term;
-            self.taken_over[slice] = if charged.taken_over { now } else { NEVER };
-            self.steward.given(now, slice);
+            self.taken_over[slice] = charged.echoed_until.unwrap_or(NEVER);
+            self.steward.given(charged.echoed_until.unwrap_or(now).max(now), slice);
             changes.push(Change::Charge { slice, term: charged.term });
             if let Some((owner, weight, _)) = &charged.owner {
                 let (be, weight) = (self.servers.index(owner), *weight);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -59,7 +59,7 @@
     mark: u64,
     /// The term under which this steward is in charge of each slice; 0: it is not.
     pub(crate) terms: Vec<u64>,
-    /// When each slice was taken over from another steward.
+    /// Until when the steward before may have echoed proxies that hold each slice.
     pub(crate) taken_over: Vec<Time>,
     /// Answers count from here on: a slice that was revoked had been taken over shortly before.
     clear: Time,
--- a/crates/host/tests/charges.rs
+++ b/crates/host/tests/charges.rs
@@ -15,7 +15,7 @@
 
 fn charged(slice: usize, term: u64, owner: Option<(&str, f64)>) -> Charged {
     let owner = owner.map(|(id, weight)| (id.to_owned(), weight, 0));
-    Charged { slice, term, taken_over: true, owner }
+    Charged { slice, term, echoed_until: Some(0), owner }
 }
 
 fn join(host: &mut Host, now: Time, stream: u64, proxy: u64) {
@@ -102,7 +102,9 @@
     join(&mut host, 0, 1, 0);
     let at = 5 * SECOND;
     pass(&mut host, 0, at, &[1]);
-    host.charged(at, &[charged(0, 9, Some(("a", 1.0)))]);
+    let early = SECOND / 2;
+    let taken = Charged { echoed_until: Some(at + early), ..charged(0, 9, Some(("a", 1.0))) };
+    host.charged(at, &[taken]);
     pass(&mut host, at, at + SECOND / 10, &[1]);
     host.list_begin(Scope::Whole);
     host.list_entry("a", "zone", "127.0.0.1:1", Health::Draining, 0);
@@ -117,7 +119,10 @@
         now += SECOND / 20;
     }
     assert!(dropped.is_some_and(|dropped| dropped < at + LEASE), "revoked at {dropped:?}");
-    assert!(granted.is_some_and(|granted| granted >= at + LEASE - SECOND / 20), "granted at {granted:?}");
+    assert!(
+        granted.is_some_and(|granted| granted >= at + early + LEASE - SECOND / 20),
+        "granted at {granted:?}"
+    );
 }
 
 /// A list that lags behind the record must not make an old start look like news: what a server holds by a later one
@@ -127,7 +132,7 @@
     let mut host = sharing(0, 1, 1, &["a", "b"]);
     join(&mut host, 0, 1, 0);
     let owner = Some(("a".to_owned(), 1.0, 77));
-    host.charged(0, &[Charged { slice: 0, term: 9, taken_over: false, owner }]);
+    host.charged(0, &[Charged { slice: 0, term: 9, echoed_until: None, owner }]);
     assert_eq!(host.boot(host_index(&host, "a")), 77);
     pass(&mut host, 0, SECOND, &[1]);
     // The list now shows that start, and that the server drains: it is revoked, and settles as any.
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -31,7 +31,7 @@
     Serves {
         slices: Vec<(usize, u64)>,
         rows: Vec<SliceRow>,
-        taken_over: bool,
+        from: From,
     },
     Gave {
         slices: Vec<(usize, u64)>,
@@ -45,6 +45,16 @@
     Over(String),
 }
 
+/// Whose a slice was before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum From {
+    Nobody,
+    /// Of a member that gave it.
+    Given,
+    /// Of one that the store let go.
+    Gone,
+}
+
 /// Events that may wait for the core; tasks wait where it is full.
 const EVENTS: usize = 64;
 
@@ -52,6 +62,9 @@
 /// forwarders hold on meanwhile; four small reads a second cost the store little.
 const POLL: Duration = Duration::from_millis(250);
 
+/// For how long one may go on whose membership the store has let go before its time: until its next look, twice over.
+pub const EARLY: Time = 2 * POLL.as_millis() as Time * 10;
+
 /// What it takes to join.
 #[derive(Clone)]
 pub struct Joining {
@@ -122,8 +135,7 @@
         let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
         let hand = Arc::new(Mutex::new(hand));
         // Two looks at who is there: those that start together, or come back with the store, share from the first.
-        let after = 2 * POLL.as_micros() as Time / 100;
-        let fleet = Fleet::new(clock.now(), number, joining.slices, joining.pace, after);
+        let fleet = Fleet::new(clock.now(), number, joining.slices, joining.pace, EARLY);
         let (events, queue) = mpsc::channel(EVENTS);
         let recorder = Rc::new(Recorder::in_task(Lines(hand.clone())));
         let mut life = Life {
@@ -219,7 +231,7 @@
         let task = tokio::spawn(async move {
             let ended = match step {
                 Step::Take { slices, gone } => take(&slices, &gone, &hand, &joining, &events).await,
-                Step::Serve { slices } => serve(slices, true, &joining, &events).await,
+                Step::Serve { slices } => serve(slices, From::Given, &joining, &events).await,
                 Step::Give { slices, to } => give(slices, to, &hand, &events).await,
                 Step::Left | Step::Lost => Ok(()),
             };
@@ -270,7 +282,7 @@
             // Another may have been quicker: what is left is looked at anew.
             let term = hand.lock().await.take(slices, gone).await?;
             let slices = slices.iter().map(|&(slice, _)| (slice, term)).collect();
-            serve(slices, !fresh, joining, events).await?;
+            serve(slices, if fresh { From::Nobody } else { From::Gone }, joining, events).await?;
         }
     }
     Ok(())
@@ -279,14 +291,14 @@
 /// Reads the record of slices in charge, which nobody else can write any more.
 async fn serve(
     slices: Vec<(usize, u64)>,
-    taken_over: bool,
+    from: From,
     joining: &Joining,
     events: &mpsc::Sender<Event>,
 ) -> Result<(), Stop> {
     let (Some(&(first, _)), Some(&(last, _))) = (slices.first(), slices.last()) else { return Ok(()) };
     let mut rows = record(&joining.client, &joining.keys, first, last).await?;
     rows.retain(|row| slices.binary_search_by_key(&(row.slice as usize), |&(slice, _)| slice).is_ok());
-    let _ = events.send(Event::Serves { slices, rows, taken_over }).await;
+    let _ = events.send(Event::Serves { slices, rows, from }).await;
     Ok(())
 }
 
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -5,7 +5,7 @@
 mod rows;
 mod store;
 
-pub use life::{Event, Joining, Life};
+pub use life::{Event, From, Joining, Life, EARLY};
 pub use post::{Office, Post};
 pub use rows::{Keys, Member};
 pub use store::{record, snapshot, Snapshot};
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -9,7 +9,7 @@
 use crate::halt::{Halt, Point};
 use crate::recorder::Batch;
 use crate::serve::backward;
-use crate::shared::{Event, Life};
+use crate::shared::{Event, From, Life, EARLY};
 
 /// Slices that come into charge within this time are told to forwarders in one message: a take-over is a row of
 /// transactions a few milliseconds apart.
@@ -96,7 +96,12 @@
                 }
             }
             Event::Renewed(sent) => shared.life.membership.renewed(sent),
-            Event::Serves { slices, mut rows, taken_over } => {
+            Event::Serves { slices, mut rows, from } => {
+                let echoed_until = match from {
+                    From::Nobody => None,
+                    From::Given => Some(now),
+                    From::Gone => Some(now + EARLY),
+                };
                 fleet.served(&slices);
                 if shared.arrived.is_empty() {
                     shared.since = now;
@@ -107,7 +112,7 @@
                         rows.binary_search_by_key(&(slice as u32), |row| row.slice).ok().map(|at| &rows[at]);
                     let owner =
                         row.and_then(|row| Some((row.owner.clone()?, row.weight as f64 / 1e6, row.boot)));
-                    Charged { slice, term, taken_over, owner }
+                    Charged { slice, term, echoed_until, owner }
                 }));
             }
             Event::Gave { slices, to, term } => {
@@ -157,7 +162,11 @@
         if !shared.arrived.is_empty() && now >= shared.since + GATHER && self.host.room() > 0 {
             let mut arrived = std::mem::take(&mut shared.arrived);
             arrived.sort_by_key(|charged| charged.slice);
-            tracing::info!(slices = arrived.len(), taken_over = arrived[0].taken_over, "in charge of slices");
+            tracing::info!(
+                slices = arrived.len(),
+                taken_over = arrived[0].echoed_until.is_some(),
+                "in charge of slices"
+            );
             self.host.charged(now, &arrived);
         }
         if now >= shared.give_up {
