--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -12,9 +12,10 @@
 use ravenspar::say;
 use ravenspar_protocol::{codec, kind, tag, Body, Fault as Unreadable, Frame, MOST_DOWN, VERSION};
 use ravenspar_record::{Record, SliceRow};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::play::Fault;
 use crate::processes::Process;
@@ -36,17 +37,26 @@
 
 type Shared = Rc<RefCell<Vec<Told>>>;
 
-/// One light forwarder: reads, answers at once, pings.
-async fn forwarder(address: std::net::SocketAddr, number: usize, told: Shared) -> std::io::Result<()> {
-    let broken = |fault: Unreadable| std::io::Error::other(fault.to_string());
+type Frames =
+    (FramedRead<OwnedReadHalf, LengthDelimitedCodec>, FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
+
+/// Opens a stream as a forwarder of this number.
+pub async fn dial(address: std::net::SocketAddr, number: usize) -> std::io::Result<Frames> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
     let (read, write) = socket.into_split();
-    let (mut read, mut write) =
-        (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_DOWN)));
+    let read = FramedRead::new(read, codec(MOST_DOWN));
+    let mut write = FramedWrite::new(write, codec(MOST_DOWN));
     let mut hello = Frame::new(kind::HELLO);
     hello.numbers(tag::VERSION, &[VERSION]).numbers(tag::PROXY, &[number as u64]).numbers(tag::BOOT, &[1]);
     write.send(hello.numbers(tag::USUAL, &[1_000_000]).finish()).await?;
+    Ok((read, write))
+}
+
+/// One light forwarder: reads, answers at once, pings.
+async fn forwarder(address: std::net::SocketAddr, number: usize, told: Shared) -> std::io::Result<()> {
+    let broken = |fault: Unreadable| std::io::Error::other(fault.to_string());
+    let (mut read, mut write) = dial(address, number).await?;
     let began = Instant::now();
     let mut ping = tokio::time::interval(Duration::from_millis(250));
     loop {
--- a/crates/lab/src/measure_sharing.rs
+++ b/crates/lab/src/measure_sharing.rs
@@ -9,13 +9,11 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ravenspar::say;
-use ravenspar_protocol::{codec, kind, tag, Body, Fault as Unreadable, Frame, MOST_DOWN, VERSION};
+use ravenspar_protocol::{kind, tag, Body, Fault as Unreadable, Frame};
 use ravenspar_standin::store::Store;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio_util::codec::{FramedRead, FramedWrite};
 
-use crate::measure::{list, wait};
+use crate::measure::{dial, list, wait};
 use crate::notes_way::NotesWay;
 use crate::play::Fault;
 use crate::processes::Process;
@@ -76,14 +74,7 @@
     told: &Shared,
 ) -> std::io::Result<()> {
     let broken = |fault: Unreadable| std::io::Error::other(fault.to_string());
-    let socket = TcpStream::connect(address).await?;
-    socket.set_nodelay(true)?;
-    let (read, write) = socket.into_split();
-    let (mut read, mut write) =
-        (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_DOWN)));
-    let mut hello = Frame::new(kind::HELLO);
-    hello.numbers(tag::VERSION, &[VERSION]).numbers(tag::PROXY, &[number as u64]).numbers(tag::BOOT, &[1]);
-    write.send(hello.numbers(tag::USUAL, &[1_000_000]).finish()).await?;
+    let (mut read, mut write) = dial(address, number).await?;
     let began = Instant::now();
     let mut lease = Duration::ZERO;
     let mut ping = tokio::time::interval(Duration::from_millis(250));
