Watches, compaction and reads of the past: client and stand-in

The client puts fragments together within a bound, hands cancels and progress on, and opens a watch within its deadline; the stand-in keeps a log, reads at past revisions, compacts.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -36,7 +36,7 @@
 impl std::error::Error for Fault {}
 
 /// Codes by which a server says that it did not carry a call out. Anything else may come after the effect.
-fn fault(status: &Status) -> Fault {
+pub(crate) fn fault(status: &Status) -> Fault {
     let why = format!("{}: {}", status.code(), status.message());
     match status.code() {
         Code::InvalidArgument
@@ -95,12 +95,12 @@
         self.deadline
     }
 
-    fn channel(&self) -> Channel {
+    pub(crate) fn channel(&self) -> Channel {
         self.endpoints[self.current.load(Ordering::Relaxed) % self.endpoints.len()].clone()
     }
 
     /// The next call goes to the next endpoint.
-    fn turn(&self) {
+    pub(crate) fn turn(&self) {
         self.current.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod client;
 mod commit;
+mod watch;
 
 pub use client::{check_endpoint, Client, Fault};
 pub use commit::{Committed, Guarded};
+pub use watch::Watch;
 
 /// The API's messages and services, generated from `proto/etcd.proto`.
 pub mod api {
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod mvcc;
 mod server;
+mod watching;
 
 pub use mvcc::Mvcc;
 pub use server::{Faults, Store};
--- a/crates/standin/src/store/mvcc.rs
+++ b/crates/standin/src/store/mvcc.rs
@@ -1,12 +1,13 @@
 //! Keys, revisions, leases and transactions. Pure: times are handed in.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ravenspar_etcd::api::compare::{CompareResult, CompareTarget, TargetUnion};
+use ravenspar_etcd::api::event::EventType;
 use ravenspar_etcd::api::request_op::Request;
 use ravenspar_etcd::api::response_op::Response;
 use ravenspar_etcd::api::{
-    Compare, DeleteRangeRequest, DeleteRangeResponse, KeyValue, PutRequest, PutResponse, RangeRequest,
+    Compare, DeleteRangeRequest, DeleteRangeResponse, Event, KeyValue, PutRequest, PutResponse, RangeRequest,
     RangeResponse, RequestOp, ResponseHeader, ResponseOp, TxnRequest, TxnResponse,
 };
 
@@ -25,14 +26,30 @@
     revision: i64,
     keys: BTreeMap<Vec<u8>, KeyValue>,
     leases: BTreeMap<i64, Lease>,
+    /// What was done to keys, in order, since the compaction.
+    log: VecDeque<Done>,
+    compacted: i64,
 }
 
+/// A key as it was before and after a revision.
+#[derive(Clone, Debug)]
+struct Done {
+    revision: i64,
+    key: Vec<u8>,
+    before: Option<KeyValue>,
+    after: Option<KeyValue>,
+}
+
+/// Changes kept at most; older ones are compacted.
+const KEPT: usize = 200_000;
+
 /// Why a call is refused, in the API's words.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     LeaseNotFound,
     LeaseExists,
     FutureRevision,
+    Compacted,
     TooManyOps,
     DuplicateKey,
 }
@@ -40,9 +57,25 @@
 /// Operations of a transaction, as etcd takes them unless told otherwise (`--max-txn-ops`).
 const MOST_OPS: usize = 128;
 
+/// Whether a key is in a range, as the API has ranges.
+fn inside(found: &[u8], key: &[u8], end: &[u8]) -> bool {
+    match end {
+        [] => found == key,
+        [0] => found >= key,
+        end => found >= key && found < end,
+    }
+}
+
 impl Mvcc {
     pub fn new(cluster: u64) -> Mvcc {
-        Mvcc { cluster, revision: 1, keys: BTreeMap::new(), leases: BTreeMap::new() }
+        Mvcc {
+            cluster,
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            log: VecDeque::new(),
+            compacted: 0,
+        }
     }
 
     pub fn header(&self) -> ResponseHeader {
@@ -68,9 +101,11 @@
 
     pub fn revoke(&mut self, id: i64) -> Result<(), Refusal> {
         self.leases.remove(&id).ok_or(Refusal::LeaseNotFound)?;
-        let before = self.keys.len();
-        self.keys.retain(|_, kv| kv.lease != id);
-        self.revision += i64::from(self.keys.len() < before);
+        let bound = self.keys.values().filter(|kv| kv.lease == id);
+        let bound: Vec<Vec<u8>> = bound.map(|kv| kv.key.clone()).collect();
+        self.revision += i64::from(!bound.is_empty());
+        let revision = self.revision;
+        bound.iter().for_each(|key| self.remove(revision, key));
         Ok(())
     }
 
@@ -85,23 +120,85 @@
         lease.seconds
     }
 
+    fn note(&mut self, revision: i64, key: &[u8], before: Option<KeyValue>, after: Option<KeyValue>) {
+        self.log.push_back(Done { revision, key: key.to_vec(), before, after });
+        if self.log.len() > KEPT {
+            self.compacted = self.log.pop_front().map_or(0, |done| done.revision);
+        }
+    }
+
+    fn remove(&mut self, revision: i64, key: &[u8]) {
+        if let Some(before) = self.keys.remove(key) {
+            self.note(revision, key, Some(before), None);
+        }
+    }
+
+    /// Forgets what was before a revision.
+    pub fn compact(&mut self, revision: i64) -> Result<(), Refusal> {
+        if revision <= self.compacted {
+            return Err(Refusal::Compacted);
+        }
+        if revision > self.revision {
+            return Err(Refusal::FutureRevision);
+        }
+        self.compacted = revision;
+        self.log.retain(|done| done.revision >= revision);
+        Ok(())
+    }
+
+    pub fn compacted(&self) -> i64 {
+        self.compacted
+    }
+
+    /// What happened to keys in a range from a revision on, in order; none where that has been compacted.
+    pub fn events(&self, key: &[u8], end: &[u8], from: i64) -> Option<Vec<(i64, Event)>> {
+        if from <= self.compacted {
+            return None;
+        }
+        let since = self.log.iter().skip_while(|done| done.revision < from);
+        let found = since.filter(|done| inside(&done.key, key, end));
+        let event = |done: &Done| {
+            let gone = KeyValue { key: done.key.clone(), mod_revision: done.revision, ..KeyValue::default() };
+            let kind = if done.after.is_some() { EventType::Put } else { EventType::Delete };
+            let kv = Some(done.after.clone().unwrap_or(gone));
+            (done.revision, Event { r#type: kind as i32, kv, prev_kv: done.before.clone() })
+        };
+        Some(found.map(event).collect())
+    }
+
+    /// Keys of a range as they were at a revision that is not the last.
+    fn past(&self, key: &[u8], end: &[u8], revision: i64) -> Vec<KeyValue> {
+        let mut then: BTreeMap<&[u8], Option<&KeyValue>> =
+            self.within(key, end).map(|kv| (kv.key.as_slice(), Some(kv))).collect();
+        // The first change after it says what was there before.
+        let later = self.log.iter().filter(|done| done.revision > revision && inside(&done.key, key, end));
+        for done in later.rev() {
+            then.insert(&done.key, done.before.as_ref());
+        }
+        then.into_values().flatten().cloned().collect()
+    }
+
     fn within<'a>(&'a self, key: &[u8], end: &[u8]) -> impl Iterator<Item = &'a KeyValue> {
         let (key, end) = (key.to_vec(), end.to_vec());
         let from = self.keys.range(key.clone()..);
-        let inside = move |found: &Vec<u8>| match end.as_slice() {
-            [] => *found == key,
-            [0] => true,
-            end => found.as_slice() < end,
-        };
-        from.take_while(move |(found, _)| inside(found)).map(|(_, kv)| kv)
+        from.take_while(move |(found, _)| inside(found, &key, &end)).map(|(_, kv)| kv)
     }
 
     pub fn range(&self, request: &RangeRequest) -> Result<RangeResponse, Refusal> {
         if request.revision > self.revision {
             return Err(Refusal::FutureRevision);
         }
+        if request.revision > 0 && request.revision < self.compacted {
+            return Err(Refusal::Compacted);
+        }
         let newer = |kv: &&KeyValue| kv.mod_revision >= request.min_mod_revision;
-        let all: Vec<&KeyValue> = self.within(&request.key, &request.range_end).filter(newer).collect();
+        let past;
+        let all: Vec<&KeyValue> = if request.revision > 0 && request.revision < self.revision {
+            past = self.past(&request.key, &request.range_end, request.revision);
+            past.iter().filter(newer).collect()
+        } else {
+            self.within(&request.key, &request.range_end).filter(newer).collect()
+        };
         let most = if request.limit > 0 { request.limit as usize } else { usize::MAX };
         let value = |kv: &KeyValue| if request.keys_only { Vec::new() } else { kv.value.clone() };
         let shown = all.iter().take(if request.count_only { 0 } else { most });
@@ -126,13 +223,14 @@
             value: request.value.clone(),
             lease: request.lease,
         };
-        self.keys.insert(request.key.clone(), kv);
+        self.keys.insert(request.key.clone(), kv.clone());
+        self.note(revision, &request.key, before.clone(), Some(kv));
         Ok(PutResponse { header: None, prev_kv: before.filter(|_| request.prev_kv) })
     }
 
-    fn delete(&mut self, request: &DeleteRangeRequest) -> DeleteRangeResponse {
+    fn delete(&mut self, revision: i64, request: &DeleteRangeRequest) -> DeleteRangeResponse {
         let gone: Vec<KeyValue> = self.within(&request.key, &request.range_end).cloned().collect();
-        gone.iter().for_each(|kv| _ = self.keys.remove(&kv.key));
+        gone.iter().for_each(|kv| self.remove(revision, &kv.key));
         let deleted = gone.len() as i64;
         DeleteRangeResponse {
             header: None,
@@ -212,7 +310,7 @@
                     Response::ResponsePut(self.put(revision, put)?)
                 }
                 Some(Request::RequestDeleteRange(delete)) => {
-                    let deleted = self.delete(delete);
+                    let deleted = self.delete(revision, delete);
                     wrote |= deleted.deleted > 0;
                     Response::ResponseDeleteRange(deleted)
                 }
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -9,6 +9,7 @@
 use ravenspar_etcd::api::lease_server::{Lease, LeaseServer};
 use ravenspar_etcd::api::request_op::Request as Op;
 use ravenspar_etcd::api::response_op::Response as OpResponse;
+use ravenspar_etcd::api::watch_server::WatchServer;
 use ravenspar_etcd::api::*;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
@@ -32,9 +33,9 @@
     pub late_by: Duration,
 }
 
-struct Inner {
-    mvcc: Mvcc,
-    faults: Faults,
+pub(super) struct Inner {
+    pub(super) mvcc: Mvcc,
+    pub(super) faults: Faults,
     requests: u64,
 }
 
@@ -63,6 +64,7 @@
         Refusal::FutureRevision => {
             Status::out_of_range("etcdserver: mvcc: required revision is a future revision")
         }
+        Refusal::Compacted => Status::out_of_range("etcdserver: mvcc: required revision has been compacted"),
         Refusal::TooManyOps => Status::invalid_argument("etcdserver: too many operations in txn request"),
         Refusal::DuplicateKey => Status::invalid_argument("etcdserver: duplicate key given in txn request"),
     }
@@ -74,7 +76,7 @@
         Store { inner: Arc::new(Mutex::new(inner)), clock: Clock::default() }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
         inner.mvcc.expire(now);
@@ -107,13 +109,19 @@
         let _ = self.lock().mvcc.revoke(id);
     }
 
+    /// Forgets what was before a revision.
+    pub fn compact(&self, revision: i64) -> bool {
+        self.lock().mvcc.compact(revision).is_ok()
+    }
+
     /// Listens on loopback until the runtime ends.
     pub async fn listen(&self) -> std::io::Result<SocketAddr> {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let server = tonic::transport::Server::builder()
             .add_service(KvServer::new(self.clone()))
-            .add_service(LeaseServer::new(self.clone()));
+            .add_service(LeaseServer::new(self.clone()))
+            .add_service(WatchServer::new(self.clone()));
         // Small answers that wait for the other side's acknowledgement would make each call take 40 ms.
         let incoming = TcpListenerStream::new(listener).map(|socket| {
             let socket = socket?;
@@ -125,7 +133,7 @@
     }
 
     /// What every call meets first.
-    async fn enter(&self) -> Result<(), Status> {
+    pub(super) async fn enter(&self) -> Result<(), Status> {
         let (away, slow) = {
             let mut inner = self.lock();
             inner.requests += 1;
@@ -177,6 +185,16 @@
         }
     }
 
+    async fn compact(
+        &self,
+        request: Request<CompactionRequest>,
+    ) -> Result<Response<CompactionResponse>, Status> {
+        self.enter().await?;
+        let mut inner = self.lock();
+        inner.mvcc.compact(request.get_ref().revision).map_err(refused)?;
+        Ok(Response::new(CompactionResponse { header: Some(inner.mvcc.header()) }))
+    }
+
     async fn txn(&self, request: Request<TxnRequest>) -> Result<Response<TxnResponse>, Status> {
         self.enter().await?;
         let request = request.into_inner();
