Follow the server list in a store by a watch, never moving backward

Some installations keep their list in etcd; a stale list must not pass for news, and a server that has left must not come back.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -91,6 +91,15 @@
         Ok(Client { endpoints, current: AtomicUsize::new(0), deadline, chance })
     }
 
+    pub fn endpoints(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Leaves the endpoint that answered last for the next.
+    pub fn turn_away(&self) {
+        self.turn();
+    }
+
     pub fn deadline(&self) -> Duration {
         self.deadline
     }
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -53,6 +53,9 @@
     /// Takes a shared store that is another, or older, than the one last seen: after it was restored from a backup.
     /// Only once every other steward is stopped, and every forwarder's lease is over.
     Accept { file: PathBuf },
+    /// The server list in a store.
+    #[command(subcommand)]
+    List(ListCommand),
     /// Shows the record that a settings file names.
     Record {
         file: PathBuf,
@@ -61,6 +64,12 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ListCommand {
+    /// Takes a store that is another, or older, than the one last followed. The steward has to be stopped.
+    Accept { file: PathBuf },
+}
+
 /// Runs the program with these arguments, the program's name first.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let cli = match Cli::try_parse_from(args) {
@@ -79,6 +88,7 @@
         Command::Check { file } => check(&file),
         Command::Members { file, json } => members(&file, json),
         Command::Accept { file } => accept(&file),
+        Command::List(ListCommand::Accept { file }) => accept_list(&file),
         Command::Record { file, json } => show(&file, json),
     })
 }
@@ -219,6 +229,17 @@
     Ok(())
 }
 
+fn accept_list(file: &Path) -> Result<(), Fault> {
+    let cfg = load(file)?;
+    if cfg.list_store.is_none() {
+        return Err(Fault::Input(format!("{}: expected list.source: etcd", file.display())));
+    }
+    let record = Record::open(&cfg.record).map_err(|fault| Fault::Input(fault.to_string()))?;
+    record.unfollow().map_err(|fault| Fault::Failed(fault.to_string()))?;
+    say(format_args!("{}: whatever list is there next is followed", cfg.record.display()));
+    Ok(())
+}
+
 /// The record in a shared store, with who is in charge of each slice.
 fn show_shared(cfg: &settings::Checked, share: &settings::Share, json: bool) -> Result<(), Fault> {
     let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -220,6 +220,7 @@
                     shared.life.tell(kind::LIST, 0);
                 }
             }
+            News::Followed(kept) => self.door.kept.write(Batch::Followed(kept)).await,
             News::Failed(why) => {
                 if !std::mem::replace(&mut self.ran.list_failed, true) {
                     tracing::error!(%why, "the list can't be read, the last good one holds");
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod list;
+mod list_store;
 pub mod settings;
 pub mod shared;
 pub mod yaml;
--- a/crates/ravenspar/src/list.rs
+++ b/crates/ravenspar/src/list.rs
@@ -13,6 +13,8 @@
 pub enum News {
     /// The complete list.
     Whole(Vec<ServerRow>),
+    /// What may not be forgotten of a list with revisions; the list that it is of comes next.
+    Followed(ravenspar_list::Kept),
     /// It could not be had; the last good list still holds.
     Failed(String),
 }
--- a/crates/ravenspar/src/recorder.rs
+++ b/crates/ravenspar/src/recorder.rs
@@ -15,6 +15,8 @@
         rows: Vec<SliceRow>,
     },
     List(Vec<ServerRow>),
+    /// What may not be forgotten of a list with revisions; written before the list that is of it.
+    Followed(ravenspar_list::Kept),
     /// Cluster and revision of the shared store.
     Seen(u64, u64),
 }
@@ -24,6 +26,7 @@
 pub struct Gathered {
     pub slices: Vec<SliceRow>,
     pub list: Option<Vec<ServerRow>>,
+    pub followed: Option<ravenspar_list::Kept>,
     pub seen: Option<(u64, u64)>,
 }
 
@@ -38,6 +41,9 @@
         if let Some(seen) = gathered.seen {
             self.see(Some(seen)).map_err(|fault| fault.to_string())?;
         }
+        if let Some(kept) = &gathered.followed {
+            self.follow(kept.cluster, kept.revision, &kept.retired).map_err(|fault| fault.to_string())?;
+        }
         if gathered.slices.is_empty() && gathered.list.is_none() {
             return Ok(());
         }
@@ -144,6 +150,7 @@
                     slices.extend(rows.into_iter().map(|row| (row.slice, row)));
                 }
                 Batch::List(rows) => gathered.list = Some(rows),
+                Batch::Followed(kept) => gathered.followed = Some(kept),
                 Batch::Seen(cluster, revision) => gathered.seen = Some((cluster, revision)),
             }
         }
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::core::{Core, End};
 use crate::halt::Halt;
 use crate::list::{self, File, News, Source};
+use crate::list_store::Stored;
 use crate::recorder::{Batch, Recorder};
 use crate::settings::Checked;
 use crate::shared::{Joining, Keys, Life, Office, Snapshot};
@@ -75,7 +76,18 @@
     let address = listener.local_addr().map_err(failed("listen"))?;
     let (news, list) = mpsc::channel(4);
     let look = std::sync::Arc::new(tokio::sync::Notify::new());
-    File { path: cfg.list.clone(), look: look.clone() }.follow(news);
+    match &cfg.list_store {
+        None => File { path: cfg.list.clone(), look: look.clone() }.follow(news),
+        Some(store) => {
+            let followed = record.followed().map_err(|fault| Fault::Failed(fault.to_string()))?;
+            let (cluster, revision, retired) = followed.unwrap_or_default();
+            let kept = ravenspar_list::Kept { cluster, revision, retired };
+            let client = ravenspar_etcd::Client::new(&store.endpoints, store.call_within, cfg.seed);
+            let client = std::sync::Arc::new(client.map_err(Fault::Input)?);
+            let (prefix, seed) = (store.prefix.clone(), cfg.seed ^ u64::from(std::process::id()));
+            Stored { client, prefix, kept, look: look.clone(), seed }.follow(news);
+        }
+    }
     let mut door = Door {
         clock: Clock::new(),
         listener,
@@ -151,7 +163,7 @@
     // The record speaks of starts of servers that the list has shown to others: it is read before any slice is.
     let first = tokio::select! {
         () = stopped(&mut door.terminate, &mut door.interrupt) => return Ok(()),
-        list = list(&mut door.list) => list,
+        list = list(&mut door.list, &door.kept) => list,
     };
     if let Some(rows) = first {
         door.kept.write(Batch::List(rows.clone())).await;
@@ -215,10 +227,11 @@
 }
 
 /// The first list that can be read.
-async fn list(news: &mut mpsc::Receiver<News>) -> Option<Vec<ServerRow>> {
+async fn list(news: &mut mpsc::Receiver<News>, kept: &Recorder) -> Option<Vec<ServerRow>> {
     loop {
         match news.recv().await? {
             News::Whole(rows) => return Some(rows),
+            News::Followed(followed) => kept.write(Batch::Followed(followed)).await,
             News::Failed(why) => tracing::error!(%why, "no slice is taken before the list can be read"),
         }
     }
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -45,8 +45,11 @@
 pub const TABLE: &[Entry] = &[
     own("listen", Form::Text, None),
     own("record", Form::Text, None),
-    own("list.source", Form::Word(&[("file", "file")]), Some("file")),
-    own("list.path", Form::Text, None),
+    own("list.source", Form::Word(&[("file", "file"), ("etcd", "etcd")]), Some("file")),
+    own("list.path", Form::Text, Some("")),
+    own("list.endpoints", Form::Texts, Some("")),
+    own("list.prefix", Form::Text, Some("/ravenspar/servers/")),
+    own("list.call_within", Form::Time, Some("1s")),
     own("seed", Form::Count(0.0, 9e15), Some("1")),
     entry("forwarders", Form::Count(1.0, 65_535.0), "family_info.proxy_count", None),
     entry("slices", Form::Count(1.0, 65_535.0), "family_info.ranges", None),
@@ -108,12 +111,22 @@
     pub listen: String,
     pub record: PathBuf,
     pub list: PathBuf,
+    /// Where the list is in a store; none: it is in the file.
+    pub list_store: Option<ListStore>,
     pub seed: u64,
     /// Where the record is shared with other stewards; none: it is this steward's own file.
     pub share: Option<Share>,
     pub map: Settings,
 }
 
+/// A list of servers in a store.
+#[derive(Clone, Debug)]
+pub struct ListStore {
+    pub endpoints: Vec<String>,
+    pub prefix: String,
+    pub call_within: std::time::Duration,
+}
+
 /// How stewards share.
 #[derive(Clone, Debug)]
 pub struct Share {
@@ -154,8 +167,10 @@
         ));
     }
     let share = share(&own, &mut check_faults, &tree, folder);
+    let list_store = list_store(&own, &mut check_faults, &tree);
     let checked = Checked {
         share,
+        list_store,
         listen,
         record: folder.join(own("record").unwrap_or_default()),
         list: folder.join(own("list.path").unwrap_or_default()),
@@ -178,6 +193,45 @@
     }
 }
 
+/// A list of endpoints, each checked.
+fn endpoints<'a>(
+    name: &str,
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+) -> Vec<String> {
+    let endpoints: Vec<String> = own(name).unwrap_or_default().lines().map(str::to_owned).collect();
+    if endpoints.is_empty() {
+        let what = format!("{name}: missing, expected a list of addresses as http://127.0.0.1:2379");
+        faults.push((tree.line, tree.column, what));
+    }
+    for why in endpoints.iter().filter_map(|endpoint| ravenspar_etcd::check_endpoint(endpoint).err()) {
+        let what = format!("{name}: {why}, expected an address as http://127.0.0.1:2379");
+        faults.push((tree.line, tree.column, what));
+    }
+    endpoints
+}
+
+/// Where the list is, if in a store.
+fn list_store<'a>(
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+) -> Option<ListStore> {
+    if own("list.source") != Some("etcd") {
+        if own("list.source").is_some() && own("list.path").is_none_or(str::is_empty) {
+            faults.push((tree.line, tree.column, "list.path: missing, expected a text".to_owned()));
+        }
+        return None;
+    }
+    let call_within = own("list.call_within").and_then(|text| text.parse().ok()).unwrap_or(1.0);
+    Some(ListStore {
+        endpoints: endpoints("list.endpoints", own, faults, tree),
+        prefix: own("list.prefix").unwrap_or_default().to_owned(),
+        call_within: std::time::Duration::from_secs_f64(call_within),
+    })
+}
+
 /// The settings of the shared store, if there is to be one.
 fn share<'a>(
     own: &impl Fn(&str) -> Option<&'a str>,
@@ -189,20 +243,7 @@
         return None;
     }
     let text = |name: &str| own(name).unwrap_or_default().to_owned();
-    let endpoints: Vec<String> = text("share.endpoints").lines().map(str::to_owned).collect();
-    if endpoints.is_empty() {
-        let what = "share.endpoints: missing, expected a list of addresses as http://127.0.0.1:2379";
-        faults.push((tree.line, tree.column, what.to_owned()));
-    }
-    for endpoint in &endpoints {
-        if let Err(why) = ravenspar_etcd::check_endpoint(endpoint) {
-            faults.push((
-                tree.line,
-                tree.column,
-                format!("share.endpoints: {why}, expected an address as http://127.0.0.1:2379"),
-            ));
-        }
-    }
+    let endpoints = endpoints("share.endpoints", own, faults, tree);
     let seconds = |name: &str| text(name).parse::<f64>().unwrap_or(0.0);
     let lease = seconds("share.member_lease");
     if lease.fract() != 0.0 || lease < 1.0 {
--- a/crates/ravenspar/tests/common/mod.rs
+++ b/crates/ravenspar/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use ravenspar_protocol::{kind, tag, Body, Frame, VERSION};
+use ravenspar_standin::store::Store;
 
 /// Long enough for a busy machine; a test that waits this long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -254,3 +255,18 @@
 pub fn path(path: &Path) -> &str {
     path.to_str().expect("a path")
 }
+
+/// A store that serves until the process ends.
+pub fn store(cluster: u64) -> (Store, SocketAddr) {
+    let store = Store::new(cluster);
+    let (told, address) = std::sync::mpsc::channel();
+    let own = store.clone();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            told.send(own.listen().await.expect("it listens")).expect("somebody waits");
+            std::future::pending::<()>().await;
+        });
+    });
+    (store, address.recv().expect("an address"))
+}
--- a/crates/ravenspar/tests/shared.rs
+++ b/crates/ravenspar/tests/shared.rs
@@ -7,22 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use ravenspar_standin::store::{Faults, Store};
-
-/// A store that serves until the process ends.
-fn store(cluster: u64) -> (Store, SocketAddr) {
-    let store = Store::new(cluster);
-    let (told, address) = std::sync::mpsc::channel();
-    let own = store.clone();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(async {
-            told.send(own.listen().await.expect("it listens")).expect("somebody waits");
-            std::future::pending::<()>().await;
-        });
-    });
-    (store, address.recv().expect("an address"))
-}
+use ravenspar_standin::store::Faults;
 
 /// Settings for a steward of this name beside a folder's own.
 fn settings(dir: &Dir, name: &str, store: SocketAddr, notes: &str) -> PathBuf {
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod fault;
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use redb::{
@@ -23,6 +24,12 @@
 /// Server to health (0 ready, 1 draining, 2 gone), boot, zone and address.
 const SERVERS: TableDefinition<&str, (u8, i64, &str, &str)> = TableDefinition::new("servers");
 
+/// Servers of a list with revisions, with the latest start of each that may not come back.
+const RETIRED: TableDefinition<&str, i64> = TableDefinition::new("retired");
+
+/// Cluster, revision and retired starts of a list that is followed by revisions.
+pub type Followed = (u64, i64, BTreeMap<String, i64>);
+
 /// One slice as it stands on record.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SliceRow {
@@ -140,6 +147,54 @@
         write.commit().map_err(Fault::write)
     }
 
+    /// What was kept of a list with revisions; none where none was followed.
+    pub fn followed(&self) -> Result<Option<Followed>, Fault> {
+        let read = self.base.begin_read().map_err(Fault::read)?;
+        let meta = read.open_table(META).map_err(Fault::read)?;
+        let value = |name| Ok(meta.get(name).map_err(Fault::read)?.map(|value| value.value()));
+        let Some((cluster, revision)) = value("list.cluster")?.zip(value("list.revision")?) else {
+            return Ok(None);
+        };
+        let mut retired = BTreeMap::new();
+        match read.open_table(RETIRED) {
+            Ok(table) => {
+                for row in table.iter().map_err(Fault::read)? {
+                    let (id, boot) = row.map_err(Fault::read)?;
+                    retired.insert(id.value().to_owned(), boot.value());
+                }
+            }
+            Err(TableError::TableDoesNotExist(_)) => {}
+            Err(error) => return Err(Fault::read(error)),
+        }
+        Ok(Some((cluster, revision as i64, retired)))
+    }
+
+    /// Keeps what may not be forgotten of a list with revisions; durable on return.
+    pub fn follow(&self, cluster: u64, revision: i64, retired: &BTreeMap<String, i64>) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(Fault::write)?;
+        {
+            let mut meta = write.open_table(META).map_err(Fault::write)?;
+            meta.insert("list.cluster", cluster).map_err(Fault::write)?;
+            meta.insert("list.revision", revision as u64).map_err(Fault::write)?;
+            let mut table = write.open_table(RETIRED).map_err(Fault::write)?;
+            for (id, boot) in retired {
+                table.insert(id.as_str(), *boot).map_err(Fault::write)?;
+            }
+        }
+        write.commit().map_err(Fault::write)
+    }
+
+    /// Forgets which store a list was followed in and how far; starts that may not come back stay.
+    pub fn unfollow(&self) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(Fault::write)?;
+        {
+            let mut meta = write.open_table(META).map_err(Fault::write)?;
+            meta.remove("list.cluster").map_err(Fault::write)?;
+            meta.remove("list.revision").map_err(Fault::write)?;
+        }
+        write.commit().map_err(Fault::write)
+    }
+
     /// Writes slices and, where given, the list, as one; durable on return.
     pub fn write(&self, slices: &[SliceRow], list: Option<&[ServerRow]>) -> Result<(), Fault> {
         let write = self.base.begin_write().map_err(Fault::write)?;
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -109,6 +109,28 @@
         let _ = self.lock().mvcc.revoke(id);
     }
 
+    /// Writes a key.
+    pub fn put_key(&self, key: &str, value: &str) {
+        let put = PutRequest { key: key.into(), value: value.into(), lease: 0, prev_kv: false };
+        self.write_key(Op::RequestPut(put));
+    }
+
+    pub fn delete_key(&self, key: &str) {
+        self.write_key(Op::RequestDeleteRange(DeleteRangeRequest { key: key.into(), ..Default::default() }));
+    }
+
+    fn write_key(&self, op: Op) {
+        let success = vec![RequestOp { request: Some(op) }];
+        let _ = self.lock().mvcc.txn(&TxnRequest { success, ..TxnRequest::default() });
+    }
+
+    /// Forgets what was before the present revision.
+    pub fn compact_all(&self) {
+        let mut inner = self.lock();
+        let revision = inner.mvcc.header().revision;
+        let _ = inner.mvcc.compact(revision);
+    }
+
     /// Forgets what was before a revision.
     pub fn compact(&self, revision: i64) -> bool {
         self.lock().mvcc.compact(revision).is_ok()
