--- a/crates/lab/src/vex.rs
+++ b/crates/lab/src/vex.rs
@@ -47,9 +47,7 @@
             }
         }
         let fleet = fleet.clone();
-        let task = tokio::task::spawn_local(async move {
-            cause(&fleet, &what, began).await
-        });
+        let task = tokio::task::spawn_local(async move { cause(&fleet, &what, began).await });
         match process {
             true => busy[number] = Some(task),
             false => cuts.push(task),
