Pace and patience of giving slices away are the fleet's decisions

The reviewer's reading: the program's I/O side decided how often slices are given, how long a leaver waits and when it gives up, and kept whether a step is under way and a term beside the fleet and host that know them.

They sit in crates/sharing now, with tests. One of them found that a leaver gave nothing before the store showed it as leaving: it no longer counts itself among those who stay.

--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -43,7 +43,6 @@
     pub door: &'a mut Door,
     pub clock: Clock,
     pub host: Host,
-    pub term: u64,
     /// Where lines of slices are made durable.
     pub recorder: Rc<Recorder>,
     pub shared: Option<Shared>,
@@ -64,7 +63,7 @@
 }
 
 impl<'a> Core<'a> {
-    pub fn new(door: &'a mut Door, host: Host, term: u64, shared: Option<Shared>) -> Core<'a> {
+    pub fn new(door: &'a mut Door, host: Host, shared: Option<Shared>) -> Core<'a> {
         let (inputs, queue) = mpsc::channel(streams::INPUTS);
         let clock = door.clock;
         let recorder = shared.as_ref().map_or(&door.kept, |shared| &shared.life.recorder).clone();
@@ -72,7 +71,6 @@
             door,
             clock,
             host,
-            term,
             recorder,
             shared,
             streams: BTreeMap::new(),
@@ -164,10 +162,10 @@
     fn wake(&self, now: Time) -> Time {
         let host = self.host.next_timeout(now);
         let Some(shared) = &self.shared else { return host };
-        let fleet = if shared.stepping { Time::MAX } else { shared.life.fleet.next_at() };
+        let fleet = shared.life.fleet.next_at();
         let membership = shared.life.membership.renew_at().min(shared.life.membership.until());
         let arrived = if shared.arrived.is_empty() { Time::MAX } else { shared.since + GATHER };
-        host.min(fleet).min(membership).min(arrived).min(shared.give_up)
+        host.min(fleet).min(membership).min(arrived)
     }
 
     fn accept(&mut self, socket: tokio::net::TcpStream) {
@@ -248,7 +246,7 @@
                         owner: owner.map(|be| self.host.server(be).id.clone()),
                         weight: (weight * 1e6).round() as u64,
                         mark,
-                        term: if self.shared.is_some() { self.host.term(slice) } else { self.term },
+                        term: self.host.term(slice),
                         boot: owner.map_or(0, |be| self.host.boot(be)),
                     };
                     let rows: Vec<SliceRow> = lines.iter().map(row).collect();
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -5,7 +5,8 @@
 
 use ravenspar_host::{Host, Server};
 use ravenspar_record::{Record, ServerRow, SliceRow};
-use ravenspar_steward::{Health, Time, SECOND};
+use ravenspar_sharing::Fleet;
+use ravenspar_steward::{Health, Time};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -110,7 +111,7 @@
                 .map_err(unusable)?;
             tracing::info!(%address, term, slices = lines.len(), servers = last.len(), "serving");
             listening(address);
-            Core::new(&mut door, host, term, None).run().await.map(|_| ())
+            Core::new(&mut door, host, None).run().await.map(|_| ())
         }
         Some(_) => {
             listening(address);
@@ -157,7 +158,10 @@
         keys: keys.clone(),
         clock: door.clock,
         slices: cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize,
-        pace: pace(cfg),
+        pace: Fleet::pace(
+            cfg.map.time("family_info.update_window_s").unwrap_or(0),
+            cfg.map.number("family_info.pushes_allowed").unwrap_or(0.0) as Time,
+        ),
         share,
     };
     // The record speaks of starts of servers that the list has shown to others: it is read before any slice is.
@@ -186,7 +190,7 @@
                 let host = Host::sharing(door.clock.now(), cfg.seed, cfg.map.clone(), term, &last);
                 let host = host.map_err(unusable)?;
                 tracing::info!(%address, life = %format_args!("{number:016x}"), term, servers = last.len(), "a member");
-                let mut core = Core::new(door, host, term, Some(Shared::new(life, seen)));
+                let mut core = Core::new(door, host, Some(Shared::new(life, seen)));
                 let end = core.run().await?;
                 seen = core.shared.as_ref().map_or(seen, |shared| shared.seen);
                 let shared = core.shared.take();
@@ -218,14 +222,6 @@
     }
 }
 
-/// The shortest time between two rounds of giving slices: each is a message to every forwarder, of which there may be
-/// so many in a window. A quarter is for that, so that drains find the rest.
-fn pace(cfg: &Checked) -> Time {
-    let window = cfg.map.time("family_info.update_window_s").unwrap_or(0);
-    let messages = cfg.map.number("family_info.pushes_allowed").unwrap_or(0.0) as Time;
-    (4 * window).checked_div(messages).unwrap_or(0).max(SECOND / 4)
-}
-
 /// The first list that can be read.
 async fn list(news: &mut mpsc::Receiver<News>, kept: &Recorder) -> Option<Vec<ServerRow>> {
     loop {
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -26,44 +26,26 @@
     /// Slices that have come into charge and are to be told with others, and since when the first waits.
     pub arrived: Vec<Charged>,
     pub since: Time,
-    pub stepping: bool,
     pub away: bool,
-    /// When leaving is given up.
-    pub give_up: Time,
 }
 
 impl Shared {
     pub fn new(life: Life, seen: Option<(u64, u64)>) -> Shared {
-        Shared {
-            life,
-            seen,
-            noted: 0,
-            waits: None,
-            arrived: Vec::new(),
-            since: 0,
-            stepping: false,
-            away: false,
-            give_up: Time::MAX,
-        }
+        Shared { life, seen, noted: 0, waits: None, arrived: Vec::new(), since: 0, away: false }
     }
 }
 
 impl Core<'_> {
     /// Whether the process is to end at once: one that shares gives its slices away first.
     pub fn stop(&mut self) -> bool {
-        /// How long leaving may take. Then the others take over as from one that died, once its lease is over.
-        const MOST: Time = 10 * SECOND;
-        /// How long slices in the middle of something are waited for.
-        const REST: Time = 2 * SECOND;
         let now = self.clock.now();
         let Some(shared) = self.shared.as_mut().filter(|shared| !shared.life.fleet.is_leaving()) else {
             return true;
         };
         tracing::info!(slices = shared.life.fleet.count(), "leaving");
-        shared.life.fleet.leave(now + REST);
+        shared.life.fleet.leave(now);
         shared.life.say_leaving();
         shared.life.tell(kind::LOOK, u64::MAX);
-        shared.give_up = now + MOST;
         false
     }
 
@@ -132,7 +114,6 @@
                 _ => {}
             },
             Event::Done => {
-                shared.stepping = false;
                 shared.since = 0; // what has arrived is told at once
                 fleet.done();
             }
@@ -169,10 +150,6 @@
             );
             self.host.charged(now, &arrived);
         }
-        if now >= shared.give_up {
-            tracing::warn!(slices = shared.life.fleet.count(), "left before all slices were given away");
-            return Some(End::Stopped);
-        }
         if let Some((ticket, step)) = shared.waits.take() {
             if ticket > shared.life.recorder.durable() {
                 shared.waits = Some((ticket, step));
@@ -180,15 +157,17 @@
                 shared.life.carry_out(step);
             }
         }
-        if shared.stepping || !shared.arrived.is_empty() {
+        if !shared.arrived.is_empty() {
             return None;
         }
         let host = &self.host;
         match shared.life.fleet.next(now, |slice| host.is_at_rest(slice))? {
-            Step::Left => Some(End::Stopped),
+            Step::Left => {
+                tracing::info!(slices = shared.life.fleet.count(), "left; what it still has is taken over");
+                Some(End::Stopped)
+            }
             Step::Lost => Some(End::Over("another steward is in charge of what this one was".to_owned())),
             Step::Give { slices, to } => {
-                shared.stepping = true;
                 let left: Vec<usize> = slices.iter().map(|&(slice, _)| slice).collect();
                 self.host.left(&left);
                 // What was decided on them goes on record first.
@@ -199,7 +178,6 @@
                 if matches!(step, Step::Take { .. }) {
                     Halt::meet(&mut self.door.halt, Point::Take);
                 }
-                shared.stepping = true;
                 shared.life.carry_out(step);
                 None
             }
--- a/crates/sharing/src/fleet.rs
+++ b/crates/sharing/src/fleet.rs
@@ -16,7 +16,7 @@
     /// Stop deciding on slices, say so to forwarders, and only then give them away, on condition that each charge still
     /// has this term and that `to` is a member.
     Give { slices: Vec<(usize, u64)>, to: Life },
-    /// This steward has left: it is in charge of nothing that anybody could take.
+    /// This steward has left: it is in charge of nothing that anybody could take, or has tried for long enough.
     Left,
     /// Somebody else has what this steward thought its own, or it is a member no more: it has to stop at once.
     Lost,
@@ -42,7 +42,7 @@
     take_at: Time,
     give_at: Time,
     pace: Time,
-    /// From when on slices are given away as they are, in the middle of whatever.
+    /// Since when it gives all away.
     leaving: Option<Time>,
     /// Without news there is nothing to do before this.
     look_at: Time,
@@ -58,8 +58,21 @@
     /// What waits for slices to come to rest looks again this often.
     const AGAIN: Time = 500;
 
-    /// A member from now on. `pace`: the shortest time between two rounds of giving, each of which is a message to
-    /// every forwarder from both sides. `after`: how long to look before the first slice is taken.
+    /// How long slices in the middle of something are waited for by one that leaves: about what settling takes.
+    const REST: Time = 20_000;
+
+    /// How long leaving may take. Then the others take over as from one that died, once its lease is over.
+    const LEAVE: Time = 100_000;
+
+    /// The shortest time between two rounds of giving, each of which is a message to every forwarder from both sides, of
+    /// which there may be so many in a window (0: any): a quarter of them, so that drains find the rest. With any number, as
+    /// often as stewards look at the store.
+    pub fn pace(window: Time, messages: Time) -> Time {
+        const LEAST: Time = 2_500;
+        (4 * window).checked_div(messages).unwrap_or(0).max(LEAST)
+    }
+
+    /// A member from now on. `pace`: see [`Fleet::pace`]. `after`: how long to look before the first slice is taken.
     pub fn new(now: Time, me: Life, slices: usize, pace: Time, after: Time) -> Fleet {
         Fleet {
             me,
@@ -117,9 +130,9 @@
         (self.busy, self.news) = (false, true);
     }
 
-    /// Gives all away, from `as_they_are` on also what is in the middle of something.
-    pub fn leave(&mut self, as_they_are: Time) {
-        self.leaving.get_or_insert(as_they_are);
+    /// Gives all away, after a while also what is in the middle of something.
+    pub fn leave(&mut self, now: Time) {
+        self.leaving.get_or_insert(now);
         self.news = true;
     }
 
@@ -134,16 +147,24 @@
 
     /// When [`Fleet::next`] may have something though nothing was learnt.
     pub fn next_at(&self) -> Time {
-        self.look_at
+        let given_up = self.leaving.map_or(Time::MAX, |since| since + Self::LEAVE);
+        if self.busy {
+            given_up
+        } else {
+            given_up.min(self.look_at)
+        }
     }
 
     /// The next step, or none for now. `at_rest`: whether a slice is in the middle of nothing.
     pub fn next(&mut self, now: Time, at_rest: impl Fn(usize) -> bool) -> Option<Step> {
+        if self.leaving.is_some_and(|since| now >= since + Self::LEAVE) {
+            return Some(Step::Left);
+        }
         if !self.seen || !std::mem::take(&mut self.news) && now < self.look_at {
             return None;
         }
-        let waits = [Some(self.take_at), Some(self.give_at), self.leaving].into_iter().flatten();
-        let waits = waits.filter(|at| *at > now).min().unwrap_or(Time::MAX);
+        let waits =
+            [self.take_at, self.give_at].into_iter().filter(|at| *at > now).min().unwrap_or(Time::MAX);
         let waits = if self.leaving.is_some() { waits.min(now + Self::AGAIN) } else { waits };
         self.look_at = waits;
         let me = self.me;
@@ -173,8 +194,11 @@
 
     /// The moves to even shares among those who stay.
     fn moves(&self) -> Vec<crate::shares::Move> {
+        // That this one leaves may not be in the store yet.
+        let stays = |life: Life, leaving: bool| !leaving && (life != self.me || self.leaving.is_none());
+        let members = self.members.iter().map(|(&life, &leaving)| (life, leaving));
         let stay: Vec<Life> =
-            self.members.iter().filter(|(_, leaving)| !**leaving).map(|(&life, _)| life).collect();
+            members.filter(|&(life, leaving)| stays(life, leaving)).map(|(life, _)| life).collect();
         let charge: Vec<Option<Life>> =
             self.charge.iter().map(|charge| charge.map(|charge| charge.steward)).collect();
         moves(&charge, &stay)
@@ -205,7 +229,7 @@
 
     /// A round of what is past this steward's share, to one other.
     fn give(&mut self, now: Time, at_rest: impl Fn(usize) -> bool) -> Option<Step> {
-        let as_they_are = self.leaving.is_some_and(|at| now >= at);
+        let as_they_are = self.leaving.is_some_and(|since| now >= since + Self::REST);
         if self.leaving.is_none() && now < self.give_at {
             return None;
         }
--- a/crates/sharing/tests/sharing.rs
+++ b/crates/sharing/tests/sharing.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use ravenspar_sharing::membership::Membership;
 use ravenspar_sharing::shares::{moves, Move};
-use ravenspar_sharing::Life;
+use ravenspar_sharing::{Fleet, Life, Step};
 
 fn after(charge: &[Option<Life>], moves: &[Move]) -> Vec<Option<Life>> {
     let mut charge = charge.to_vec();
@@ -100,3 +100,30 @@
     assert!(moves.iter().all(|step| charge[step.slice] == Some(1)), "{moves:?}");
     assert_eq!(moves.len(), 3);
 }
+
+/// One that leaves waits for slices to come to rest, then gives them as they are, and has left in the end whatever comes.
+#[test]
+fn a_leaver_waits_for_rest_and_not_for_ever() {
+    let mut fleet = Fleet::new(0, 1, 2, 0, 0);
+    (0..2).for_each(|slice| fleet.charge(slice, 1, 5));
+    fleet.members(&[(1, false), (2, false)]);
+    fleet.served(&[(0, 5), (1, 5)]);
+    fleet.leave(0);
+    let moving = |slice: usize| slice == 0;
+    assert_eq!(fleet.next(0, moving), Some(Step::Give { slices: vec![(0, 5)], to: 2 }));
+    fleet.gave(&[(0, 5)], 2, 6);
+    fleet.done();
+    assert_eq!(fleet.next(10_000, |_| false), None);
+    assert_eq!(fleet.next(20_000, |_| false), Some(Step::Give { slices: vec![(1, 5)], to: 2 }));
+    // Its outcome never comes.
+    assert_eq!(fleet.next(99_999, |_| false), None);
+    assert_eq!(fleet.next_at(), 100_000);
+    assert_eq!(fleet.next(100_000, |_| false), Some(Step::Left));
+}
+
+/// A quarter of the messages is for giving: in a window of 10 s with 20 of them, a round every 2 s.
+#[test]
+fn rounds_leave_drains_their_messages() {
+    assert_eq!(Fleet::pace(100_000, 20), 20_000);
+    assert_eq!(Fleet::pace(100_000, 0), 2_500);
+}
