--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -56,8 +56,7 @@
 /// What the judge looks for there is there to be found: late lines at forwarders that ignore terms.
 #[test]
 fn stale_steward_is_judged_to_break_the_rules() {
-    // Who is in charge of which slices is drawn anew each time: a late line may be of none that has moved on. Seen once
-    // in nine plays; four of them without one are a fault.
+    // Who is in charge of which slices is drawn anew each time, so a late line may be of none that has moved on.
     let found = (0..4).any(|_| {
         let (code, said) = day("stale-steward");
         code == Some(1) && said.contains("rule 2  no effect twice: BROKEN")
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -28,6 +28,17 @@
     Backward { known: i64, found: i64 },
 }
 
+/// Whether what a store says, at this revision, can follow on what was seen of one: cluster and revision.
+pub fn follows(known: (u64, i64), found: (u64, i64)) -> Result<(), Stop> {
+    if known.0 != found.0 {
+        return Err(Stop::Cluster { known: known.0, found: found.0 });
+    }
+    if found.1 < known.1 {
+        return Err(Stop::Backward { known: known.1, found: found.1 });
+    }
+    Ok(())
+}
+
 /// What has to outlive the process, so that the next one can't go back either.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Kept {
@@ -76,13 +87,7 @@
         if known.cluster == 0 {
             known.cluster = cluster;
         }
-        if known.cluster != cluster {
-            return Err(Stop::Cluster { known: known.cluster, found: cluster });
-        }
-        if revision < known.revision {
-            return Err(Stop::Backward { known: known.revision, found: revision });
-        }
-        Ok(())
+        follows((known.cluster, known.revision), (cluster, revision))
     }
 
     /// A complete read at one revision follows, entry by entry; [`Follower::read_end`] takes it in. One that was under
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use ravenspar_host::{Host, Server};
+use ravenspar_list::Stop;
 use ravenspar_record::{Record, ServerRow, SliceRow};
 use ravenspar_sharing::Fleet;
 use ravenspar_steward::{Health, Time};
@@ -256,15 +257,16 @@
 /// Why what a store says can't follow on what was seen.
 pub fn backward(said: &Snapshot, seen: Option<(u64, u64)>) -> Option<String> {
     let (cluster, revision) = seen?;
-    let found = (said.cluster, said.revision as u64);
-    let other = found.0 != cluster;
-    (other || found.1 < revision).then(|| {
-        let what = if other { "another store" } else { "an older store" };
-        format!(
+    let found = (said.cluster, said.revision);
+    let stop = ravenspar_list::follows((cluster, revision as i64), found).err()?;
+    let what = match stop {
+        Stop::Cluster { .. } => "another store",
+        Stop::Backward { .. } => "an older store",
+    };
+    Some(format!(
             "{what}: cluster {:x} revision {} where cluster {cluster:x} revision {revision} was seen; \
              slices could get a second writer by it. Once every other steward is stopped and every forwarder's \
              lease is over, `ravenspar accept` takes it",
             found.0, found.1
-        )
-    })
+        ))
 }
