--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -170,12 +170,7 @@
         let seed = line.get("rng_seed")?;
         let mut settings = Settings::default();
         line.fields.iter().for_each(|(name, value)| settings.set(name, value));
-        let mut kinds = IdTable::default();
-        for k in 0..settings.number("classes.count").unwrap_or(0.0).clamp(0.0, 31.0) as usize {
-            let name = settings.text(&format!("classes.{k}.name")).unwrap_or("").to_owned();
-            kinds.index(&name);
-        }
-        let slices = settings.number("family_info.ranges").unwrap_or(0.0) as usize;
+        let (kinds, slices) = (settings.kinds(), settings.slices());
         match Steward::new(now, seed, settings) {
             Ok(steward) => {
                 self.instances.insert(number, Instance { steward, bes: IdTable::default(), kinds, slices });
--- a/crates/ravenspar/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -13,6 +13,12 @@
     wall: Time,
 }
 
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
+
 impl Clock {
     pub fn new() -> Clock {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- /dev/null
+++ b/crates/platform-net/src/listener.rs
@@ -0,0 +1,126 @@
+//! The steward's own address: strangers until they have said who they are, collectors from then on.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_platform::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, timeout_at, Instant};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::Event;
+
+/// A party that has not joined by then is closed, as the platform allows.
+const GREETING: Duration = Duration::from_millis(1_000);
+
+/// Connections kept for one zone: its collector may come again before the connection before is known to be dead.
+const FOR_ZONE: usize = 4;
+
+/// Descriptors that strangers never take: for collectors, relay, discovery, files and what the runtime needs.
+const KEPT_FREE: usize = 96;
+
+/// How long the last word to a party may take, and a sign of life.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
+type Party = Framed<TcpStream, LengthDelimitedCodec>;
+
+pub struct Door {
+    pub listener: TcpListener,
+    pub zones: Arc<[String]>,
+    pub events: mpsc::Sender<Event>,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+}
+
+async fn pong(party: &mut Party) -> bool {
+    matches!(timeout(LAST_WORD, party.send(Bytes::from_static(PONG))).await, Ok(Ok(())))
+}
+
+async fn turn_away(mut party: Party) {
+    // Whether it arrives or not, the close does.
+    let _ = timeout(LAST_WORD, party.send(Bytes::from_static(NACK))).await;
+}
+
+/// Hears a stranger until it joins or is turned away.
+async fn greet(socket: TcpStream, zones: Arc<[String]>, joined: mpsc::Sender<(usize, Party)>) {
+    let _ = socket.set_nodelay(true);
+    let by = Instant::now() + GREETING;
+    let mut party = Framed::new(socket, codec(MOST_GREETING));
+    loop {
+        let frame = match timeout_at(by, party.next()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return,
+            Err(_) | Ok(Some(Err(_))) => return turn_away(party).await,
+        };
+        match hear(&frame, false, &zones) {
+            Ok(Heard::Ping) if Instant::now() < by && pong(&mut party).await => {}
+            Ok(Heard::Source(zone)) => {
+                party.codec_mut().set_max_frame_length(MOST_FRAME);
+                let _ = joined.send((zone, party)).await;
+                return;
+            }
+            _ => return turn_away(party).await,
+        }
+    }
+}
+
+/// Passes on what a collector reports, until what it says can't be read any more.
+async fn collect(mut party: Party, zones: Arc<[String]>, events: mpsc::Sender<Event>) {
+    while let Some(Ok(frame)) = party.next().await {
+        match hear(&frame, true, &zones) {
+            Ok(Heard::Report(report)) => {
+                if events.send(Event::Report(report)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Heard::Ping) if pong(&mut party).await => {}
+            _ => break,
+        }
+    }
+    turn_away(party).await;
+}
+
+/// Aborts the oldest that are still there, past so many.
+fn bound(tasks: &mut VecDeque<AbortHandle>, most: usize) {
+    tasks.retain(|task| !task.is_finished());
+    while tasks.len() > most {
+        tasks.pop_front().inspect(AbortHandle::abort);
+    }
+}
+
+/// Never returns while the core lives.
+pub async fn open(door: Door) {
+    let Door { listener, zones, events, sockets } = door;
+    let most = sockets.saturating_sub(KEPT_FREE + FOR_ZONE * zones.len()).max(16);
+    let mut strangers = VecDeque::new();
+    let mut collectors = vec![VecDeque::new(); zones.len()];
+    let (joined, mut joining) = mpsc::channel::<(usize, Party)>(16);
+    loop {
+        tokio::select! {
+            biased;
+            Some((zone, party)) = joining.recv() => {
+                let collector = tokio::spawn(collect(party, zones.clone(), events.clone()));
+                collectors[zone].push_back(collector.abort_handle());
+                bound(&mut collectors[zone], FOR_ZONE);
+            }
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    let stranger = tokio::spawn(greet(socket, zones.clone(), joined.clone()));
+                    strangers.push_back(stranger.abort_handle());
+                    bound(&mut strangers, most);
+                }
+                Err(error) => {
+                    // Out of descriptors, for one: the strangers go, and the next ones wait a moment.
+                    tracing::warn!(%error, "no connection can be taken");
+                    bound(&mut strangers, most / 2);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-net/src/serve.rs
@@ -0,0 +1,184 @@
+//! One loop that hands the session what the sockets bring, and carries out what it says.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspar_net::{listen, Clock};
+use ravenspar_platform::{Addresses, Call, Config, Session};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::time::Instant;
+
+use crate::listener::{self, Door};
+use crate::{discovery, process, relay, Event, EVENTS};
+
+/// Why the steward could not start.
+#[derive(Debug)]
+pub enum Fault {
+    /// Bad input, with what was expected.
+    Input(String),
+    Failed(String),
+}
+
+/// Between two lines of the log that say how things are.
+const STATUS: Duration = Duration::from_secs(10);
+
+/// Events taken in before a decision: what has come in is learnt first, and a flood holds no decision up.
+const AT_ONCE: usize = 4 * EVENTS;
+
+fn failed(what: &str) -> impl Fn(std::io::Error) -> Fault + '_ {
+    move |error| Fault::Failed(format!("{what}: {error}"))
+}
+
+struct Core {
+    clock: Clock,
+    session: Session,
+    /// Has the news asked for once more.
+    again: Arc<Notify>,
+    calls: mpsc::Sender<Call>,
+    /// The last reason for which a message could not be used, since the last status.
+    spoilt: Option<String>,
+}
+
+/// Serves by the file at `path` until SIGTERM or SIGINT.
+pub async fn serve(path: &Path) -> Result<(), Fault> {
+    let input = |why: String| Fault::Input(format!("{}: {why}", path.display()));
+    let mut hangup = signal(SignalKind::hangup()).map_err(failed("signals"))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed("signals"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("signals"))?;
+    let bytes = std::fs::read(path).map_err(|e| input(e.to_string()))?;
+    let config = Config::read(&bytes).map_err(input)?;
+    drop(bytes);
+    let clock = Clock::new();
+    let session = Session::new(clock.now(), config.seed, &config.settings, &config.known).map_err(input)?;
+    let listener = listen(config.listen).map_err(failed(&config.listen.to_string()))?;
+    let (events, mut inputs) = mpsc::channel(EVENTS);
+    let (addresses, followed) = watch::channel(config.addresses);
+    let (calls, to_call) = mpsc::channel(1);
+    let again = Arc::new(Notify::new());
+    let door =
+        Door { listener, zones: session.zones().into(), events: events.clone(), sockets: config.sockets };
+    tokio::spawn(listener::open(door));
+    tokio::spawn(relay::call(followed.clone(), to_call, events.clone()));
+    tokio::spawn(relay::news(followed.clone(), again.clone(), events.clone()));
+    tokio::spawn(discovery::follow(followed, events));
+    tracing::info!(name = %config.name, listen = %config.listen, relay = %config.addresses.relay,
+        discovery = %config.addresses.discovery, "serving");
+    let mut core = Core { clock, session, again, calls, spoilt: None };
+    let mut status = tokio::time::interval_at(Instant::now() + STATUS, STATUS);
+    loop {
+        let wake = core.poll();
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path, &addresses),
+            event = inputs.recv() => {
+                let now = core.clock.now();
+                let mut next = event;
+                for _ in 0..AT_ONCE {
+                    let Some(event) = next else { break };
+                    core.take(now, event);
+                    next = inputs.try_recv().ok();
+                }
+            }
+            _ = status.tick() => core.status(),
+            () = tokio::time::sleep_until(wake) => {}
+        }
+    }
+    tracing::info!("asked to end");
+    core.status();
+    Ok(())
+}
+
+/// New addresses of a file that was replaced; one that can't be read changes nothing.
+fn reload(path: &Path, addresses: &watch::Sender<Addresses>) {
+    let read = std::fs::read(path).map_err(|e| e.to_string());
+    match read.and_then(|bytes| Config::read_addresses(&bytes)) {
+        Ok(new) => {
+            let changed = addresses.send_if_modified(|held| std::mem::replace(held, new) != new);
+            tracing::info!(relay = %new.relay, discovery = %new.discovery, changed, "configuration read again");
+        }
+        Err(why) => tracing::error!(%why, "the new configuration can't be read; the one before holds"),
+    }
+}
+
+impl Core {
+    fn take(&mut self, now: i64, event: Event) {
+        match event {
+            Event::Report(report) => {
+                tracing::trace!(%report, "report");
+                if let Err(fault) = self.session.handle_report(now, &report) {
+                    tracing::debug!(%fault, %report, "a report that can't be used");
+                    self.spoilt = Some(fault.to_string());
+                }
+            }
+            Event::News(line) => {
+                tracing::trace!(%line, "news");
+                if let Err(fault) = self.session.handle_news(now, line.as_bytes()) {
+                    tracing::warn!(%fault, line = %line.chars().take(200).collect::<String>(), "news that can't be used");
+                    self.again.notify_one();
+                }
+            }
+            Event::NewsLost(why) => {
+                tracing::info!(%why, "the relay's news have broken off");
+                self.session.handle_news_lost();
+            }
+            Event::Answer(line) => {
+                tracing::trace!(%line, "answer");
+                self.session.handle_answer(now, line.as_bytes());
+            }
+            Event::CallLost(written, why) => {
+                tracing::debug!(written, %why, "a call is lost");
+                self.session.handle_call_lost(now, written);
+            }
+            Event::List(body, told) => {
+                tracing::trace!(body = %String::from_utf8_lossy(&body), "list");
+                let taken = self.session.handle_list(now, &body);
+                if let Err(why) = &taken {
+                    tracing::warn!(%why, "a list that can't be used");
+                }
+                let _ = told.send(taken.ok());
+            }
+        }
+    }
+
+    /// Carries out what the session has to say, and returns when to ask it again.
+    fn poll(&mut self) -> Instant {
+        let now = self.clock.now();
+        while let Some(call) = self.session.poll(now) {
+            tracing::trace!(line = %call.line, anew = call.anew, "call");
+            // Room for one, and one at a time.
+            if self.calls.try_send(call).is_err() {
+                self.session.handle_call_lost(now, false);
+                break;
+            }
+        }
+        // Without a reminder due it is the sockets that wake it.
+        let idle = now + 10 * ravenspar_platform::SECOND;
+        Instant::from_std(self.clock.instant(self.session.next_timeout().unwrap_or(idle)))
+    }
+
+    fn status(&mut self) {
+        let (now, of) = (self.clock.now(), self.session.figures());
+        let age = |at: Option<i64>| at.map_or(-1, |at| (now - at) / (ravenspar_platform::SECOND / 1000));
+        tracing::info!(
+            joined = of.joined,
+            slices = of.slices,
+            unsettled = of.unsettled,
+            hosts = of.hosts,
+            hosts_known = of.hosts_known,
+            list_version = of.list_version.unwrap_or(0),
+            list_age_ms = age(of.list_heard),
+            news_age_ms = age(of.news_heard),
+            spoilt = of.spoilt,
+            last_spoilt = self.spoilt.take().unwrap_or_default(),
+            calls_lost = of.lost,
+            orders_refused = of.refused,
+            memory_kb = process::memory_kb(),
+            descriptors = process::descriptors(),
+            "status"
+        );
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,18 @@
+//! The platform front without its sockets: codecs, and the [`Session`] that stands between the platform's messages and
+//! the decisions. No I/O and no clock; times are handed in. `docs/design/platform.md` has the reasoning.
+
+mod calls;
+mod config;
+mod door;
+mod fields;
+mod news;
+mod servers;
+mod session;
+mod settings;
+
+pub use config::{Addresses, Config};
+pub use door::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
+pub use fields::Fault;
+pub use news::SUBSCRIBE;
+pub use ravenspar_steward::SECOND;
+pub use session::{Call, Figures, Session};
--- /dev/null
+++ b/crates/platform/src/servers.rs
@@ -0,0 +1,107 @@
+//! The hosts met so far by small indices, and the letting go of those that are long gone.
+
+use std::collections::VecDeque;
+
+use ravenspar_steward::{Health, IdTable, Scope, Steward, Time};
+use serde_json::Value;
+
+use crate::fields::{self, Fault};
+
+/// Hosts that are gone and still known: a slice that is given back may name one that left some moments ago. Several
+/// times the largest fleet seen, some hundred kilobytes.
+const GONE: usize = 256;
+
+#[derive(Debug, Default)]
+pub struct Servers {
+    index: IdTable<String>,
+    listed: Vec<bool>,
+    /// Those that the list has let go, the longest gone first.
+    gone: VecDeque<usize>,
+}
+
+impl Servers {
+    pub fn find(&self, id: &str) -> Option<usize> {
+        self.index.find(&id.to_owned())
+    }
+
+    pub fn index(&mut self, id: &str) -> usize {
+        let be = self.index.index(&id.to_owned());
+        self.listed.resize(self.listed.len().max(be + 1), false);
+        be
+    }
+
+    /// The index of a host that a line of the store names, whether or not a list ever did.
+    pub fn index_of_line(&mut self, id: &str) -> usize {
+        let be = self.index(id);
+        if !self.listed[be] && !self.gone.contains(&be) {
+            self.gone.push_back(be);
+        }
+        be
+    }
+
+    pub fn id(&self, be: usize) -> &str {
+        self.index.id(be).map_or("", String::as_str)
+    }
+
+    /// Indices in use.
+    pub fn known(&self) -> usize {
+        (0..self.listed.len()).filter(|&be| self.index.id(be).is_some()).count()
+    }
+
+    pub fn listed(&self) -> usize {
+        self.listed.iter().filter(|listed| **listed).count()
+    }
+
+    /// Hands a list in discovery's form to the decisions: all of it or, where an entry can't be read, nothing.
+    pub fn list(&mut self, list: &Value, scope: Scope, steward: &mut Steward) -> Result<(), Fault> {
+        let entries = list["instances"].as_array();
+        let entries = entries.ok_or(Fault { field: "instances", expected: "a list" })?;
+        let entries: Vec<_> = entries.iter().map(entry).collect::<Result<_, _>>()?;
+        let mut now = if scope == Scope::Changes { self.listed.clone() } else { Vec::new() };
+        steward.list_begin(scope);
+        for (id, health, boot) in entries {
+            // What is gone and was never met needs no index.
+            if health == Health::Gone && self.find(id).is_none() {
+                continue;
+            }
+            let be = self.index(id);
+            now.resize(now.len().max(be + 1), false);
+            now[be] = health != Health::Gone;
+            steward.list_entry(be, health, boot);
+        }
+        steward.list_end(scope);
+        now.resize(self.listed.len(), false);
+        for (be, listed) in now.into_iter().enumerate() {
+            if self.listed[be] && !listed {
+                self.gone.push_back(be);
+            }
+            self.listed[be] = listed;
+        }
+        Ok(())
+    }
+
+    /// Lets the longest gone go, as far as nothing names them; `named` tells whether the host itself still does.
+    pub fn sweep(&mut self, steward: &mut Steward, named: impl Fn(usize) -> bool) {
+        let listed = std::mem::take(&mut self.listed);
+        self.gone.retain(|&be| !listed[be]);
+        self.listed = listed;
+        for _ in GONE..self.gone.len() {
+            let Some(be) = self.gone.pop_front() else { return };
+            if !named(be) && steward.forget(be) {
+                self.index.release(be);
+            } else {
+                self.gone.push_back(be);
+            }
+        }
+    }
+}
+
+fn entry(entry: &Value) -> Result<(&str, Health, Time), Fault> {
+    let health = match fields::text(entry, "lifecycle")? {
+        "active" => Health::Ready,
+        "leaving" => Health::Draining,
+        "left" => Health::Gone,
+        _ => return fields::fault("lifecycle", "active, leaving or left"),
+    };
+    Ok((fields::text(entry, "instanceId")?, health, fields::moment(entry, "startedAtMs")?))
+}
--- /dev/null
+++ b/crates/platform/src/session.rs
@@ -0,0 +1,448 @@
+//! The session: takes in what is learnt, and hands out the calls that carry the decisions to the store.
+//!
+//! Decisions are pulled only while every earlier order is surely carried out and what stands is known. So whatever the
+//! decisions take for proof (an answer, a joining, a lease run out) is looked at with all their orders in the store.
+
+use ravenspar_steward::{IdTable, Order, Scope, Settings, Steward, Time};
+use serde_json::{json, Value};
+
+use crate::calls::{slice_of, Calls, Settled};
+use crate::fields::{self, Fault};
+use crate::news::{Row, Standing};
+use crate::servers::Servers;
+use crate::settings::flatten;
+
+/// A slice as the store has it, as far as known.
+#[derive(Clone, Debug, Default)]
+struct Charge {
+    mine: bool,
+    row: Row,
+    /// Just given: its line, if it has one, is about to be told.
+    fresh: bool,
+}
+
+/// A call to write.
+#[derive(Debug, PartialEq)]
+pub struct Call {
+    pub line: String,
+    /// The connection before is of no further use.
+    pub anew: bool,
+}
+
+/// What on-call staff want to know.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    pub joined: usize,
+    pub slices: usize,
+    pub unsettled: usize,
+    pub hosts: usize,
+    pub hosts_known: usize,
+    pub list_version: Option<u64>,
+    pub list_heard: Option<Time>,
+    pub news_heard: Option<Time>,
+    /// Since the start: messages that could not be used, calls that were lost, orders that were refused.
+    pub spoilt: u64,
+    pub lost: u64,
+    pub refused: u64,
+}
+
+pub struct Session {
+    steward: Steward,
+    servers: Servers,
+    kinds: IdTable<String>,
+    zones: Vec<String>,
+    proxies: Vec<bool>,
+    slices: Vec<Charge>,
+    lease: Time,
+    calls: Calls,
+    /// The call under way may have been written in vain: it needs another connection and room for its repetition.
+    doubtful: Option<bool>,
+    wake: Option<Time>,
+    standing: Option<Standing>,
+    /// Rows that the slices may have had at the subscription, by slice.
+    possible: Vec<Vec<Row>>,
+    figures: Figures,
+}
+
+impl Session {
+    /// Fails with what was expected of the settings or the known list.
+    pub fn new(now: Time, seed: u64, settings: &Value, known: &Value) -> Result<Session, String> {
+        let flat: Settings = flatten(settings);
+        let (kinds, slices) = (flat.kinds(), flat.slices());
+        let proxies = flat.number("family_info.proxy_count").filter(|count| (0.0..=65_536.0).contains(count));
+        let proxies = proxies.ok_or("settings.family_info.proxy_count: expected a whole number to 65536")?;
+        if slices > 65_535 {
+            return Err("settings.family_info.ranges: expected a whole number below 65536".to_owned());
+        }
+        let zones = flat.text("azs").unwrap_or("").split(',').map(str::to_owned).collect();
+        let lease = flat.time("family_info.write_lease_s").unwrap_or(0);
+        let mut steward = Steward::new(now, seed, flat)
+            .map_err(|name| format!("settings.{name}: expected a number, and there is none"))?;
+        let mut servers = Servers::default();
+        if !known.is_null() {
+            servers.list(known, Scope::Kept, &mut steward).map_err(|fault| format!("known: {fault}"))?;
+        }
+        Ok(Session {
+            steward,
+            servers,
+            kinds,
+            zones,
+            proxies: vec![false; proxies as usize],
+            slices: vec![Charge::default(); slices],
+            lease,
+            calls: Calls::default(),
+            doubtful: None,
+            wake: None,
+            standing: None,
+            possible: Vec::new(),
+            figures: Figures::default(),
+        })
+    }
+
+    /// The zones that have a collector.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
+    pub fn figures(&self) -> Figures {
+        Figures {
+            joined: self.proxies.iter().filter(|joined| **joined).count(),
+            slices: self.slices.iter().filter(|slice| slice.mine).count(),
+            unsettled: self.calls.unsettled(),
+            hosts: self.servers.listed(),
+            hosts_known: self.servers.known(),
+            ..self.figures.clone()
+        }
+    }
+
+    /// A report of a collector. One that can't be used costs itself alone.
+    pub fn handle_report(&mut self, now: Time, report: &Value) -> Result<(), Fault> {
+        let done = self.report(now, report);
+        self.figures.spoilt += u64::from(done.is_err());
+        done
+    }
+
+    fn report(&mut self, now: Time, report: &Value) -> Result<(), Fault> {
+        let counts = || {
+            let count = fields::number(report, "count")?;
+            let failed = fields::number(report, "fail")?;
+            if failed > count {
+                return fields::fault("fail", "no more than count");
+            }
+            Ok((count, failed))
+        };
+        match fields::text(report, "msg")? {
+            "LOAD" => {
+                let site = fields::text(report, "site")?;
+                if !self.zones.iter().any(|zone| zone == site) {
+                    return fields::fault("site", "a zone of the settings");
+                }
+                let target = self.servers.find(fields::text(report, "target")?);
+                let be = target.ok_or(Fault { field: "target", expected: "a host that is known" })?;
+                let ((count, failed), took) = (counts()?, fields::time(report, "mean")?);
+                fields::time(report, "over")?;
+                let util = match &report["util"] {
+                    Value::Null => None,
+                    Value::Object(load) => {
+                        let bad = |value: &Value| !value.as_f64().is_some_and(|value| value >= 0.0);
+                        if load.values().any(bad) {
+                            return fields::fault("util", "numbers from 0 on");
+                        }
+                        load.get("util").and_then(Value::as_f64)
+                    }
+                    _ => return fields::fault("util", "an object"),
+                };
+                self.steward.traffic(now, be, count, failed, took, util);
+            }
+            "SHARD" => {
+                let slice = fields::whole(report, "range", self.slices.len())?;
+                let kind = self.kinds.find(&fields::text(report, "lane")?.to_owned());
+                let kind = kind.ok_or(Fault { field: "lane", expected: "a request kind" })?;
+                let (count, _) = counts()?;
+                self.steward.heat(now, slice, kind, count, fields::time(report, "over")?);
+            }
+            // What a proxy's reqs add up to, where there are no slices: the decisions need it not.
+            "RATE" => {}
+            _ => return fields::fault("msg", "LOAD or SHARD"),
+        }
+        Ok(())
+    }
+
+    /// A list in discovery's form. Returns its version; fails, and changes nothing, where it can't be read or is
+    /// older than the one held.
+    pub fn handle_list(&mut self, now: Time, body: &[u8]) -> Result<u64, String> {
+        let list: Value = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let version = list["generation"].as_u64().ok_or("field generation: expected a whole number")?;
+        let whole = fields::flag(&list, "reset").map_err(|fault| fault.to_string())?;
+        if self.figures.list_version.is_some_and(|held| version < held) {
+            return Err(format!("version {version} is older than the one held"));
+        }
+        let news = whole || list["instances"].as_array().is_none_or(|all| !all.is_empty());
+        if news {
+            let scope = if whole { Scope::Whole } else { Scope::Changes };
+            self.servers.list(&list, scope, &mut self.steward).map_err(|fault| fault.to_string())?;
+        }
+        (self.figures.list_version, self.figures.list_heard) = (Some(version), Some(now));
+        Ok(version)
+    }
+
+    /// A line of the store's news. Fails where another subscription is needed.
+    pub fn handle_news(&mut self, now: Time, line: &[u8]) -> Result<(), Fault> {
+        let news: Value = serde_json::from_slice(line).unwrap_or_default();
+        let of = &news["params"];
+        match news["method"].as_str() {
+            None if news["result"] == true => self.subscribed(now),
+            None => return fields::fault("result", "true"),
+            Some("ping") => self.stands(now),
+            Some("SUBSCRIBE") => {
+                let proxy = fields::whole(of, "id", self.proxies.len())?;
+                self.proxies[proxy] = true;
+                self.steward.joined(proxy, fields::number(of, "rps").unwrap_or(0.0));
+                if let Some(standing) = &mut self.standing {
+                    standing.proxies.insert(proxy);
+                }
+            }
+            Some("CLOSED") => self.left(now, fields::whole(of, "id", self.proxies.len())?),
+            Some("ACK") => {
+                let proxy = fields::whole(of, "id", self.proxies.len())?;
+                self.steward.installed(proxy, fields::whole(of, "seq", 65_536)? as u16);
+            }
+            Some("GRANT") => {
+                let slice = fields::whole(of, "range", self.slices.len())?;
+                self.grant(now, slice, fields::flag(of, "flag")?);
+            }
+            Some("ROW") => {
+                let slice = fields::whole(of, "range", self.slices.len())?;
+                let be = self.servers.index_of_line(fields::text(of, "target")?);
+                let row = Some((be, fields::number(of, "rps")?));
+                if let Some(told) =
+                    self.standing.as_mut().and_then(|standing| standing.slices.get_mut(&slice))
+                {
+                    *told = row;
+                }
+                if self.slices[slice].fresh {
+                    self.record(now, slice, row);
+                }
+            }
+            Some(_) => {}
+        }
+        self.figures.news_heard = Some(now);
+        Ok(())
+    }
+
+    /// The news have broken off: what stands is told anew, and until then what was known holds.
+    pub fn handle_news_lost(&mut self) {
+        self.standing = None;
+    }
+
+    fn subscribed(&mut self, _now: Time) {
+        let since = self.figures.news_heard;
+        self.standing = Some(Standing { since, ..Standing::default() });
+        self.possible = self.slices.iter().map(|slice| vec![slice.row]).collect();
+        for order in self.calls.pending() {
+            match *order {
+                Order::SetLine { slice, be, weight } => self.possible[slice].push(Some((be, weight))),
+                Order::DropLines { slice } => self.possible[slice].push(None),
+                _ => {}
+            }
+        }
+    }
+
+    fn left(&mut self, now: Time, proxy: usize) {
+        self.proxies[proxy] = false;
+        self.steward.stream_down(now, proxy);
+        if let Some(standing) = &mut self.standing {
+            standing.proxies.remove(&proxy);
+        }
+    }
+
+    fn grant(&mut self, now: Time, slice: usize, given: bool) {
+        if !given {
+            self.take(slice);
+            return;
+        }
+        let mine = self.slices[slice].mine;
+        if let Some(standing) = &mut self.standing {
+            // Told as standing: held against what was known once all of it is there.
+            if standing.slices.insert(slice, None).is_none() && mine {
+                return;
+            }
+        }
+        if mine {
+            self.take(slice);
+        }
+        self.give(now, slice);
+    }
+
+    fn give(&mut self, now: Time, slice: usize) {
+        self.slices[slice] = Charge { mine: true, row: None, fresh: true };
+        self.steward.given(now, slice);
+    }
+
+    fn take(&mut self, slice: usize) {
+        if let Some(standing) = &mut self.standing {
+            standing.slices.remove(&slice);
+        }
+        if std::mem::take(&mut self.slices[slice]).mine {
+            self.steward.taken(slice);
+            self.calls.drop_slice(slice);
+        }
+    }
+
+    fn record(&mut self, now: Time, slice: usize, row: Row) {
+        (self.slices[slice].row, self.slices[slice].fresh) = (row, false);
+        if let Some((be, weight)) = row {
+            self.steward.on_record(now, slice, be, weight);
+        }
+    }
+
+    /// The store has a slice otherwise than was known: it starts over.
+    fn start_over(&mut self, now: Time, slice: usize, row: Row) {
+        self.take(slice);
+        self.give(now, slice);
+        self.record(now, slice, row);
+    }
+
+    /// All that stands has been told.
+    fn stands(&mut self, now: Time) {
+        let Some(standing) = self.standing.take() else { return };
+        for proxy in 0..self.proxies.len() {
+            if self.proxies[proxy] && !standing.proxies.contains(&proxy) {
+                self.left(now, proxy);
+            }
+        }
+        // Another steward may have had a slice meanwhile, and moved it, only where the gap is as long as a lease.
+        let long = standing.since.is_some_and(|since| now - since >= self.lease);
+        for slice in 0..self.slices.len() {
+            if !self.slices[slice].mine {
+                continue;
+            }
+            match standing.slices.get(&slice) {
+                None => self.take(slice),
+                Some(row) if self.slices[slice].row == *row && self.slices[slice].fresh => {}
+                Some(row) => {
+                    let known = self.possible[slice].contains(row) || self.slices[slice].row == *row;
+                    if !known || long && row.is_none() {
+                        self.start_over(now, slice, *row);
+                    }
+                }
+            }
+            self.slices[slice].fresh = false;
+        }
+        self.possible = Vec::new();
+    }
+
+    /// The answer to the call under way.
+    pub fn handle_answer(&mut self, now: Time, line: &[u8]) {
+        match self.calls.answered(now, line) {
+            Settled::Unreadable => self.handle_call_lost(now, true),
+            Settled::Refused => self.doubtful = Some(false),
+            Settled::Done(done, refused) => {
+                self.doubtful = None;
+                for order in done {
+                    let Some(slice) = slice_of(&order).filter(|&slice| self.slices[slice].mine) else {
+                        continue;
+                    };
+                    match order {
+                        Order::SetLine { be, weight, .. } => self.slices[slice].row = Some((be, weight)),
+                        Order::DropLines { .. } => self.slices[slice].row = None,
+                        _ => {}
+                    }
+                }
+                let Some(order) = refused else { return };
+                self.figures.refused += 1;
+                // A grant that did not come about must not be taken for one.
+                if let Order::SetLine { slice, .. } = order {
+                    if self.slices[slice].mine {
+                        self.start_over(now, slice, self.slices[slice].row);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The call under way broke, or was not answered in time. `written` says whether the store may have it.
+    pub fn handle_call_lost(&mut self, now: Time, written: bool) {
+        if self.calls.lost(now) {
+            self.figures.lost += u64::from(written);
+            self.doubtful = Some(written || self.doubtful == Some(true));
+        }
+    }
+
+    /// The next call to write, if there is one and it is time.
+    pub fn poll(&mut self, now: Time) -> Option<Call> {
+        if self.wake.is_some_and(|wake| now >= wake) {
+            self.wake = None;
+            self.steward.reminder();
+        }
+        if self.calls.settled() && self.standing.is_none() {
+            self.decide(now);
+        }
+        let due = self.calls.next_timeout().is_some_and(|at| now >= at);
+        if due && self.doubtful == Some(true) && !self.steward.repeat(now, self.calls.first()) {
+            self.calls.wait(now);
+            return None;
+        }
+        let line = self.calls.next(now)?;
+        Some(Call { line, anew: self.doubtful.take().is_some() })
+    }
+
+    fn decide(&mut self, now: Time) {
+        let mut orders = Vec::new();
+        while let Some(order) = self.steward.next_order(now) {
+            match order {
+                Order::Remind { at } => self.wake = Some(at),
+                // The list is always watched.
+                Order::Watch => {}
+                order => {
+                    if let Some(slice) = slice_of(&order) {
+                        self.slices[slice].fresh = false;
+                    }
+                    let text = self.text(&order);
+                    orders.push((order, text));
+                }
+            }
+        }
+        let slices = &self.slices;
+        self.servers.sweep(&mut self.steward, |be| {
+            let ordered = |order: &Order| matches!(order, Order::SetLine { be: named, .. } if *named == be);
+            let row = |slice: &Charge| slice.row.is_some_and(|(named, _)| named == be);
+            slices.iter().any(row) || orders.iter().any(|(order, _)| ordered(order))
+        });
+        self.calls.push(orders.into_iter());
+    }
+
+    /// When to poll though nothing was learnt.
+    pub fn next_timeout(&self) -> Option<Time> {
+        self.wake.into_iter().chain(self.calls.next_timeout()).min()
+    }
+
+    /// One order as the store reads it.
+    fn text(&self, order: &Order) -> String {
+        let order = match order {
+            Order::SetLine { slice, be, weight } => {
+                json!({"verb": "share", "cluster": slice, "target": self.servers.id(*be), "rps": weight})
+            }
+            Order::DropLines { slice } => json!({"verb": "clear", "cluster": slice}),
+            Order::Level { slice, kinds, share } => {
+                let named = (0..32).filter(|k| kinds & (1 << k) != 0).filter_map(|k| self.kinds.id(k));
+                let routes: Vec<&String> = named.collect();
+                let mut level = json!({"verb": "admit", "admit": share, "policy": 0, "routes": routes});
+                if let Some(slice) = slice {
+                    level["cluster"] = json!(slice);
+                }
+                level
+            }
+            Order::Withdraw { be, out } => {
+                let verb = if *out { "withdraw" } else { "restore" };
+                json!({"verb": verb, "target": self.servers.id(*be)})
+            }
+            Order::Stamp { number } => json!({"verb": "mark", "nonce_out": number, "flag": 1}),
+            Order::Watch | Order::Remind { .. } => Value::Null,
+        };
+        order.to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -42,6 +42,12 @@
         #[arg(long, hide = true, conflicts_with = "halt")]
         pause: Option<Halt>,
     },
+    /// Runs a steward on the platform, by the file that the variable RELAY_CONFIG names, until SIGTERM.
+    Platform {
+        /// The configuration.
+        #[arg(long, env = "RELAY_CONFIG", value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Says whether a settings file can be served by.
     Check { file: PathBuf },
     /// Shows the stewards that share a store, and how many slices each is in charge of.
@@ -85,6 +91,7 @@
     }
     end(match cli.command {
         Command::Serve { file, halt, pause } => start(&file, halt.or(pause.map(Halt::that_stands_still))),
+        Command::Platform { config } => platform(&config),
         Command::Check { file } => check(&file),
         Command::Members { file, json } => members(&file, json),
         Command::Accept { file } => accept(&file),
@@ -111,11 +118,22 @@
     settings::load(file).map_err(|faults| Fault::Input(faults.to_string()))
 }
 
+fn runtime() -> Result<tokio::runtime::Runtime, Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| Fault::Failed(format!("the runtime: {e}")))
+}
+
+fn platform(config: &Path) -> Result<(), Fault> {
+    use ravenspar_platform_net::Fault as Platform;
+    runtime()?.block_on(ravenspar_platform_net::serve(config)).map_err(|fault| match fault {
+        Platform::Input(why) => Fault::Input(why),
+        Platform::Failed(why) => Fault::Failed(why),
+    })
+}
+
 fn start(file: &Path, halt: Option<Halt>) -> Result<(), Fault> {
     let cfg = load(file)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Fault::Failed(format!("the runtime: {e}")))?;
-    runtime.block_on(serve(cfg, halt, |address| say(format_args!("listening on {address}"))))
+    runtime()?.block_on(serve(cfg, halt, |address| say(format_args!("listening on {address}"))))
 }
 
 fn check(file: &Path) -> Result<(), Fault> {
@@ -166,9 +184,7 @@
     share: &settings::Share,
     call: impl AsyncFnOnce(&ravenspar_etcd::Client, &shared::Keys) -> Result<T, ravenspar_etcd::Fault>,
 ) -> Result<T, Fault> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Fault::Failed(format!("the runtime: {e}")))?;
-    runtime.block_on(async {
+    runtime()?.block_on(async {
         let client =
             ravenspar_etcd::Client::new(&share.endpoints, share.call_within, u64::from(std::process::id()));
         let client = client.map_err(Fault::Input)?;
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -9,7 +9,6 @@
 use ravenspar_steward::{Scope, Time};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use crate::halt::{Halt, Point};
 use crate::list::{self, News};
 use crate::recorder::{Batch, Recorder};
@@ -17,6 +16,7 @@
 use crate::shared::Event;
 use crate::sharing::{Shared, GATHER};
 use crate::streams::{self, Input, Stream};
+use ravenspar_net::Clock;
 
 /// How a life as a core came to its end, where nothing failed.
 pub enum End {
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod shared;
 pub mod yaml;
 
-mod clock;
 mod core;
 mod halt;
 mod logs;
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -12,7 +12,6 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use crate::core::{Core, End};
 use crate::halt::Halt;
 use crate::list::{self, File, News, Source};
@@ -21,7 +20,7 @@
 use crate::settings::Checked;
 use crate::shared::{Joining, Keys, Life, Office, Snapshot};
 use crate::sharing::Shared;
-use crate::streams;
+use ravenspar_net::Clock;
 
 /// Why the steward could not start or go on, and whether that is bad input.
 #[derive(Debug)]
@@ -74,7 +73,7 @@
         Some(_) => 0,
     };
     let at: SocketAddr = cfg.listen.parse().map_err(|_| Fault::Input(format!("listen: {}", cfg.listen)))?;
-    let listener = streams::listen(at).map_err(failed(&cfg.listen))?;
+    let listener = ravenspar_net::listen(at).map_err(failed(&cfg.listen))?;
     let address = listener.local_addr().map_err(failed("listen"))?;
     let (news, list) = mpsc::channel(4);
     let look = std::sync::Arc::new(tokio::sync::Notify::new());
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -15,9 +15,9 @@
 use super::post::{Office, Post};
 use super::rows::{Keys, Member};
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
-use crate::clock::Clock;
 use crate::recorder::{Gathered, Keep, Recorder};
 use crate::settings::Share;
+use ravenspar_net::Clock;
 
 /// What the core is told.
 #[derive(Debug)]
--- a/crates/ravenspar/src/streams.rs
+++ b/crates/ravenspar/src/streams.rs
@@ -4,7 +4,7 @@
 use futures_util::{SinkExt, StreamExt};
 use ravenspar_protocol::{codec, MOST_DOWN, MOST_UP};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
@@ -23,22 +23,6 @@
 /// A frame being written, a welcome's refusal behind it: the host hands out no more at a time.
 const FRAMES: usize = 4;
 
-/// Bytes that the system may hold for a stream that does not read: enough for a turn of some thousand lines, and so
-/// little that a proxy that stands still is noticed by the next one.
-const SEND_BUFFER: u32 = 64 * 1024;
-
-/// Streams that wait to be accepted: all proxies of a large fleet may come at once.
-const BACKLOG: u32 = 4_096;
-
-pub fn listen(at: std::net::SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    // Streams inherit it.
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
 /// The core's end of a stream. Dropping it lets the writer write what it was handed, and ends the reader.
 pub struct Stream {
     frames: mpsc::Sender<Bytes>,
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -97,18 +97,34 @@
     pub fn flag(&self, name: &str) -> bool {
         matches!(self.text(name), Some("true" | "1"))
     }
+
+    /// The request kinds by name, in their order.
+    pub fn kinds(&self) -> IdTable<String> {
+        let mut kinds = IdTable::default();
+        for k in 0..self.number("classes.count").unwrap_or(0.0).clamp(0.0, 31.0) as usize {
+            kinds.index(&self.text(&format!("classes.{k}.name")).unwrap_or("").to_owned());
+        }
+        kinds
+    }
+
+    /// Slices of all stewards together.
+    pub fn slices(&self) -> usize {
+        self.number("family_info.ranges").unwrap_or(0.0) as usize
+    }
 }
 
 /// Maps outside ids to small indices, in the order in which they are first met.
 #[derive(Clone, Debug)]
 pub struct IdTable<K> {
     index: HashMap<K, usize>,
-    ids: Vec<K>,
+    ids: Vec<Option<K>>,
+    /// Indices let go of, to be given to the next ids.
+    free: Vec<usize>,
 }
 
 impl<K> Default for IdTable<K> {
     fn default() -> Self {
-        IdTable { index: HashMap::new(), ids: Vec::new() }
+        IdTable { index: HashMap::new(), ids: Vec::new(), free: Vec::new() }
     }
 }
 
@@ -117,9 +133,11 @@
         if let Some(&known) = self.index.get(id) {
             return known;
         }
-        self.index.insert(id.clone(), self.ids.len());
-        self.ids.push(id.clone());
-        self.ids.len() - 1
+        let index = self.free.pop().unwrap_or(self.ids.len());
+        self.ids.resize(self.ids.len().max(index + 1), None);
+        self.ids[index] = Some(id.clone());
+        self.index.insert(id.clone(), index);
+        index
     }
 
     pub fn find(&self, id: &K) -> Option<usize> {
@@ -127,6 +145,14 @@
     }
 
     pub fn id(&self, index: usize) -> Option<&K> {
-        self.ids.get(index)
+        self.ids.get(index)?.as_ref()
+    }
+
+    /// Lets an index go, which nothing may name any more.
+    pub fn release(&mut self, index: usize) {
+        if let Some(id) = self.ids.get_mut(index).and_then(Option::take) {
+            self.index.remove(&id);
+            self.free.push(index);
+        }
     }
 }
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -99,6 +99,12 @@
 }
 
 impl Be {
+    fn new() -> Be {
+        let (granted, suspect_until, strained, named) = (NEVER, NEVER, NEVER, NEVER);
+        let new = Be { granted, suspect_until, strained, named, level: 1.0, present: 1.0, ..Be::default() };
+        Be { capacity: f64::INFINITY, budget: f64::INFINITY, ..new }
+    }
+
     /// Tries since `span` ago, and how many of them were good.
     fn met(&self, now: Time, span: Time) -> (f64, f64) {
         let recent = self.tries.iter().filter(|t| now - t.at < span);
@@ -214,10 +220,7 @@
 
     fn be(&mut self, be: usize) -> &mut Be {
         if self.bes.len() <= be {
-            let (granted, suspect_until, strained, named) = (NEVER, NEVER, NEVER, NEVER);
-            let new =
-                Be { granted, suspect_until, strained, named, level: 1.0, present: 1.0, ..Be::default() };
-            self.bes.resize(be + 1, Be { capacity: f64::INFINITY, budget: f64::INFINITY, ..new });
+            self.bes.resize(be + 1, Be::new());
         }
         &mut self.bes[be]
     }
@@ -265,6 +268,17 @@
         }
     }
 
+    /// Lets go of a server, so that its index may become another's; not while anything names it.
+    pub fn forget(&mut self, be: usize) -> bool {
+        let gone = |be: &Be| be.health == Health::Gone && !be.listed && !be.withdrawn;
+        let named = self.slices.iter().any(|slice| slice.owner == Some(be)) || !self.out.is_empty();
+        let forgotten = !named && self.bes.get(be).is_none_or(gone);
+        if forgotten {
+            *self.be(be) = Be::new();
+        }
+        forgotten
+    }
+
     pub fn list_failed(&mut self, now: Time) {
         self.news = true;
         // Soon, and spread so that stewards that failed together don't come back at once.
@@ -292,6 +306,18 @@
         entry.answered = entry.answered.max(mark);
     }
 
+    /// Orders went out and nobody knows whether they arrived. Whether the ledger has room for them once more,
+    /// which then counts: guards the proxies' limits against a store that carries out and does not answer.
+    pub fn repeat(&mut self, now: Time, orders: usize) -> bool {
+        let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
+        let fits = self.room(now, joined, true).0 >= orders;
+        if fits {
+            let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
+            self.turns.push_back(Turn { at: now, lines: head + orders as f64, mark: self.mark });
+        }
+        fits
+    }
+
     pub fn given(&mut self, now: Time, slice: usize) {
         self.news = true;
         // An empty record was mid-move under a steward before us: wait one lease, then let it settle.
