--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -123,14 +123,6 @@
     }
 
     fn report(&mut self, now: Time, report: &Value) -> Result<(), Fault> {
-        let counts = || {
-            let count = fields::number(report, "count")?;
-            let failed = fields::number(report, "fail")?;
-            if failed > count {
-                return fields::fault("fail", "no more than count");
-            }
-            Ok((count, failed))
-        };
         match fields::text(report, "msg")? {
             "LOAD" => {
                 let site = fields::text(report, "site")?;
@@ -139,27 +131,22 @@
                 }
                 let target = self.servers.find(fields::text(report, "target")?);
                 let be = target.ok_or(Fault { field: "target", expected: "a host that is known" })?;
-                let ((count, failed), took) = (counts()?, fields::time(report, "mean")?);
+                let (count, failed) = (fields::number(report, "count")?, fields::number(report, "fail")?);
+                if failed > count {
+                    return fields::fault("fail", "no more than count");
+                }
+                let took = fields::time(report, "mean")?;
                 fields::time(report, "over")?;
-                let util = match &report["util"] {
-                    Value::Null => None,
-                    Value::Object(load) => {
-                        let bad = |value: &Value| !value.as_f64().is_some_and(|value| value >= 0.0);
-                        if load.values().any(bad) {
-                            return fields::fault("util", "numbers from 0 on");
-                        }
-                        load.get("util").and_then(Value::as_f64)
-                    }
-                    _ => return fields::fault("util", "an object"),
-                };
-                self.steward.traffic(now, be, count, failed, took, util);
+                self.steward.traffic(now, be, count, failed, took, busy(&report["util"])?);
             }
             "SHARD" => {
                 let slice = fields::whole(report, "range", self.slices.len())?;
                 let kind = self.kinds.find(&fields::text(report, "lane")?.to_owned());
                 let kind = kind.ok_or(Fault { field: "lane", expected: "a request kind" })?;
-                let (count, _) = counts()?;
-                self.steward.heat(now, slice, kind, count, fields::time(report, "over")?);
+                // Those that failed may have come before this report's time.
+                fields::number(report, "fail")?;
+                let (count, over) = (fields::number(report, "count")?, fields::time(report, "over")?);
+                self.steward.heat(now, slice, kind, count, over);
             }
             // What a proxy's reqs add up to, where there are no slices: the decisions need it not.
             "RATE" => {}
@@ -444,5 +431,20 @@
     }
 }
 
+/// How busy a host's cores are, by its load report, which bears the settings' names.
+fn busy(load: &Value) -> Result<Option<f64>, Fault> {
+    // A fraction; noise may lift it above 1, but not that far.
+    const MOST: f64 = 2.0;
+    match load {
+        Value::Null => Ok(None),
+        Value::Object(load) => match load.get("cpu_share").map(Value::as_f64) {
+            None => Ok(None),
+            Some(Some(share)) if (0.0..MOST).contains(&share) => Ok(Some(share)),
+            _ => fields::fault("util", "cpu_share as a fraction"),
+        },
+        _ => fields::fault("util", "an object"),
+    }
+}
+
 #[cfg(test)]
 mod tests;
