What waits for a proxy that a new subscription tells of again still counts

Ruled out: lost calls (none in the log) and repeated ones. A proxy said to have joined while it was joined now keeps what was written to it, and is asked again by a field of its own; a real rejoin comes after CLOSED as before. Tests: the module's, and the session's hard cases.

--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -1,1 +1,455 @@
+use std::collections::VecDeque;
 
+use proptest::prelude::*;
+
+use ravenspar_steward::SECOND;
+
+use super::*;
+
+/// A day's start as Unix time.
+const START: Time = 17_000_000_000 * SECOND / 10;
+
+fn settings(slices: usize, proxies: usize) -> Value {
+    json!({
+        "azs": ["a", "b"], "discovery": "pushed",
+        "classes": [{"name": "lookup", "worth": 1.0}, {"name": "write", "worth": 2.0}],
+        "family_info": {
+            "ranges": slices, "proxy_count": proxies, "write_lease_s": 4.0, "settle_s": 5.0, "channel_rate": 3000.0,
+            "pending_max": 6000.0, "fixed_cost": 12.0, "pushes_allowed": 20, "update_window_s": 10.0, "cycle_s": 0.5,
+            "mutating": [false, true], "admit": "ratio",
+        },
+        "safety": {"cold_from": 0.2, "cold_s": 10.0, "fall_multiple": 2.5},
+    })
+}
+
+fn host(id: &str, state: &str, started: Time) -> Value {
+    json!({"instanceId": id, "lifecycle": state, "startedAtMs": started / 10})
+}
+
+fn list(version: u64, whole: bool, hosts: &[Value]) -> Value {
+    json!({"generation": version, "reset": whole, "instances": hosts})
+}
+
+/// A session with the store that it talks to: what was called for, and how many calls it has answered.
+struct Met {
+    session: Session,
+    now: Time,
+    call: Option<Value>,
+}
+
+impl Met {
+    /// Hosts A and B, all slices at A, and proxies that joined.
+    fn new(slices: usize, proxies: usize) -> Met {
+        let hosts = [host("A", "active", 0), host("B", "active", 0)];
+        let mut met = Met::started(slices, proxies, &hosts);
+        met.subscribe(&(0..proxies).collect::<Vec<_>>(), &vec![Some("A"); slices]);
+        assert_eq!(met.poll(), None, "nothing to do at first");
+        // A slice is granted no sooner than a lease after it was given.
+        met.later(5 * SECOND);
+        met.news("ping", json!({}));
+        met
+    }
+
+    fn started(slices: usize, proxies: usize, hosts: &[Value]) -> Met {
+        let known = list(1, true, hosts);
+        let session = Session::new(START, 7, &settings(slices, proxies), &known).expect("good settings");
+        let mut met = Met { session, now: START, call: None };
+        met.session.handle_list(START, known.to_string().as_bytes()).expect("a good list");
+        met
+    }
+
+    fn news(&mut self, method: &str, params: Value) {
+        let line = json!({"jsonrpc": "2.0", "method": method, "params": params});
+        self.session.handle_news(self.now, line.to_string().as_bytes()).expect("good news");
+    }
+
+    fn begin(&mut self) {
+        let result = br#"{"jsonrpc":"2.0","id":1,"result":true}"#;
+        self.session.handle_news(self.now, result).expect("a subscription");
+    }
+
+    fn given(&mut self, slice: usize, owner: Option<&str>) {
+        self.news("GRANT", json!({"range": slice, "flag": true}));
+        if let Some(owner) = owner {
+            self.news("ROW", json!({"range": slice, "target": owner, "rps": 1.0}));
+        }
+    }
+
+    fn joins(&mut self, proxy: usize) {
+        self.news("SUBSCRIBE", json!({"id": proxy, "site": "a", "rps": 2.0, "new": false}));
+    }
+
+    fn answers(&mut self, proxy: usize, mark: u64) {
+        self.news("ACK", json!({"id": proxy, "seq": mark, "ms": 300.0}));
+    }
+
+    /// A new subscription, with these proxies joined and these owners of the slices from 0 on.
+    fn subscribe(&mut self, proxies: &[usize], owners: &[Option<&str>]) {
+        self.begin();
+        proxies.iter().for_each(|&proxy| self.joins(proxy));
+        owners.iter().enumerate().for_each(|(slice, owner)| self.given(slice, *owner));
+        self.news("ping", json!({}));
+    }
+
+    fn changed(&mut self, version: u64, hosts: &[Value]) {
+        let list = list(version, false, hosts).to_string();
+        self.session.handle_list(self.now, list.as_bytes()).expect("a good list");
+    }
+
+    fn later(&mut self, span: Time) {
+        self.now += span;
+    }
+
+    /// The changes of the next call, if there is one.
+    fn poll(&mut self) -> Option<Vec<Value>> {
+        let call = self.session.poll(self.now)?;
+        let call: Value = serde_json::from_str(&call.line).expect("calls are JSON");
+        let changes = call["params"]["changes"].as_array().cloned();
+        self.call = Some(call);
+        changes
+    }
+
+    fn answer(&mut self, taken: usize) {
+        let id = self.call.take().expect("a call is under way")["id"].clone();
+        let line = json!({"jsonrpc": "2.0", "id": id, "result": {"ok_count": taken}}).to_string();
+        self.session.handle_answer(self.now, line.as_bytes());
+    }
+
+    /// All that is called for up to a time, each call answered at once.
+    fn run(&mut self, span: Time) -> Vec<Value> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while self.now <= end {
+            while let Some(changes) = self.poll() {
+                self.answer(changes.len());
+                all.extend(changes);
+            }
+            self.now += SECOND / 20;
+        }
+        all
+    }
+}
+
+fn verbs(changes: &[Value]) -> Vec<&str> {
+    changes.iter().filter_map(|change| change["verb"].as_str()).collect()
+}
+
+fn grants(changes: &[Value]) -> Vec<&str> {
+    changes.iter().filter(|change| change["verb"] == "share").filter_map(|c| c["target"].as_str()).collect()
+}
+
+fn mark(changes: &[Value]) -> u64 {
+    changes.last().and_then(|change| change["nonce_out"].as_u64()).expect("a call ends with its mark")
+}
+
+#[test]
+fn a_drain_is_revoked_under_a_mark_answered_and_granted() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the drain can't wait");
+    assert_eq!(verbs(&revoke), ["clear", "mark"]);
+    met.answer(2);
+    assert_eq!(met.run(2 * SECOND), [Value::Null; 0], "nothing before the proxy has answered");
+    met.answers(0, mark(&revoke));
+    let changes = met.run(SECOND);
+    assert_eq!((verbs(&changes), grants(&changes)), (vec!["share", "admit", "mark"], vec!["B"]));
+    assert_eq!(
+        changes[1],
+        json!({"verb": "admit", "cluster": 0, "routes": ["write"], "admit": 0.0, "policy": 0})
+    );
+    let opened = met.run(6 * SECOND);
+    assert_eq!(verbs(&opened), ["share", "admit", "mark"], "writes open after settling");
+}
+
+#[test]
+fn a_joining_proves_nothing_of_a_revoke_that_is_not_settled() {
+    let mut met = Met::new(1, 2);
+    met.news("CLOSED", json!({"id": 1}));
+    met.later(5 * SECOND);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    // Its lease is over, and it reads the store, which may not have the revoke: the call broke.
+    met.session.handle_call_lost(met.now, true);
+    met.joins(1);
+    met.later(SECOND / 10);
+    let again = met.poll().expect("the revoke once more");
+    assert_eq!(revoke, again);
+    met.answer(again.len());
+    met.answers(0, mark(&revoke));
+    let asked = met.run(3 * SECOND);
+    assert!(grants(&asked).is_empty() && !asked.is_empty(), "it is asked first: {asked:?}");
+    met.answers(1, mark(&asked));
+    assert_eq!(grants(&met.run(SECOND)), ["B"]);
+}
+
+#[test]
+fn nothing_is_decided_while_a_call_is_not_settled() {
+    let mut met = Met::new(2, 2);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    met.session.handle_call_lost(met.now, true);
+    // Whoever answers or whatever lease ends, the same call comes first.
+    (0..2).for_each(|proxy| met.news("CLOSED", json!({"id": proxy})));
+    met.later(20 * SECOND);
+    assert_eq!(met.poll(), Some(revoke));
+}
+
+#[test]
+fn a_store_that_carries_out_and_never_answers_gets_no_more_messages_than_are_allowed() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let mut sent = VecDeque::new();
+    for _ in 0..400 {
+        if met.poll().is_some() {
+            sent.push_back(met.now);
+            met.session.handle_call_lost(met.now + SECOND / 20, true);
+        }
+        sent.retain(|&at| met.now - at < 10 * SECOND);
+        assert!(sent.len() <= 20, "{} messages within 10 s", sent.len());
+        met.later(SECOND / 10);
+    }
+    assert!(!sent.is_empty());
+}
+
+#[test]
+fn a_refused_grant_starts_the_slice_over() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    met.answer(2);
+    met.answers(0, mark(&revoke));
+    met.later(SECOND);
+    let grant = met.poll().expect("the grant");
+    assert_eq!(grants(&grant), ["B"]);
+    met.answer(0);
+    let rest = met.poll().expect("the rest of the call");
+    assert_eq!(rest, grant[2..], "its levels went with it");
+    met.answer(rest.len());
+    assert_eq!(met.session.figures().refused, 1);
+    assert_eq!(grants(&met.run(12 * SECOND))[0], "B", "once more, after a lease");
+}
+
+#[test]
+fn orders_for_a_slice_taken_away_and_given_again_are_dropped() {
+    let mut met = Met::new(2, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    assert_eq!(verbs(&met.poll().expect("the revoke")), ["clear", "clear", "mark"]);
+    met.session.handle_call_lost(met.now, true);
+    met.news("GRANT", json!({"range": 0, "flag": false}));
+    met.given(0, Some("B"));
+    met.later(SECOND / 10);
+    let rest = met.poll().expect("the rest");
+    assert_eq!(rest[0], json!({"verb": "clear", "cluster": 1}));
+    assert_eq!(verbs(&rest), ["clear", "mark"]);
+}
+
+#[test]
+fn an_answer_lost_in_a_gap_is_asked_for_again() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    met.answer(2);
+    met.session.handle_news_lost();
+    assert!(met.run(2 * SECOND).is_empty());
+    met.subscribe(&[0], &[None]);
+    let asked = met.run(SECOND);
+    assert_eq!(verbs(&asked), ["mark"]);
+    assert_ne!(mark(&asked), mark(&revoke));
+    met.answers(0, mark(&asked));
+    assert_eq!(grants(&met.run(SECOND)), ["B"]);
+}
+
+#[test]
+fn what_stands_after_a_gap_is_held_against_what_was_known() {
+    let mut met = Met::new(4, 3);
+    met.session.handle_news_lost();
+    met.begin();
+    met.joins(0);
+    // 0 as it was, 1 moved by another steward, 2 not told, 3 without its line.
+    met.given(0, Some("A"));
+    met.given(1, Some("B"));
+    met.given(3, None);
+    assert_eq!(met.session.figures().joined, 3, "until all is told");
+    met.news("ping", json!({}));
+    let figures = met.session.figures();
+    assert_eq!((figures.joined, figures.slices), (1, 3));
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the drain");
+    assert_eq!(revoke[0], json!({"verb": "clear", "cluster": 0}));
+    assert_eq!(verbs(&revoke), ["clear", "mark"], "1 is B's now, and 3 is mid-move");
+}
+
+#[test]
+fn a_short_gap_does_not_start_a_move_over_and_a_long_one_does() {
+    for (gap, granted) in [(SECOND, true), (6 * SECOND, false)] {
+        let mut met = Met::new(1, 1);
+        met.changed(2, &[host("A", "leaving", 0)]);
+        met.poll().expect("the revoke");
+        met.answer(2);
+        met.later(gap);
+        met.subscribe(&[0], &[None]);
+        let asked = met.run(SECOND);
+        if granted {
+            met.answers(0, mark(&asked));
+        }
+        assert_eq!(!grants(&met.run(2 * SECOND)).is_empty(), granted);
+    }
+}
+
+#[test]
+fn a_call_that_may_stand_is_not_taken_for_another_stewards_work() {
+    for row in [Some("A"), None] {
+        let mut met = Met::new(1, 1);
+        met.changed(2, &[host("A", "leaving", 0)]);
+        let revoke = met.poll().expect("the revoke");
+        met.session.handle_call_lost(met.now, true);
+        met.subscribe(&[0], &[row]);
+        met.later(SECOND);
+        assert_eq!(met.poll(), Some(revoke));
+    }
+}
+
+#[test]
+fn a_gap_in_what_stands_holds_decisions_back() {
+    let mut met = Met::new(1, 1);
+    met.begin();
+    met.changed(2, &[host("A", "leaving", 0)]);
+    assert_eq!(met.poll(), None);
+    met.joins(0);
+    met.given(0, Some("A"));
+    met.news("ping", json!({}));
+    assert_eq!(verbs(&met.poll().expect("the drain")), ["clear", "mark"]);
+}
+
+#[test]
+fn a_host_that_started_before_the_steward_is_still_cold_to_it() {
+    let hosts = [host("A", "leaving", 0), host("B", "active", START - 3 * SECOND)];
+    let mut met = Met::started(1, 1, &hosts);
+    met.subscribe(&[0], &[Some("A")]);
+    let revoke = met.poll().expect("the drain");
+    met.answer(2);
+    met.answers(0, mark(&revoke));
+    met.later(5 * SECOND);
+    let grant = met.poll().expect("the grant");
+    let level = json!({"verb": "admit", "cluster": 0, "routes": ["lookup"], "admit": 0.0, "policy": 0});
+    assert!(grants(&grant) == ["B"] && grant.contains(&level), "held back at first: {grant:?}");
+}
+
+#[test]
+fn an_older_or_spoilt_list_changes_nothing() {
+    let mut met = Met::new(1, 1);
+    met.changed(5, &[host("C", "active", 0)]);
+    let older = list(4, true, &[]).to_string();
+    let spoilt = list(6, true, &[host("A", "active", 0), json!({"instanceId": "B"})]).to_string();
+    for body in [older.as_str(), &spoilt, "{}", "[", r#"{"generation":7,"reset":false}"#, ""] {
+        assert!(met.session.handle_list(met.now, body.as_bytes()).is_err(), "{body}");
+    }
+    let figures = met.session.figures();
+    assert_eq!((figures.hosts, figures.list_version), (3, Some(5)));
+}
+
+#[test]
+fn hosts_that_come_and_go_by_the_thousand_leave_nothing_behind() {
+    let mut met = Met::new(1, 1);
+    for n in 0..10_000 {
+        let (new, old) =
+            (host(&format!("h{n}"), "active", met.now), host(&format!("h{}", n as i64 - 3), "left", 0));
+        met.changed(n + 2, &[new, old]);
+        let report = json!({"msg": "LOAD", "site": "a", "target": format!("h{n}"), "count": 9, "fail": 9, "mean": 0,
+            "over": 500.0});
+        met.session.handle_report(met.now, &report).expect("a good report");
+        while let Some(changes) = met.poll() {
+            met.answer(changes.len());
+        }
+        met.later(SECOND / 10);
+    }
+    let figures = met.session.figures();
+    assert_eq!(figures.hosts, 5);
+    assert!(figures.hosts_known < 300, "{} are known", figures.hosts_known);
+    assert!(met.session.servers.index("another") < 300, "indices are used again");
+    assert_eq!(met.session.servers.find("h100"), None);
+}
+
+fn load() -> Value {
+    json!({"msg": "LOAD", "site": "a", "target": "A", "count": 4, "fail": 1, "mean": 41.7, "over": 1000.0,
+        "util": {"cpu_share": 0.61}})
+}
+
+fn shard() -> Value {
+    json!({"msg": "SHARD", "range": 0, "lane": "lookup", "count": 4, "fail": 5, "over": 1000.0})
+}
+
+#[test]
+fn each_field_of_a_report_that_is_missing_or_wrong_costs_that_report_alone() {
+    let mut met = Met::new(1, 1);
+    let bad =
+        [Value::Null, json!(-1), json!("1"), json!([]), json!(1e300), json!("no such name"), json!(true)];
+    for good in [load(), shard()] {
+        assert_eq!(met.session.handle_report(met.now, &good), Ok(()));
+        for field in good.as_object().expect("an object").keys() {
+            for value in &bad {
+                let mut spoilt = good.clone();
+                spoilt[field] = value.clone();
+                let absent = field == "util" && value.is_null();
+                let done = met.session.handle_report(met.now, &spoilt);
+                assert_eq!(done.is_ok(), absent, "{spoilt}");
+            }
+        }
+    }
+    for util in [json!({"cpu_share": -0.1}), json!({"cpu_share": "x"}), json!({"cpu_share": 61.0})] {
+        let mut spoilt = load();
+        spoilt["util"] = util;
+        assert!(met.session.handle_report(met.now, &spoilt).is_err(), "{spoilt}");
+    }
+    let spoilt = met.session.figures().spoilt;
+    assert_eq!(spoilt, (8 + 6) * bad.len() as u64 - 1 + 3);
+}
+
+fn anything() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        prop_oneof!["a", "A", "B", "lookup", "LOAD", "SHARD", ".{0,6}"].prop_map(Value::from),
+        (0u64..4).prop_map(Value::from),
+    ];
+    leaf.prop_recursive(2, 8, 4, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            prop::collection::btree_map("[a-z]{1,4}", inner, 0..4)
+                .prop_map(|map| Value::from(serde_json::Map::from_iter(map))),
+        ]
+    })
+}
+
+proptest! {
+    #[test]
+    fn no_input_panics(
+        fields in prop::collection::vec((0usize..16, anything()), 0..8),
+        methods in prop::collection::vec(0usize..7, 1..20),
+        bytes in prop::collection::vec(any::<u8>(), 0..64),
+    ) {
+        const NAMES: [&str; 16] = ["msg", "site", "target", "count", "fail", "mean", "over", "util", "range", "lane",
+            "id", "seq", "flag", "rps", "generation", "instances"];
+        const METHODS: [&str; 7] = ["SUBSCRIBE", "CLOSED", "ACK", "GRANT", "ROW", "ping", "other"];
+        let mut met = Met::new(2, 2);
+        let mut message = load();
+        message.as_object_mut().expect("an object").extend(shard().as_object().expect("an object").clone());
+        fields.into_iter().for_each(|(name, value)| message[NAMES[name]] = value);
+        for method in methods {
+            message["msg"] = if method % 2 == 0 { "LOAD".into() } else { message["msg"].clone() };
+            let _ = met.session.handle_report(met.now, &message);
+            let news = json!({"method": METHODS[method], "params": message});
+            let _ = met.session.handle_news(met.now, news.to_string().as_bytes());
+            let _ = met.session.handle_news(met.now, &bytes);
+            let _ = met.session.handle_list(met.now, message.to_string().as_bytes());
+            let _ = met.session.handle_list(met.now, &bytes);
+            let _ = crate::door::hear(&bytes, true, met.session.zones());
+            let _ = met.poll();
+            met.session.handle_answer(met.now, &bytes);
+            met.session.handle_answer(met.now, json!({"id": 1, "result": message}).to_string().as_bytes());
+            met.later(SECOND / 3);
+        }
+    }
+}
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -67,6 +67,8 @@
     down: Time,
     marked: u64,
     answered: u64,
+    /// The last mark whose answer can't have been missed.
+    asked: u64,
     /// Reqs a second that it usually gets.
     usual: f64,
 }
@@ -289,7 +291,9 @@
     pub fn joined(&mut self, proxy: usize, usual: f64) {
         self.news = true;
         let entry = self.proxy(proxy);
-        (entry.joined, entry.marked, entry.usual) = (true, 0, usual);
+        // One said to have joined while it was: its answers may have been missed, but what waits for it still does.
+        let marked = if entry.joined { entry.marked } else { 0 };
+        (entry.joined, entry.marked, entry.asked, entry.usual) = (true, marked, 0, usual);
     }
 
     pub fn stream_down(&mut self, now: Time, proxy: usize) {
@@ -797,7 +801,7 @@
         // A proxy that rejoined with an answer still due gets a fresh mark.
         let due = |slice: &Slice| {
             let State::HandingOff { mark, waiting } = &slice.state else { return false };
-            waiting.iter().any(|&p| self.proxies[p].joined && self.proxies[p].marked < *mark)
+            waiting.iter().any(|&p| self.proxies[p].joined && self.proxies[p].asked < *mark)
         };
         if !orders.is_empty() || self.slices.iter().any(|slice| slice.mine && due(slice)) {
             self.mark = mark;
@@ -805,7 +809,8 @@
             orders.push(Order::Stamp { number: (mark % 65_536) as u16 });
             let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
             self.turns.push_back(Turn { at: now, lines: head + orders.len() as f64, mark });
-            self.proxies.iter_mut().filter(|proxy| proxy.joined).for_each(|proxy| proxy.marked = mark);
+            let joined = self.proxies.iter_mut().filter(|proxy| proxy.joined);
+            joined.for_each(|proxy| (proxy.marked, proxy.asked) = (mark, mark));
         }
         orders
     }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -533,3 +533,37 @@
     list(&mut steward, 0, Health::Ready, 2 * SECOND);
     assert_eq!(orders(&mut steward, 3 * SECOND)[0], Order::Withdraw { be: 0, out: false });
 }
+
+#[test]
+fn a_proxy_told_of_again_is_asked_again_and_what_waits_for_it_still_counts() {
+    let mut steward = steward(2, 2, 1);
+    list(&mut steward, 0, Health::Draining, 0);
+    assert_eq!(orders(&mut steward, 1).last(), Some(&Order::Stamp { number: 1 }));
+    let room = steward.room(SECOND, 1, true);
+    steward.joined(0, 0.0);
+    assert_eq!(steward.room(SECOND, 1, true), room);
+    assert_eq!(orders(&mut steward, 2 * SECOND), [Order::Stamp { number: 2 }]);
+    steward.stream_down(2 * SECOND, 0);
+    steward.joined(0, 0.0);
+    assert!(steward.room(3 * SECOND, 1, true).0 > room.0);
+}
+
+#[test]
+fn orders_go_out_once_more_only_within_the_messages_allowed() {
+    let mut steward = steward(2, 2, 1);
+    let again = (0..40).filter(|&beat| steward.repeat(1 + beat * SECOND / 4, 3)).count();
+    assert_eq!(again, 12);
+    assert!(steward.repeat(20 * SECOND, 3));
+}
+
+#[test]
+fn a_server_is_forgotten_once_nothing_names_it_and_its_index_starts_anew() {
+    let mut steward = steward(1, 2, 1);
+    steward.bes[0].boot = SECOND;
+    assert!(!steward.forget(0));
+    list(&mut steward, 0, Health::Gone, 0);
+    assert!(!steward.forget(0), "it still owns a slice");
+    assert_eq!(orders(&mut steward, 1)[0], Order::DropLines { slice: 0 });
+    assert!(steward.forget(0) && steward.forget(7));
+    assert_eq!((steward.bes[0].boot, steward.bes[0].seen, steward.bes[0].health), (0, false, Health::Gone));
+}
