--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -192,7 +192,7 @@
 fn a_proxy_that_rejoins_gets_a_fresh_mark() {
     let mut steward = steward(1, 2, 1);
     hand_off(&mut steward, &[0]);
-    steward.proxies[0].marked = 1;
+    steward.proxies[0].asked = 1;
     assert_eq!(orders(&mut steward, 1), []);
     steward.stream_down(2, 0);
     steward.joined(0, 0.0);
