A turn waits for a head's worth of room in the channel

A trace of n1 showed 18 calls in a row with one cleared slice each, 0.56 s apart, from 9.05 s on, every answer there 1.0 to 1.8 s later, none lost. 150 proxies x (12 + 2) lines take 0.58 s of the channel: it was kept full of heads. At fault: rebalance.rs 'room', which let a turn go with whatever lines were free. Ruled out: answers lost by the new subscriptions (150 of 150 for each mark), lost calls (none). Now less than a head's worth waits, unless it is all there is to say, or more than half of what an empty channel takes.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -314,7 +314,7 @@
     /// which then counts: guards the proxies' limits against a store that carries out and does not answer.
     pub fn repeat(&mut self, now: Time, orders: usize) -> bool {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
-        let fits = self.room(now, joined, true).0 >= orders;
+        let fits = self.room(now, joined, orders).0 >= orders;
         if fits {
             let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0);
             self.turns.push_back(Turn { at: now, lines: head + orders as f64, mark: self.mark });
@@ -727,7 +727,7 @@
         let bare = self.slices.is_empty() && self.ready().next().is_some();
         let leavers = |be: &Be| bare && be.seen && be.withdrawn == (be.health == Health::Ready);
         let closing = self.slices.iter().filter(|slice| open(slice)).count();
-        let urgent = lost > 0 || closing > 0 || self.bes.iter().any(leavers);
+        let urgent = lost + closing + self.bes.iter().filter(|be| leavers(be)).count();
         self.hurry |= closing > 0;
         let (room, rest) = self.room(now, joined, urgent);
         let mut orders = Vec::new();
@@ -815,8 +815,9 @@
         orders
     }
 
-    /// The one ledger: lines a proxy that a turn may write now, all told and of those that can wait.
-    fn room(&mut self, now: Time, joined: usize, urgent: bool) -> (usize, usize) {
+    /// The one ledger: lines a proxy that a turn may write now, all told and of those that can wait. `urgent`
+    /// lines can't wait.
+    fn room(&mut self, now: Time, joined: usize, urgent: usize) -> (usize, usize) {
         let window = self.cfg.time("family_info.update_window_s").unwrap_or(10 * SECOND) + SECOND / 10;
         while self.turns.front().is_some_and(|turn| now - turn.at >= window) {
             self.turns.pop_front();
@@ -824,7 +825,7 @@
         let allowed = self.cfg.number("family_info.pushes_allowed").unwrap_or(0.0) as usize;
         if allowed > 0 {
             // A quarter is kept for drains; both are spread so that a row of bursts can't use it up.
-            let most = allowed - if urgent { 0 } else { allowed / 4 };
+            let most = allowed - if urgent > 0 { 0 } else { allowed / 4 };
             let gap = window * (2 * self.turns.len()).min(most) as Time / (most * most) as Time;
             let spaced = self.hurry || self.turns.back().is_none_or(|turn| now - turn.at >= gap);
             if self.turns.len() >= most || !spaced {
@@ -837,10 +838,20 @@
         let waiting: f64 = self.turns.iter().map(|turn| turn.lines * due(turn.mark)).sum();
         let most = self.cfg.number("family_info.pending_max").unwrap_or(f64::INFINITY);
         let head = self.cfg.number("family_info.fixed_cost").unwrap_or(0.0) + 1.0;
-        let room = |share: f64| {
-            ((share * most - waiting) / joined.max(1) as f64 - head).clamp(0.0, 65_535.0) as usize
+        // Guards against a full channel in which each line that leaves lets one line in, with a head at each
+        // proxy: it carried little but heads. Less than a head's worth waits, unless more never has room or
+        // less is all there is.
+        let room = |share: f64, wanted: f64| {
+            let empty = share * most / joined.max(1) as f64 - head;
+            let free = empty - waiting / joined.max(1) as f64;
+            if free < wanted.min(head).min(empty / 2.0) {
+                0
+            } else {
+                free.clamp(0.0, 65_535.0) as usize
+            }
         };
-        (room(if urgent { 0.9 } else { 0.5 }), room(0.5))
+        let share = if urgent > 0 { 0.9 } else { 0.5 };
+        (room(share, if urgent > 0 { urgent as f64 } else { f64::INFINITY }), room(0.5, f64::INFINITY))
     }
 }
 
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -481,17 +481,27 @@
     let mut steward = steward(1, 1, 10);
     let turn = |at, mark, lines| Turn { at, lines, mark };
     steward.turns = (1..=9).map(|mark| turn(SECOND, mark, 0.0)).collect();
-    assert_eq!(steward.room(9 * SECOND, 10, false).0, 0);
-    assert!(steward.room(9 * SECOND, 10, true).0 > 0);
+    assert_eq!(steward.room(9 * SECOND, 10, 0).0, 0);
+    assert!(steward.room(9 * SECOND, 10, 1).0 > 0);
     steward.turns.extend((10..=12).map(|mark| turn(SECOND, mark, 0.0)));
-    assert_eq!(steward.room(9 * SECOND, 10, true).0, 0);
+    assert_eq!(steward.room(9 * SECOND, 10, 1).0, 0);
     steward.turns = VecDeque::from([turn(0, 1, 540.0)]);
     steward.mark = 1;
     steward.proxies.iter_mut().for_each(|proxy| proxy.marked = 1);
-    assert_eq!(steward.room(5 * SECOND, 10, true).0, 0);
+    assert_eq!(steward.room(5 * SECOND, 10, 1).0, 0);
     // One answer frees that proxy's lines alone: 54 a proxy, less head and stamp.
     steward.installed(0, 1);
-    assert_eq!(steward.room(5 * SECOND, 10, true).0, 43);
+    assert_eq!(steward.room(5 * SECOND, 10, 1).0, 43);
+}
+
+#[test]
+fn less_than_a_heads_worth_waits_for_room_unless_it_is_all_there_is() {
+    let mut steward = steward(1, 1, 10);
+    // 6000 lines may wait for 10 proxies: with 5300 of them waiting 9 are free for what can't wait, 11 a head.
+    steward.turns = VecDeque::from([Turn { at: 0, lines: 520.0, mark: 1 }]);
+    steward.proxies.iter_mut().for_each(|proxy| proxy.marked = 1);
+    assert_eq!(steward.room(5 * SECOND, 10, 30), (0, 0));
+    assert_eq!(steward.room(5 * SECOND, 10, 9), (9, 0));
 }
 
 #[test]
@@ -512,8 +522,8 @@
     let turn = |at, mark| Turn { at, lines: 0.0, mark };
     steward.turns = (1..=8).map(|mark| turn(SECOND, mark)).collect();
     // A twelfth of the window later, so that one turn is always left to come soon.
-    assert_eq!(steward.room(SECOND + SECOND / 2, 10, true).0, 0);
-    assert!(steward.room(2 * SECOND, 10, true).0 > 0);
+    assert_eq!(steward.room(SECOND + SECOND / 2, 10, 1).0, 0);
+    assert!(steward.room(2 * SECOND, 10, 1).0 > 0);
 }
 
 #[test]
@@ -539,13 +549,13 @@
     let mut steward = steward(2, 2, 1);
     list(&mut steward, 0, Health::Draining, 0);
     assert_eq!(orders(&mut steward, 1).last(), Some(&Order::Stamp { number: 1 }));
-    let room = steward.room(SECOND, 1, true);
+    let room = steward.room(SECOND, 1, 1);
     steward.joined(0, 0.0);
-    assert_eq!(steward.room(SECOND, 1, true), room);
+    assert_eq!(steward.room(SECOND, 1, 1), room);
     assert_eq!(orders(&mut steward, 2 * SECOND), [Order::Stamp { number: 2 }]);
     steward.stream_down(2 * SECOND, 0);
     steward.joined(0, 0.0);
-    assert!(steward.room(3 * SECOND, 1, true).0 > room.0);
+    assert!(steward.room(3 * SECOND, 1, 1).0 > room.0);
 }
 
 #[test]
