--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -53,6 +53,7 @@
     let clock = Clock::new();
     let session = Session::new(clock.now(), config.seed, &config.settings, &config.known).map_err(input)?;
     let listener = listen(config.listen).map_err(failed(&config.listen.to_string()))?;
+    let address = listener.local_addr().map_err(failed("listen"))?;
     let (events, mut inputs) = mpsc::channel(EVENTS);
     let (addresses, followed) = watch::channel(config.addresses);
     let (calls, to_call) = mpsc::channel(1);
@@ -63,7 +64,7 @@
     tokio::spawn(relay::call(followed.clone(), to_call, events.clone()));
     tokio::spawn(relay::news(followed.clone(), again.clone(), events.clone()));
     tokio::spawn(discovery::follow(followed, events));
-    tracing::info!(name = %config.name, listen = %config.listen, relay = %config.addresses.relay,
+    tracing::info!(name = %config.name, listen = %address, relay = %config.addresses.relay,
         discovery = %config.addresses.discovery, "serving");
     let mut core = Core { clock, session, again, calls, spoilt: None };
     let mut status = tokio::time::interval_at(Instant::now() + STATUS, STATUS);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod capture;
 pub mod clients;
 pub mod forwarder;
+pub mod platform;
 pub mod server;
 pub mod store;
 
