Ordinary lines may fill 0.65 of the channel's queue

With half of the queue for what can wait and 150 proxies, a turn has room for 11 lines behind 13 of head; at fault: the 0.5 in rebalance.rs 'room'.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -850,8 +850,10 @@
                 free.clamp(0.0, 65_535.0) as usize
             }
         };
-        let share = if urgent > 0 { 0.9 } else { 0.5 };
-        (room(share, if urgent > 0 { urgent as f64 } else { f64::INFINITY }), room(0.5, f64::INFINITY))
+        // What can wait leaves a third: enough for a drain behind it to land within its grace. At a half, heads
+        // were two thirds of all lines; three quarters measured no better.
+        let rest = room(0.65, f64::INFINITY);
+        (if urgent > 0 { room(0.9, urgent as f64) } else { rest }, rest)
     }
 }
 
