--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -331,7 +331,8 @@
     met.answers(0, mark(&revoke));
     met.later(5 * SECOND);
     let grant = met.poll().expect("the grant");
-    let level = json!({"verb": "admit", "cluster": 0, "routes": ["lookup"], "admit": 0.0, "policy": 0});
+    let level = json!({"verb": "admit", "cluster": 0, "routes": ["lookup", "write"], "admit": 0.0,
+        "policy": 0});
     assert!(grants(&grant) == ["B"] && grant.contains(&level), "held back at first: {grant:?}");
 }
 
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -781,12 +781,21 @@
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
             let wanted = wanted.unwrap_or_else(|| self.wanted(s, quiet));
+            let first = orders.len();
             for (k, &share) in wanted.iter().enumerate().take(self.kinds.len()) {
                 // Small changes would fill the channel: a tenth, or all or nothing.
                 let change = (share - self.slices[s].levels[k]).abs();
                 if change >= 0.1 || change > 0.0 && (share <= 0.0 || share >= 1.0) {
-                    orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share });
                     self.slices[s].levels[k] = share;
+                    // One line serves all kinds that get the same share.
+                    let same = orders[first..].iter_mut().find_map(|order| match order {
+                        Order::Level { kinds, share: told, .. } if *told == share => Some(kinds),
+                        _ => None,
+                    });
+                    match same {
+                        Some(kinds) => *kinds |= 1 << k,
+                        None => orders.push(Order::Level { slice: Some(s), kinds: 1 << k, share }),
+                    }
                 }
             }
             if quiet {
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -345,7 +345,7 @@
     (steward.bes[0].boot, steward.done) = (1, 10.0);
     steward.heat(0, 0, 0, 2.0, SECOND);
     settle(&mut steward, 0);
-    assert_eq!(orders(&mut steward, 1)[1], Order::Level { slice: Some(0), kinds: 1, share: 0.0 });
+    assert_eq!(orders(&mut steward, 1)[1], Order::Level { slice: Some(0), kinds: 3, share: 0.0 });
     assert_eq!(orders(&mut steward, SECOND)[0], Order::Level { slice: Some(0), kinds: 1, share: 0.6 });
 }
 
