No grant for reads alone where writes may open within a second

At fault: rebalance.rs 'turn' granted for reads however little of the settling was left. Harm: reads of such a slice wait up to a second longer where the channel is free.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -762,7 +762,9 @@
             let mut wanted = None;
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
-                let reads = self.writing != 0 && self.cfg.text("family_info.admit") != Some("none");
+                // Not where writes may open within a second: what two grants take of the channel is the others'.
+                let soon = slice.quiet.is_some_and(|at| at - now < SECOND);
+                let reads = self.writing != 0 && self.cfg.text("family_info.admit") != Some("none") && !soon;
                 if !quiet && (!reads || now < slice.given + self.time("family_info.write_lease_s")) {
                     continue;
                 }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -220,6 +220,14 @@
     assert_eq!(steward.slices[0].state, State::Settling);
 }
 
+#[test]
+fn no_grant_for_reads_alone_where_writes_may_open_within_a_second() {
+    let mut steward = steward(1, 2, 1);
+    settle(&mut steward, 9 * SECOND);
+    assert_eq!(orders(&mut steward, 8 * SECOND + 1), []);
+    assert_eq!(orders(&mut steward, 9 * SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
+}
+
 #[test]
 fn writes_open_only_once_a_slice_is_quiet() {
     let mut steward = steward(1, 2, 1);
