Levels alone wait for a tick or for a turn that goes anyway

At fault: rebalance.rs 'turn', which wrote a level whenever a slice's rates had moved it by a tenth, between ticks too. Harm: a level is up to a tick late where nothing else is written; a kind that was shut, a cold server and hurried turns are excepted.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -162,6 +162,8 @@
     started: Time,
     wake: Time,
     tick: Time,
+    /// When levels were last written.
+    leveled: Time,
     heard: Time,
     /// Reqs a second that usually come, to all slices of all stewards.
     usual: f64,
@@ -205,6 +207,7 @@
             started: now,
             wake: now,
             tick: now,
+            leveled: now,
             heard: now,
             watching: cfg.text("discovery") != Some("on_request"),
             ask_at: now,
@@ -783,12 +786,21 @@
                 orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
             }
             let wanted = wanted.unwrap_or_else(|| self.wanted(s, quiet));
+            // Guards the channel: levels alone cost a head at each proxy, so they wait for a tick or a turn that
+            // goes anyway, unless they open a kind or keep a cold server from too much.
+            let opens = (0..KINDS).any(|k| wanted[k] > 0.0 && self.slices[s].levels[k] <= 0.0);
+            let warm = self.slices[s].owner.is_none_or(|be| self.bes[be].present >= 1.0);
+            let early = self.slices[s].state == State::Owned && now - self.leveled < Self::TICK;
+            if early && warm && !opens && !self.hurry && orders.is_empty() {
+                continue;
+            }
             let first = orders.len();
             for (k, &share) in wanted.iter().enumerate().take(self.kinds.len()) {
                 // Small changes would fill the channel: a tenth, or all or nothing.
                 let change = (share - self.slices[s].levels[k]).abs();
                 if change >= 0.1 || change > 0.0 && (share <= 0.0 || share >= 1.0) {
                     self.slices[s].levels[k] = share;
+                    self.leveled = now;
                     // One line serves all kinds that get the same share.
                     let same = orders[first..].iter_mut().find_map(|order| match order {
                         Order::Level { kinds, share: told, .. } if *told == share => Some(kinds),
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -462,6 +462,26 @@
     assert_eq!(steward.wanted(0, false)[1], 0.0, "writes stay closed while settling");
 }
 
+#[test]
+fn levels_alone_wait_for_a_tick_unless_they_open_or_spare_a_cold_server() {
+    let level = |levels: f64, boot: Time| {
+        let mut steward = steward(1, 1, 1);
+        steward.heat(SECOND, 0, 0, 10.0, SECOND);
+        (steward.bes[0].level, steward.bes[0].boot) = (0.5, boot);
+        steward.slices[0].levels[0] = levels;
+        (steward.leveled, steward.tick) = (SECOND, SECOND);
+        orders(&mut steward, 2 * SECOND).len()
+    };
+    assert_eq!(level(1.0, 0), 0);
+    assert_eq!(level(0.0, 0), 2, "a kind that was shut opens at once");
+    assert_eq!(level(1.0, 1), 2, "a cold server is spared at once");
+    let mut steward = steward(1, 1, 1);
+    steward.heat(2 * SECOND, 0, 0, 10.0, SECOND);
+    steward.bes[0].level = 0.5;
+    steward.leveled = SECOND;
+    assert_eq!(orders(&mut steward, 3 * SECOND).len(), 2, "a tick later");
+}
+
 #[test]
 fn a_strained_server_gives_a_slice_that_another_has_room_for() {
     let mut steward = steward(3, 2, 1);
