--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -72,7 +72,7 @@
         steward.list_end(scope);
         now.resize(self.listed.len(), false);
         for (be, listed) in now.into_iter().enumerate() {
-            if self.listed[be] && !listed {
+            if self.listed[be] && !listed && !self.gone.contains(&be) {
                 self.gone.push_back(be);
             }
             self.listed[be] = listed;
