Test that the deploy file's run has the shape that the fleet test asks for

The operators' standing test loads a library into each steward, and asks one process by exec, linked dynamically, without children, io_uring, splice, sendfile or Unix sockets to come to.

A test starts run of the deploy file against the stand-ins, moves slices, sends SIGHUP, and reads what /proc shows.

--- a/crates/ravenspar/tests/platform.rs
+++ b/crates/ravenspar/tests/platform.rs
@@ -42,14 +42,23 @@
     })
 }
 
+/// `run` of the deploy file, with the program that is tested.
+fn run_line() -> String {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
+    let deploy = std::fs::read_to_string(deploy).expect("a deploy file");
+    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
+    let (built, program) = ("target/release/ravenspar", env!("CARGO_BIN_EXE_ravenspar"));
+    let run = run.filter(|run| run.contains(built)).expect("a line `run` that names the program");
+    run.replace(built, program)
+}
+
 impl Steward {
     async fn start(config: &Value) -> Steward {
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("written");
-        // As many descriptors as the configuration says.
-        let program = env!("CARGO_BIN_EXE_ravenspar");
-        let limited = format!("ulimit -n {}; exec {program} platform", config["limits"]["sockets"]);
+        // As the deploy file says, and with as many descriptors as the configuration says.
+        let limited = format!("ulimit -n {}; {}", config["limits"]["sockets"], run_line());
         let mut child = Command::new("/bin/sh")
             .args(["-c", &limited])
             .env("RELAY_CONFIG", &path)
@@ -292,3 +301,87 @@
     run.arg("platform").env("RELAY_CONFIG", dir.path().join("none")).stderr(Stdio::null());
     assert_eq!(run.status().await.expect("it ran").code(), Some(2));
 }
+
+/// Inode and socket state (hexadecimal) of each line of a table in `/proc/PID/net`.
+fn sockets(id: u32, table: &str, inode: usize, state: usize) -> Vec<(String, String, bool)> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/net/{table}")).unwrap_or_default();
+    let line = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        // A Unix socket that somebody can come to has a path as its eighth field.
+        Some(((*fields.get(inode)?).to_owned(), (*fields.get(state)?).to_owned(), fields.len() > 7))
+    };
+    text.lines().skip(1).filter_map(line).collect()
+}
+
+/// What the fleet test asks of the process, as far as `/proc` shows it.
+fn breaches(id: u32) -> Vec<String> {
+    let read = |what: &str| std::fs::read_to_string(format!("/proc/{id}/{what}")).expect("it runs");
+    let mut found = Vec::new();
+    let program = std::fs::canonicalize(env!("CARGO_BIN_EXE_ravenspar")).expect("the program");
+    if std::fs::read_link(format!("/proc/{id}/exe")).expect("it runs") != program {
+        found.push("`run` does not end in the program by exec".to_owned());
+    }
+    let maps = read("maps");
+    for part in ["/ld-", "/libc.so"] {
+        if !maps.contains(part) {
+            found.push(format!("not linked dynamically against the C library: no {part} mapped"));
+        }
+    }
+    for entry in std::fs::read_dir("/proc").expect("/proc").flatten() {
+        let stat = std::fs::read_to_string(entry.path().join("stat")).unwrap_or_default();
+        // After the name, which ends in the last bracket: state, then the parent.
+        let parent = stat.rsplit(')').next().and_then(|rest| rest.split_whitespace().nth(1));
+        if parent == Some(&id.to_string()) {
+            found.push(format!("another program was started: {stat}"));
+        }
+    }
+    let ipv4 = [sockets(id, "tcp", 9, 3), sockets(id, "udp", 9, 3)].concat();
+    let unix = sockets(id, "unix", 6, 5);
+    let mut pairs = 0;
+    for fd in std::fs::read_dir(format!("/proc/{id}/fd")).expect("it runs").flatten() {
+        let Ok(link) = std::fs::read_link(fd.path()) else { continue };
+        let link = link.to_string_lossy().into_owned();
+        if link.contains("io_uring") {
+            found.push(link.clone());
+        }
+        let Some(inode) = link.strip_prefix("socket:[").and_then(|rest| rest.strip_suffix(']')) else {
+            continue;
+        };
+        match unix.iter().find(|(of, ..)| of == inode) {
+            // State 03 is connected: the pair by which tokio wakes its own loop at a signal, and nothing else.
+            Some((_, state, false)) if state == "03" => pairs += 1,
+            Some((_, state, _)) => found.push(format!("a Unix socket, state {state}")),
+            // A connection that was closed this moment is in neither table.
+            None if ipv4.iter().any(|(of, ..)| of == inode) => {}
+            None => {
+                let other = [sockets(id, "tcp6", 9, 3), sockets(id, "udp6", 9, 3)].concat();
+                if other.iter().any(|(of, ..)| of == inode) {
+                    found.push("a socket of IPv6".to_owned());
+                }
+            }
+        }
+    }
+    // Both ends, and the one that tokio keeps a copy of.
+    if pairs > 3 {
+        found.push(format!("{pairs} ends of pairs of Unix sockets"));
+    }
+    found
+}
+
+#[tokio::test]
+async fn in_service_it_is_one_process_of_the_shape_that_the_fleet_test_asks_for() {
+    let relay = Relay::start(2, "A", 2).await.expect("a relay");
+    let discovery = Discovery::start(&["A", "B"]).await.expect("discovery");
+    let steward = Steward::start(&config(&relay, &discovery)).await;
+    let id = steward.child.id().expect("it runs");
+    let mut collector = steward.connect().await;
+    collector.write_all(&frame(r#"{"msg":"SOURCE","site":"a"}"#)).await.expect("taken in");
+    assert!(alive(&mut collector).await);
+    until(&relay, |said| said.subscriptions == 1).await;
+    assert_eq!(breaches(id), [""; 0], "before a move");
+    discovery.set("A", "leaving");
+    until(&relay, |said| all_at(said, "B")).await;
+    steward.signal("-HUP").await;
+    assert!(alive(&mut collector).await);
+    assert_eq!(breaches(id), [""; 0], "after a move and a signal");
+}
