The program keeps a view of the fleet, and members shows it with the store away

fleet: in the settings (off unless asked for) opens a UDP socket on which crates/view runs in a task of its own. A steward tells the others how many forwarders it reaches. Where the view shows a steward gone, the store is looked at each 20 ms until it has let a member go, at most for a lease.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -158,6 +158,11 @@
         self.servers.get(be)
     }
 
+    /// The proxies that are joined.
+    pub fn joined(&self) -> impl Iterator<Item = usize> + '_ {
+        self.proxies.iter().enumerate().filter(|(_, proxy)| proxy.joined).map(|(number, _)| number)
+    }
+
     pub fn figures(&self) -> Figures {
         Figures {
             joined: self.joined,
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -9,7 +9,7 @@
 
 use crate::halt::Halt;
 use crate::serve::{serve, Fault};
-use crate::{logs, say, settings, shared};
+use crate::{logs, members, say, settings, shared};
 
 #[derive(Parser)]
 #[command(name = "ravenspar", version, about = "Publishes key ranges to plain proxies")]
@@ -50,11 +50,18 @@
     },
     /// Says whether a settings file can be served by.
     Check { file: PathBuf },
-    /// Shows the stewards that share a store, and how many slices each is in charge of.
+    /// Shows the fleet: by the view of the steward that these settings start, or, where they have no `fleet`, by what the
+    /// shared store says, with how many slices each is in charge of.
     Members {
         file: PathBuf,
         #[arg(long)]
         json: bool,
+        /// Goes on, and says so each time something has changed.
+        #[arg(long)]
+        watch: bool,
+        /// By the store, whatever the settings have.
+        #[arg(long, conflicts_with = "watch")]
+        store: bool,
     },
     /// Takes a shared store that is another, or older, than the one last seen: after it was restored from a backup.
     /// Only once every other steward is stopped, and every forwarder's lease is over.
@@ -93,7 +100,7 @@
         Command::Serve { file, halt, pause } => start(&file, halt.or(pause.map(Halt::that_stands_still))),
         Command::Platform { config } => platform(&config),
         Command::Check { file } => check(&file),
-        Command::Members { file, json } => members(&file, json),
+        Command::Members { file, json, watch, store } => show_members(&file, json, watch, store),
         Command::Accept { file } => accept(&file),
         Command::List(ListCommand::Accept { file }) => accept_list(&file),
         Command::Record { file, json } => show(&file, json),
@@ -197,8 +204,14 @@
     cfg.share.clone().ok_or_else(|| Fault::Input(format!("{}: expected store: etcd", file.display())))
 }
 
-fn members(file: &Path, json: bool) -> Result<(), Fault> {
+fn show_members(file: &Path, json: bool, watch: bool, store: bool) -> Result<(), Fault> {
     let cfg = load(file)?;
+    if let Some(fleet) = cfg.fleet.as_ref().filter(|_| !store) {
+        return runtime()?.block_on(members::show(fleet, json, watch)).map_err(Fault::Failed);
+    }
+    if watch {
+        return Err(Fault::Input(format!("{}: --watch: expected settings with a fleet", file.display())));
+    }
     let share = shared_of(&cfg, file)?;
     let said = ask(&share, async |client, keys| shared::snapshot(client, keys, 0).await)?;
     let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -9,6 +9,7 @@
 use ravenspar_steward::{Scope, Time};
 use tokio::sync::mpsc;
 
+use crate::fleet::Fleet;
 use crate::halt::{Halt, Point};
 use crate::list::{self, News};
 use crate::recorder::{Batch, Recorder};
@@ -52,6 +53,10 @@
     /// The number of the next stream.
     pub next: u64,
     pub ran: Ran,
+    /// Names and lives in the view, as last looked at.
+    members: Vec<(String, u64)>,
+    /// When the others are told next which forwarders are joined.
+    reach_at: Time,
 }
 
 /// The next event of a life; none ever without one.
@@ -62,6 +67,21 @@
     }
 }
 
+/// Names whose life the view shows no more, once it has changed; none ever without one.
+async fn went(fleet: &mut Option<Fleet>, known: &mut Vec<(String, u64)>) -> Vec<String> {
+    let Some(fleet) = fleet else { return std::future::pending().await };
+    if fleet.shown.changed().await.is_err() {
+        return std::future::pending().await;
+    }
+    let shown = fleet.shown.borrow_and_update().clone();
+    // One that hears from nobody knows nothing of who is gone.
+    if shown.cut_off {
+        return Vec::new();
+    }
+    let before = std::mem::replace(known, shown.members);
+    before.into_iter().filter(|member| !known.contains(member)).map(|(name, _)| name).collect()
+}
+
 impl<'a> Core<'a> {
     pub fn new(door: &'a mut Door, host: Host, shared: Option<Shared>) -> Core<'a> {
         let (inputs, queue) = mpsc::channel(streams::INPUTS);
@@ -78,6 +98,8 @@
             queue,
             next: 0,
             ran: Ran::default(),
+            members: Vec::new(),
+            reach_at: Time::MIN,
         }
     }
 
@@ -127,6 +149,7 @@
                 }
                 Some(news) = self.door.list.recv() => self.news(news).await,
                 said = next(&mut self.shared) => event = Some(said),
+                went = went(&mut self.door.fleet, &mut self.members) => self.view_changed(&went),
                 () = self.recorder.changed() => {}
                 () = tokio::time::sleep_until(wake) => {}
             }
@@ -149,6 +172,7 @@
                 self.host.recorded(ticket);
             }
             self.host.timeout(self.clock.now());
+            self.tell_reach();
             if let Some(end) = self.share() {
                 return Ok(end);
             }
@@ -158,6 +182,17 @@
         }
     }
 
+    /// Says to the other stewards which forwarders are joined here.
+    fn tell_reach(&mut self) {
+        /// As often as figures are looked at; the view's rounds carry it on.
+        const EVERY: Time = ravenspar_steward::SECOND;
+        let now = self.clock.now();
+        if let Some(fleet) = self.door.fleet.as_ref().filter(|_| now >= self.reach_at) {
+            fleet.set_reach(ravenspar_view::Reach::of(self.host.joined()));
+            self.reach_at = now + EVERY;
+        }
+    }
+
     /// When to look again.
     fn wake(&self, now: Time) -> Time {
         let host = self.host.next_timeout(now);
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod yaml;
 
 mod core;
+mod fleet;
 mod halt;
 mod logs;
+mod members;
 mod recorder;
 mod serve;
 mod sharing;
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -6,13 +6,13 @@
 use ravenspar_host::{Host, Server};
 use ravenspar_list::Stop;
 use ravenspar_record::{Record, ServerRow, SliceRow};
-use ravenspar_sharing::Fleet;
 use ravenspar_steward::{Health, Time};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
 use crate::core::{Core, End};
+use crate::fleet::Fleet;
 use crate::halt::Halt;
 use crate::list::{self, File, News, Source};
 use crate::list_store::Stored;
@@ -47,6 +47,8 @@
     /// Streams open at a time: each proxy's with one that replaces it, and some that have not said hello.
     pub most: usize,
     pub halt: Option<Halt>,
+    /// The view of the fleet, if there is one.
+    pub fleet: Option<Fleet>,
     /// The list last seen.
     pub rows: Vec<ServerRow>,
 }
@@ -89,8 +91,20 @@
             Stored { client, prefix, kept, look: look.clone(), seed }.follow(news);
         }
     }
+    let clock = Clock::new();
+    let fleet = match &cfg.fleet {
+        None => None,
+        Some(with) => {
+            let seed = cfg.seed ^ clock.now() as u64 ^ (u64::from(std::process::id()) << 40);
+            Some(
+                crate::fleet::open(with, clock, seed)
+                    .await
+                    .map_err(|why| Fault::Input(format!("fleet: {why}")))?,
+            )
+        }
+    };
     let mut door = Door {
-        clock: Clock::new(),
+        clock,
         listener,
         list,
         look,
@@ -99,6 +113,7 @@
         interrupt: signal(SignalKind::interrupt()).map_err(failed("signals"))?,
         most: cfg.map.number("family_info.proxy_count").unwrap_or(0.0) as usize * 2 + 16,
         halt,
+        fleet,
         rows: kept.servers,
     };
     let served = match &cfg.share {
@@ -118,6 +133,9 @@
             share(&cfg, &mut door, address, seen).await
         }
     };
+    if let Some(fleet) = &door.fleet {
+        fleet.leave().await;
+    }
     if let Some(kept) = Rc::into_inner(door.kept) {
         kept.end().await;
     }
@@ -158,7 +176,7 @@
         keys: keys.clone(),
         clock: door.clock,
         slices: cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize,
-        pace: Fleet::pace(
+        pace: ravenspar_sharing::Fleet::pace(
             cfg.map.time("family_info.update_window_s").unwrap_or(0),
             cfg.map.number("family_info.pushes_allowed").unwrap_or(0.0) as Time,
         ),
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -20,6 +20,10 @@
     Text,
     /// A list of texts, one or more; kept a line each.
     Texts,
+    /// An address with a port.
+    Address,
+    /// A list of such addresses; kept a line each.
+    Addresses,
     /// One of these words, each with the value that the map has for it.
     Word(&'static [(&'static str, &'static str)]),
 }
@@ -63,6 +67,14 @@
     own("share.notes.listen", Form::Text, Some("")),
     own("share.notes.address", Form::Text, Some("")),
     own("share.notes.key", Form::Text, Some("")),
+    own("fleet.name", Form::Text, Some("")),
+    own("fleet.listen", Form::Address, Some("")),
+    own("fleet.address", Form::Address, Some("")),
+    own("fleet.peers", Form::Addresses, Some("")),
+    own("fleet.key", Form::Text, Some("")),
+    // `ravenspar_view::ROUND` and `FORGET` say why.
+    own("fleet.round", Form::Time, Some("300ms")),
+    own("fleet.forget", Form::Time, Some("10m")),
     entry("lease", Form::Time, "family_info.write_lease_s", None),
     entry("settle", Form::Time, "family_info.settle_s", None),
     entry("hold", Form::Time, "family_info.hold_s", None),
@@ -116,9 +128,24 @@
     pub seed: u64,
     /// Where the record is shared with other stewards; none: it is this steward's own file.
     pub share: Option<Share>,
+    /// The view that stewards keep among themselves, if there is to be one.
+    pub fleet: Option<Fleet>,
     pub map: Settings,
 }
 
+/// How a steward takes part in the view of the fleet.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub name: String,
+    pub listen: std::net::SocketAddr,
+    /// Where others reach it; none: where it listens.
+    pub address: Option<std::net::SocketAddr>,
+    pub peers: Vec<std::net::SocketAddr>,
+    pub key: PathBuf,
+    pub round: ravenspar_steward::Time,
+    pub forget: ravenspar_steward::Time,
+}
+
 /// A list of servers in a store.
 #[derive(Clone, Debug)]
 pub struct ListStore {
@@ -167,9 +194,11 @@
         ));
     }
     let share = share(&own, &mut check_faults, &tree, folder);
+    let fleet = fleet(&own, &mut check_faults, &tree, folder);
     let list_store = list_store(&own, &mut check_faults, &tree);
     let checked = Checked {
         share,
+        fleet,
         list_store,
         listen,
         record: folder.join(own("record").unwrap_or_default()),
@@ -232,6 +261,50 @@
     })
 }
 
+/// Where a map of settings stands, or the file.
+fn place(tree: &Placed, name: &str) -> (u64, u64) {
+    let Node::Map(entries) = &tree.node else { return (tree.line, tree.column) };
+    let found = entries.iter().find(|(key, _)| matches!(&key.node, Node::Text(text) if text == name));
+    found.map_or((tree.line, tree.column), |(key, _)| (key.line, key.column))
+}
+
+/// The settings of the view, if there is to be one.
+fn fleet<'a>(
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+    folder: &Path,
+) -> Option<Fleet> {
+    let text = |name: &str| own(name).unwrap_or_default();
+    let names = ["fleet.name", "fleet.listen", "fleet.key"];
+    if names.iter().chain(&["fleet.address", "fleet.peers"]).all(|name| text(name).is_empty()) {
+        return None;
+    }
+    let (line, column) = place(tree, "fleet");
+    for name in names.iter().filter(|name| text(name).is_empty()) {
+        faults.push((line, column, format!("{name}: missing, it is needed for a view of the fleet")));
+    }
+    if text("fleet.name").len() > ravenspar_view::NAME {
+        let what = format!("fleet.name: expected at most {} bytes", ravenspar_view::NAME);
+        faults.push((line, column, what));
+    }
+    let time = |name: &str| (text(name).parse::<f64>().unwrap_or(0.0) * 10_000.0).round() as i64;
+    let (round, forget) = (time("fleet.round"), time("fleet.forget"));
+    // Below it answers over a network of some milliseconds come too late, above it nobody is dropped within a minute.
+    if !(500..=50_000).contains(&round) {
+        faults.push((line, column, "fleet.round: expected 50ms to 5s".to_owned()));
+    }
+    Some(Fleet {
+        name: text("fleet.name").to_owned(),
+        listen: text("fleet.listen").parse().ok()?,
+        address: text("fleet.address").parse().ok(),
+        peers: text("fleet.peers").lines().filter_map(|peer| peer.parse().ok()).collect(),
+        key: folder.join(text("fleet.key")),
+        round,
+        forget,
+    })
+}
+
 /// The settings of the shared store, if there is to be one.
 fn share<'a>(
     own: &impl Fn(&str) -> Option<&'a str>,
@@ -331,7 +404,7 @@
         let list;
         let text = match &at.node {
             Node::Text(text) => text.as_str(),
-            Node::List(all) if matches!(entry.form, Form::Texts) => {
+            Node::List(all) if matches!(entry.form, Form::Texts | Form::Addresses) => {
                 let texts: Option<Vec<&str>> = all
                     .iter()
                     .map(|one| match &one.node {
@@ -342,6 +415,14 @@
                 let Some(texts) = texts else {
                     return self.fault(at, format!("{}: expected {}", entry.path, expected(entry.form)));
                 };
+                if matches!(entry.form, Form::Addresses) {
+                    // Each has its own place in the file.
+                    for (one, text) in all.iter().zip(&texts).filter(|(_, text)| !is_address(text)) {
+                        let what = format!("{}: {text}: expected {}", entry.path, expected(Form::Address));
+                        self.fault(one, what);
+                    }
+                    return self.set(entry, &texts.join("\n"), index);
+                }
                 list = texts.join("\n");
                 &list
             }
@@ -386,6 +467,10 @@
     }
 }
 
+fn is_address(text: &str) -> bool {
+    text.parse::<std::net::SocketAddr>().is_ok_and(|at| at.port() > 0)
+}
+
 /// A text as the map has its value, or none where it is not what it has to be.
 fn read(form: Form, text: &str) -> Option<String> {
     let number = |low: f64, high: f64| {
@@ -398,6 +483,9 @@
         Form::Count(low, high) => number(low, high).filter(|text| text.parse::<u64>().is_ok()),
         Form::Number(low, high) => number(low, high),
         Form::Flag => Some(text.to_owned()).filter(|text| text == "true" || text == "false"),
+        Form::Address => Some(text.to_owned()).filter(|text| is_address(text)),
+        // One that stands alone, without a list.
+        Form::Addresses => Some(text.to_owned()).filter(|text| is_address(text)),
         Form::Text | Form::Texts => Some(text.to_owned()).filter(|text| !text.is_empty()),
         Form::Word(words) => {
             words.iter().find(|(word, _)| *word == text).map(|(_, value)| (*value).to_owned())
@@ -433,6 +521,8 @@
         Form::Flag => "true or false".to_owned(),
         Form::Text => "a text".to_owned(),
         Form::Texts => "a list of texts".to_owned(),
+        Form::Address => "an address and a port, as 127.0.0.1:7946".to_owned(),
+        Form::Addresses => "a list of addresses and ports, as 127.0.0.1:7946".to_owned(),
         Form::Word(words) => {
             format!("one of {}", words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", "))
         }
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -1,6 +1,7 @@
 //! One life of a steward as a member: what it asks the store for, and what comes back, as events for the core.
 
 use std::rc::Rc;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,6 +88,8 @@
     pub post: Option<Post>,
     /// The store is to be looked at before its time.
     look: Arc<Notify>,
+    /// Until then it is looked at as often as may be.
+    often: Arc<AtomicI64>,
     member: Member,
     joining: Joining,
     hand: Arc<Mutex<Hand>>,
@@ -146,6 +149,7 @@
             recorder,
             post: joining.office.clone().map(|office| Post::new(office, number)),
             look: Arc::default(),
+            often: Arc::new(AtomicI64::new(Time::MIN)),
             member,
             joining: joining.clone(),
             hand,
@@ -169,6 +173,7 @@
         /// Looks that hints ask for are so far apart at least: they can't make up for the store's rate.
         const APART: Duration = Duration::from_millis(20);
         let (events, joining, look) = (self.events.clone(), self.joining.clone(), self.look.clone());
+        let often = self.often.clone();
         let task = tokio::spawn(async move {
             let mut since = 0;
             loop {
@@ -182,8 +187,9 @@
                 if events.send(event).await.is_err() {
                     return;
                 }
+                let poll = if joining.clock.now() < often.load(Ordering::Relaxed) { APART } else { POLL };
                 tokio::select! {
-                    () = tokio::time::sleep(POLL) => {}
+                    () = tokio::time::sleep(poll) => {}
                     () = look.notified() => tokio::time::sleep(APART).await,
                 }
             }
@@ -196,6 +202,18 @@
         self.look.notify_one();
     }
 
+    /// A steward is gone by the view of the fleet: the store lets its membership go within a lease, and what it was in
+    /// charge of may be taken from that moment on.
+    pub fn look_often(&self, now: Time) {
+        self.often.store(now + self.joining.share.member_lease * SECOND + SECOND, Ordering::Relaxed);
+        self.look();
+    }
+
+    /// The store has let a member go.
+    pub fn look_as_usual(&self) {
+        self.often.store(Time::MIN, Ordering::Relaxed);
+    }
+
     /// Tells the other members something that may be of use to them.
     pub fn tell(&mut self, kind: u8, number: u64) {
         self.post.iter_mut().for_each(|post| post.tell(kind, number));
@@ -203,7 +221,6 @@
 
     /// Sends a renewal, beside those that have no answer yet.
     pub fn renew(&mut self, now: Time) {
-        use std::sync::atomic::Ordering;
         /// Renewals under way at a time.
         const MOST: usize = 8;
         self.membership.renewing(now);
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -6,6 +6,6 @@
 mod store;
 
 pub use life::{Event, From, Joining, Life, EARLY};
-pub use post::{Office, Post};
+pub use post::{read_key, Office, Post};
 pub use rows::{Keys, Member};
 pub use store::{record, snapshot, Snapshot};
--- a/crates/ravenspar/src/shared/post.rs
+++ b/crates/ravenspar/src/shared/post.rs
@@ -32,7 +32,7 @@
 }
 
 /// A key that others than its owner may read is no key.
-fn read_key(path: &Path) -> Result<Vec<u8>, String> {
+pub fn read_key(path: &Path) -> Result<Vec<u8>, String> {
     use std::os::unix::fs::PermissionsExt as _;
     /// As long as the hash, RFC 2104.
     const LEAST: usize = 32;
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -27,11 +27,13 @@
     pub arrived: Vec<Charged>,
     pub since: Time,
     pub away: bool,
+    /// How many members the store had at the last look.
+    members: usize,
 }
 
 impl Shared {
     pub fn new(life: Life, seen: Option<(u64, u64)>) -> Shared {
-        Shared { life, seen, noted: 0, waits: None, arrived: Vec::new(), since: 0, away: false }
+        Shared { life, seen, noted: 0, waits: None, arrived: Vec::new(), since: 0, away: false, members: 0 }
     }
 }
 
@@ -69,6 +71,9 @@
                 said.charges.iter().for_each(|&(slice, life, term)| fleet.charge(slice, life, term));
                 let members: Vec<_> = said.members.iter().map(|(life, m)| (*life, m.leaving)).collect();
                 fleet.members(&members);
+                if members.len() < std::mem::replace(&mut shared.members, members.len()) {
+                    shared.life.look_as_usual();
+                }
                 let me = shared.life.number;
                 shared.life.post.iter_mut().for_each(|post| post.members(me, &said.members));
             }
@@ -102,17 +107,14 @@
                 fleet.gave(&slices, to, term);
                 shared.life.tell(kind::LOOK, term);
             }
-            Event::Note(bytes) => match shared.life.post.as_mut().map(|post| post.inbox.open(&bytes)) {
-                // Only what was not seen yet is worth a look.
-                Some(Ok((_, kind::LOOK, revision)))
-                    if shared.seen.is_none_or(|(_, seen)| seen < revision) =>
-                {
-                    shared.life.look();
+            Event::Note(bytes) => {
+                let opened = shared.life.post.as_mut().map(|post| post.inbox.open(&bytes));
+                match opened.map(|opened| opened.map(|opened| (opened.kind, opened.number()))) {
+                    Some(Ok((kind, Some(number)))) => self.hint(kind, number),
+                    Some(Err(why)) => tracing::debug!(?why, "a note is not taken in"),
+                    _ => {}
                 }
-                Some(Ok((_, kind::LIST, _))) => self.door.look.notify_one(),
-                Some(Err(why)) => tracing::debug!(?why, "a note is not taken in"),
-                _ => {}
-            },
+            }
             Event::Done => {
                 shared.since = 0; // what has arrived is told at once
                 fleet.done();
@@ -122,6 +124,25 @@
         None
     }
 
+    /// The view of the fleet is another. It never says more than that a look at the store is worth while.
+    pub fn view_changed(&mut self, went: &[String]) {
+        if let Some(shared) = self.shared.as_ref().filter(|_| !went.is_empty()) {
+            tracing::debug!(?went, "the store is looked at often");
+            shared.life.look_often(self.clock.now());
+        }
+    }
+
+    /// Another steward says that there is something to be looked at.
+    fn hint(&mut self, kind: u8, number: u64) {
+        let Some(shared) = &self.shared else { return };
+        match kind {
+            // Only what was not seen yet is worth a look.
+            kind::LOOK if shared.seen.is_none_or(|(_, seen)| seen < number) => shared.life.look(),
+            kind::LIST => self.door.look.notify_one(),
+            _ => {}
+        }
+    }
+
     /// Renews the membership, and takes the next step towards even shares. Returns how this life ends, if it does.
     pub fn share(&mut self) -> Option<End> {
         let now = self.clock.now();
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/design/view.md` has the reasoning.
 
 mod probe;
+pub mod show;
 mod spread;
 mod table;
 mod view;
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 
 pub use table::{Entry, State};
-pub use view::{Figures, Member, View};
+pub use view::{Figures, View};
 pub use wire::{Kind, BODY};
 
 /// In whole tenths of a millisecond.
@@ -36,6 +37,16 @@
     pub digest: u64,
 }
 
+impl Reach {
+    /// Of the numbers of the forwarders, in any order.
+    pub fn of(joined: impl Iterator<Item = usize>) -> Reach {
+        joined.fold(Reach::default(), |sum, number| Reach {
+            joined: sum.joined + 1,
+            digest: sum.digest ^ mix(number as u64),
+        })
+    }
+}
+
 /// Of one steward, from its settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- /dev/null
+++ b/crates/view/src/show.rs
@@ -0,0 +1,158 @@
+//! What a steward shows of its view to whoever asks: a member a datagram, so that none grows with the fleet.
+
+use std::net::SocketAddr;
+
+use bytes::{Buf, BufMut};
+
+use crate::table::State;
+use crate::wire::{read_address, write_address};
+use crate::{Id, Life, Reach, NAME};
+
+/// Accusers that are named of a member.
+const ACCUSERS: usize = 4;
+
+/// Asks for the member at this place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    pub token: u32,
+    pub index: u16,
+}
+
+/// The view as a whole, and the member at one place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    pub token: u32,
+    pub index: u16,
+    /// Names known, those of the lost included.
+    pub names: u16,
+    pub number: u32,
+    pub digest: u64,
+    pub settled: bool,
+    pub cut_off: bool,
+    /// None past the last place.
+    pub member: Option<Shown>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shown {
+    pub name: String,
+    pub life: Life,
+    pub address: SocketAddr,
+    pub state: State,
+    /// Whether the view shows it.
+    pub shown: bool,
+    /// For how long it has been in this state, in milliseconds.
+    pub since_ms: u32,
+    pub accusers: Vec<Id>,
+    pub reach: Reach,
+    /// Number and digest of the view that it last said it has.
+    pub view: Option<(u32, u64)>,
+}
+
+impl Ask {
+    pub fn write(&self) -> Vec<u8> {
+        let mut body = Vec::new();
+        body.put_u32(self.token);
+        body.put_u16(self.index);
+        body
+    }
+
+    pub fn read(mut body: &[u8]) -> Option<Ask> {
+        let ask = Ask { token: body.try_get_u32().ok()?, index: body.try_get_u16().ok()? };
+        body.is_empty().then_some(ask)
+    }
+}
+
+const SETTLED: u8 = 1;
+const CUT_OFF: u8 = 2;
+const MEMBER: u8 = 4;
+const SHOWN: u8 = 8;
+const HAS_VIEW: u8 = 16;
+
+impl Page {
+    pub fn write(&self) -> Vec<u8> {
+        let mut body = Vec::new();
+        body.put_u32(self.token);
+        body.put_u16(self.index);
+        body.put_u16(self.names);
+        body.put_u32(self.number);
+        body.put_u64(self.digest);
+        let member = self.member.as_ref();
+        let flag = |set: bool, flag: u8| if set { flag } else { 0 };
+        body.put_u8(
+            flag(self.settled, SETTLED)
+                | flag(self.cut_off, CUT_OFF)
+                | flag(member.is_some(), MEMBER)
+                | flag(member.is_some_and(|member| member.shown), SHOWN)
+                | flag(member.is_some_and(|member| member.view.is_some()), HAS_VIEW),
+        );
+        let Some(member) = member else { return body };
+        body.put_u8(member.state as u8);
+        body.put_u64(member.life);
+        write_address(&member.address, &mut body);
+        body.put_u32(member.since_ms);
+        body.put_u32(member.reach.joined);
+        body.put_u64(member.reach.digest);
+        let (number, digest) = member.view.unwrap_or_default();
+        body.put_u32(number);
+        body.put_u64(digest);
+        body.put_u8(member.name.len() as u8);
+        body.put_slice(member.name.as_bytes());
+        member.accusers.iter().take(ACCUSERS).for_each(|accuser| body.put_u64(*accuser));
+        body
+    }
+
+    pub fn read(mut body: &[u8]) -> Option<Page> {
+        let from = &mut body;
+        let (token, index, names) =
+            (from.try_get_u32().ok()?, from.try_get_u16().ok()?, from.try_get_u16().ok()?);
+        let (number, digest, flags) =
+            (from.try_get_u32().ok()?, from.try_get_u64().ok()?, from.try_get_u8().ok()?);
+        let mut page = Page {
+            token,
+            index,
+            names,
+            number,
+            digest,
+            settled: flags & SETTLED != 0,
+            cut_off: flags & CUT_OFF != 0,
+            member: None,
+        };
+        if flags & MEMBER == 0 {
+            return from.is_empty().then_some(page);
+        }
+        let state = match from.try_get_u8().ok()? {
+            0 => State::In,
+            1 => State::Left,
+            2 => State::Gone,
+            _ => return None,
+        };
+        let life = from.try_get_u64().ok()?;
+        let address = read_address(from)?;
+        let since_ms = from.try_get_u32().ok()?;
+        let reach = Reach { joined: from.try_get_u32().ok()?, digest: from.try_get_u64().ok()? };
+        let view = (from.try_get_u32().ok()?, from.try_get_u64().ok()?);
+        let length = usize::from(from.try_get_u8().ok()?);
+        if length == 0 || length > NAME || from.remaining() < length {
+            return None;
+        }
+        let name = std::str::from_utf8(&from[..length]).ok()?.to_owned();
+        from.advance(length);
+        let mut accusers = Vec::new();
+        while !from.is_empty() {
+            accusers.push(from.try_get_u64().ok()?);
+        }
+        page.member = Some(Shown {
+            name,
+            life,
+            address,
+            state,
+            shown: flags & SHOWN != 0,
+            since_ms,
+            accusers,
+            reach,
+            view: (flags & HAS_VIEW != 0).then_some(view),
+        });
+        Some(page)
+    }
+}
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -6,24 +6,12 @@
 use bytes::BufMut;
 
 use crate::probe::{Helped, Probe, Probes, HELPED, PATIENCE, STRIKES};
+use crate::show::{Ask, Page, Shown};
 use crate::spread::{About, Spread};
 use crate::table::{Merged, Record, State, Table, Word};
 use crate::wire::{Item, Kind, Range, Said, BODY, SAID};
 use crate::{id, Id, Life, Reach, Send, Settings, Time};
 
-/// A member as it is shown.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    pub name: String,
-    pub life: Life,
-    pub address: SocketAddr,
-    pub state: State,
-    pub since: Time,
-    /// Names of those that say it does not answer.
-    pub accusers: Vec<String>,
-    pub reach: Reach,
-}
-
 /// What on-call staff want to know, and what is bounded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -160,24 +148,32 @@
         self.shown.iter().map(move |(of, life)| (name(of), *life))
     }
 
-    /// All that is known, the lost ones as well.
-    pub fn members(&self) -> Vec<Member> {
-        let name = |of: Id| self.table.get(of).map(|entry| entry.record.name.clone());
-        let member = |entry: &crate::Entry| Member {
+    /// The whole view and the member at a place among all that are known, the lost ones as well.
+    pub fn page(&self, now: Time, ask: &Ask) -> Page {
+        let member = self.table.entries.iter().nth(usize::from(ask.index)).map(|(of, entry)| Shown {
             name: entry.record.name.clone(),
             life: entry.record.life,
             address: entry.record.address,
             state: entry.record.state,
-            since: entry.since,
-            accusers: entry
-                .words
-                .iter()
-                .filter(|word| word.accuses)
-                .filter_map(|word| name(word.by))
-                .collect(),
+            shown: self.shown.get(of) == Some(&entry.record.life),
+            since_ms: ((now - entry.since) / 10).clamp(0, i64::from(u32::MAX)) as u32,
+            accusers: entry.words.iter().filter(|word| word.accuses).map(|word| word.by).collect(),
             reach: entry.reach,
-        };
-        self.table.entries.values().map(member).collect()
+            view: match *of == self.me {
+                true => Some((self.number, self.digest)),
+                false => entry.view.map(|(digest, number)| (number, digest)),
+            },
+        });
+        Page {
+            token: ask.token,
+            index: ask.index,
+            names: self.table.entries.len().min(usize::from(u16::MAX)) as u16,
+            number: self.number,
+            digest: self.digest,
+            settled: self.is_settled(now),
+            cut_off: self.is_cut_off(now),
+            member,
+        }
     }
 
     pub fn figures(&self) -> Figures {
@@ -333,6 +329,14 @@
                 self.pushed(now, from, range, items);
                 true
             }
+            Kind::Show => {
+                let Some(ask) = Ask::read(body) else { return false };
+                let page = self.page(now, &ask);
+                self.send(from, Kind::Shown, page.write());
+                true
+            }
+            // Whoever asked reads it elsewhere.
+            Kind::Shown => true,
         }
     }
 
--- a/crates/view/src/wire.rs
+++ b/crates/view/src/wire.rs
@@ -27,12 +27,15 @@
     Sum = 8,
     /// All records of a range, few; what is missing is sent back.
     Push = 9,
+    /// Somebody asks what the view is; answered by SHOWN.
+    Show = 10,
+    Shown = 11,
 }
 
 impl Kind {
     pub fn read(byte: u8) -> Option<Kind> {
-        use Kind::{Ack, Ask, Gossip, Heard, Ping, Push, Sum};
-        [Ping, Ack, Ask, Heard, Gossip, Sum, Push].into_iter().find(|kind| *kind as u8 == byte)
+        use Kind::{Ack, Ask, Gossip, Heard, Ping, Push, Show, Shown, Sum};
+        [Ping, Ack, Ask, Heard, Gossip, Sum, Push, Show, Shown].into_iter().find(|kind| *kind as u8 == byte)
     }
 }
 
@@ -77,6 +80,29 @@
     }
 }
 
+pub fn write_address(address: &SocketAddr, to: &mut Vec<u8>) {
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            to.put_u8(4);
+            to.put_slice(&ip.octets());
+        }
+        IpAddr::V6(ip) => {
+            to.put_u8(6);
+            to.put_slice(&ip.octets());
+        }
+    }
+    to.put_u16(address.port());
+}
+
+pub fn read_address(from: &mut &[u8]) -> Option<SocketAddr> {
+    let ip: IpAddr = match from.try_get_u8().ok()? {
+        4 => Ipv4Addr::from(from.try_get_u32().ok()?).into(),
+        6 => Ipv6Addr::from(from.try_get_u128().ok()?).into(),
+        _ => return None,
+    };
+    Some(SocketAddr::new(ip, from.try_get_u16().ok()?))
+}
+
 /// A piece of news.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Item {
@@ -104,17 +130,7 @@
                     State::Left => 2,
                     State::Gone => 3,
                 });
-                match record.address.ip() {
-                    IpAddr::V4(ip) => {
-                        to.put_u8(4);
-                        to.put_slice(&ip.octets());
-                    }
-                    IpAddr::V6(ip) => {
-                        to.put_u8(6);
-                        to.put_slice(&ip.octets());
-                    }
-                }
-                to.put_u16(record.address.port());
+                write_address(&record.address, to);
                 to.put_u64(record.life);
                 to.put_u32(record.count);
                 to.put_u8(record.name.len() as u8);
@@ -149,12 +165,7 @@
             3 => State::Gone,
             _ => return None,
         };
-        let ip: IpAddr = match from.try_get_u8().ok()? {
-            4 => Ipv4Addr::from(from.try_get_u32().ok()?).into(),
-            6 => Ipv6Addr::from(from.try_get_u128().ok()?).into(),
-            _ => return None,
-        };
-        let address = SocketAddr::new(ip, from.try_get_u16().ok()?);
+        let address = read_address(from)?;
         let (life, count): (Life, u32) = (from.try_get_u64().ok()?, from.try_get_u32().ok()?);
         let length = usize::from(from.try_get_u8().ok()?);
         if length == 0 || length > NAME || from.remaining() < length {
--- a/crates/view/tests/fleet/wire.rs
+++ b/crates/view/tests/fleet/wire.rs
@@ -1,15 +1,41 @@
 //! Bodies that no steward sent.
 
 use proptest::prelude::*;
-use ravenspar_view::{Kind, Settings, View, BODY};
+use ravenspar_view::show::{Page, Shown};
+use ravenspar_view::{Kind, Reach, Settings, State, View, BODY};
 
 use crate::common::{address, SECOND};
 
 fn kind() -> impl Strategy<Value = Kind> {
-    (3u8..=9).prop_map(|byte| Kind::read(byte).expect("a kind"))
+    (3u8..=11).prop_map(|byte| Kind::read(byte).expect("a kind"))
 }
 
 proptest! {
+    #[test]
+    fn a_page_reads_as_it_was_written(token: u32, index: u16, number: u32, digest: u64, flags in 0u8..16,
+        name in "[a-z]{1,32}", accusers in prop::collection::vec(any::<u64>(), 0..5), joined: u32, v6: bool) {
+        let ip: std::net::IpAddr = if v6 { [7; 16].into() } else { [127, 0, 0, 1].into() };
+        let state = [State::In, State::Left, State::Gone][usize::from(flags) % 3];
+        let member = Shown {
+            name, life: digest ^ 7, address: (ip, index).into(), state, shown: flags & 1 != 0,
+            since_ms: number ^ token, accusers, reach: Reach { joined, digest },
+            view: (flags & 2 != 0).then_some((number, digest)),
+        };
+        let page = Page {
+            token, index, names: index, number, digest, settled: flags & 4 != 0, cut_off: flags & 8 != 0,
+            member: (flags != 0).then_some(member),
+        };
+        prop_assert!(page.write().len() <= BODY);
+        prop_assert_eq!(Page::read(&page.write()), Some(page));
+    }
+
+    #[test]
+    fn any_page_is_read_or_passed_over(body in prop::collection::vec(any::<u8>(), 0..2 * BODY)) {
+        if let Some(page) = Page::read(&body) {
+            prop_assert!(page.member.is_none_or(|member| member.name.len() <= 32));
+        }
+    }
+
     #[test]
     fn any_body_is_passed_over_or_taken_in(bodies in prop::collection::vec(
         (kind(), prop::collection::vec(any::<u8>(), 0..2 * BODY)), 1..20)) {
