A server whose door is full is taken for neither dead nor ill

A server accepts 150 connections or a little more, proxies keep one for 15 s, and 2,400 proxies bring 12 new ones a second: past that connects fail. suspect() took that for a death (nine tenths of the tries fail, cores not busy) and moved the slices, all of whose proxies then opened connections elsewhere: the next door was full, and so on.

Ruled out: levels (0.9 on average), jams (util 0.3), one steward's own view (43 to 50 suspects at all five). Not looked at: the channel.

Now: where there are more proxies than connections accepted (both in the settings), a suspect is one at which nothing at all succeeds; and where the good reqs of the connections' idle time came from more proxies than that, failures make it not ill either.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -26,6 +26,9 @@
     granted: Time,
     tries: VecDeque<Tries>,
     suspect_until: Time,
+    /// Good tries that proxies may still keep a connection for, as of the last report.
+    kept: f64,
+    met_at: Time,
     /// It fails many reqs though it is neither late nor busy.
     ill: bool,
     /// The share of the reqs for its slices that is let in.
@@ -364,10 +367,13 @@
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         (self.news, self.heard) = (true, now);
         let late = took as f64 > 0.4 * self.target;
+        let idle = self.time("limits.idle_close_s").max(1) as f64;
         let entry = self.be(be);
         if late || util.is_some_and(|util| util >= 0.85) {
             entry.strained = now;
         }
+        (entry.kept, entry.met_at) =
+            (entry.kept * (-((now - entry.met_at) as f64) / idle).exp() + count - failed, now);
         // Some seconds of reports from every zone.
         keep(&mut entry.tries, Tries { at: now, count, failed, took, util }, 32);
     }
@@ -434,6 +440,13 @@
     /// A server at which nothing succeeds any more, though the list still shows it.
     fn suspect(&mut self, now: Time) {
         let span = self.span();
+        // A server accepts so many connections, and proxies keep one for a while after a req that went well. Where those
+        // reqs came from more proxies, the next fail at its door, whatever its cores do. A steward hears of its own
+        // slices; the others' are taken to bring as many.
+        let proxies = self.proxies.len().max(1) as f64;
+        let accepted = self.cfg.number("family_info.conns_least").unwrap_or(f64::INFINITY);
+        let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
+        let crowded = |kept: f64| proxies * (1.0 - (-kept * stewards / proxies).exp()) >= accepted;
         for be in &mut self.bes {
             let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < span).collect();
             let count = |of: &[&Tries]| of.iter().map(|t| t.count).sum::<f64>();
@@ -450,9 +463,14 @@
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or
             // late just before. Its level falls first; moving its slices would only jam the next one. Eight
             // tries make chance failures unlikely.
-            let told = recent.len() >= 2 && count(&recent) >= 8.0 && !be.jammed(now);
+            // Nor a full door: whoever has a connection is still served, and moved slices would bring a crowd to the next.
+            let full = be.jammed(now) || crowded(be.kept) && !failing(&recent, 1.0);
+            let told = recent.len() >= 2 && count(&recent) >= 8.0 && !full;
             be.ill = told && failing(&recent, 0.25);
-            if told && failing(&recent, 0.9) {
+            // Where more proxies come than a server accepts, a door may be full by other stewards' slices, unseen from
+            // here: then a death is that nothing at all succeeds.
+            let dead = if proxies > accepted { 1.0 } else { 0.9 };
+            if told && failing(&recent, dead) {
                 // As long as the list usually needs to notice a silent machine.
                 be.suspect_until = now + 15 * SECOND;
             }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -410,6 +410,28 @@
     assert!(steward.trusted(1, SECOND));
 }
 
+#[test]
+fn a_server_whose_door_is_full_is_taken_for_neither_dead_nor_ill() {
+    // 400 reqs went well in 20 s, each from a proxy that keeps its connection for 15 s; then of 100 tries two did.
+    let at = |proxies: usize, stewards: &str, accepted: &str, failed: f64| {
+        let mut steward = steward(1, 8, proxies);
+        steward.cfg.set("balancers", stewards);
+        steward.cfg.set("limits.idle_close_s", "15");
+        steward.cfg.set("family_info.conns_least", accepted);
+        (1..=20).for_each(|second| steward.traffic(second * SECOND, 0, 20.0, 0.0, SECOND / 10, Some(0.2)));
+        let now = 24 * SECOND;
+        (0..4).for_each(|_| steward.traffic(now, 0, 25.0, failed, SECOND / 10, Some(0.2)));
+        steward.suspect(now);
+        (!steward.trusted(0, now), steward.bes[0].ill)
+    };
+    assert_eq!(at(2_400, "1", "150", 24.5), (false, false));
+    assert_eq!(at(2_400, "1", "300", 24.5), (false, true), "others' slices may fill it: ill, but not dead");
+    assert_eq!(at(2_400, "1", "2400", 24.5), (true, true), "its door has room for all of them");
+    assert_eq!(at(2_400, "5", "300", 24.5), (false, false), "the other stewards' slices bring more");
+    assert_eq!(at(140, "1", "150", 24.5), (true, true), "no more proxies than it accepts");
+    assert_eq!(at(2_400, "1", "150", 25.0), (true, true), "nothing at all succeeds");
+}
+
 #[test]
 fn a_server_that_fails_a_part_at_once_keeps_its_level_and_gives_slices_away() {
     let mut steward = steward(3, 2, 1);
