--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,10 @@
+//! Days of the view of the fleet alone: stewards without servers or clients, faults between any two of them, and a judge
+//! of what crossed between them and what each showed.
+
+mod day;
+mod judge;
+mod play;
+mod ways;
+
+pub use day::FleetDay;
+pub use play::play;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `ravenspar-lab`: plays scripted days on loopback and judges what crossed the sockets.
 
 mod day;
+mod fleet;
 mod judge;
 mod listing;
 mod measure;
@@ -173,8 +174,25 @@
 }
 
 fn run_day(file: &Path, keep: Option<PathBuf>, seed: Option<u64>) -> Result<bool, Fault> {
+    if fleet::FleetDay::is_one(file) {
+        let mut day = fleet::FleetDay::load(file).map_err(Fault::Input)?;
+        day.seed = seed.unwrap_or(day.seed);
+        return in_folder(keep, |dir| {
+            let verdict = block_on(fleet::play(day, dir))??;
+            say(verdict.report());
+            Ok(verdict.kept())
+        });
+    }
     let mut day = Day::load(file).map_err(Fault::Input)?;
     day.seed = seed.unwrap_or(day.seed);
+    in_folder(keep, |dir| {
+        block_on(play::play(day, file, dir))??;
+        judge_dir(dir)
+    })
+}
+
+/// Hands over an empty folder: the one to keep, or one that is gone afterwards.
+fn in_folder(keep: Option<PathBuf>, play: impl FnOnce(&Path) -> Result<bool, Fault>) -> Result<bool, Fault> {
     let own;
     let dir = match &keep {
         Some(dir) => {
@@ -190,8 +208,7 @@
             own.path()
         }
     };
-    block_on(play::play(day, file, dir))??;
-    judge_dir(dir)
+    play(dir)
 }
 
 fn measure(forwarders: &[usize], slices: usize, servers: usize, hand_overs: bool) -> Result<bool, Fault> {
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -41,6 +41,9 @@
         /// Stand still at a point, for tests.
         #[arg(long, hide = true, conflicts_with = "halt")]
         pause: Option<Halt>,
+        /// Leave a part of the view of the fleet out, for tests of what judges it.
+        #[arg(long, hide = true)]
+        without: Vec<Without>,
     },
     /// Runs a steward on the platform, by the file that the variable RELAY_CONFIG names, until SIGTERM.
     Platform {
@@ -77,6 +80,13 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Without {
+    Observers,
+    Suspicion,
+    Comparison,
+}
+
 #[derive(Subcommand)]
 enum ListCommand {
     /// Takes a store that is another, or older, than the one last followed. The steward has to be stopped.
@@ -97,7 +107,9 @@
         return end(Err(Fault::Input(why)));
     }
     end(match cli.command {
-        Command::Serve { file, halt, pause } => start(&file, halt.or(pause.map(Halt::that_stands_still))),
+        Command::Serve { file, halt, pause, without } => {
+            start(&file, halt.or(pause.map(Halt::that_stands_still)), &without)
+        }
         Command::Platform { config } => platform(&config),
         Command::Check { file } => check(&file),
         Command::Members { file, json, watch, store } => show_members(&file, json, watch, store),
@@ -138,8 +150,17 @@
     })
 }
 
-fn start(file: &Path, halt: Option<Halt>) -> Result<(), Fault> {
-    let cfg = load(file)?;
+fn start(file: &Path, halt: Option<Halt>, without: &[Without]) -> Result<(), Fault> {
+    let mut cfg = load(file)?;
+    if let Some(fleet) = &mut cfg.fleet {
+        for part in without {
+            match part {
+                Without::Observers => fleet.switches.single_observer = true,
+                Without::Suspicion => fleet.switches.no_suspicion = true,
+                Without::Comparison => fleet.switches.no_comparison = true,
+            }
+        }
+    }
     runtime()?.block_on(serve(cfg, halt, |address| say(format_args!("listening on {address}"))))
 }
 
--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -81,7 +81,7 @@
     let own = socket.local_addr().map_err(|e| e.to_string())?;
     let address = cfg.address.unwrap_or(own);
     let mut with = ravenspar_view::Settings::new(&cfg.name, address, &cfg.peers);
-    (with.round, with.forget) = (cfg.round, cfg.forget);
+    (with.round, with.forget, with.switches) = (cfg.round, cfg.forget, cfg.switches);
     let now = clock.now();
     // Whole milliseconds of the wall clock; one that ran ahead before is caught up with by the others' word.
     let life = (now / 10).max(1) as u64;
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -17,6 +17,8 @@
 mod sharing;
 mod streams;
 
+pub use fleet::{ask as ask_fleet, Answer};
+
 /// Prints a line on standard output; that nobody reads it any more is no reason to stop.
 pub fn say(line: impl std::fmt::Display) {
     use std::io::Write as _;
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -144,6 +144,8 @@
     pub key: PathBuf,
     pub round: ravenspar_steward::Time,
     pub forget: ravenspar_steward::Time,
+    /// Of no setting: what a test leaves out.
+    pub switches: ravenspar_view::Switches,
 }
 
 /// A list of servers in a store.
@@ -302,6 +304,7 @@
         key: folder.join(text("fleet.key")),
         round,
         forget,
+        switches: ravenspar_view::Switches::default(),
     })
 }
 
--- a/crates/view/src/probe.rs
+++ b/crates/view/src/probe.rs
@@ -17,6 +17,10 @@
 pub struct Watched {
     /// Rounds in a row that it did not answer.
     pub strikes: u32,
+    /// The last rounds, the newest in the lowest bit: whether it answered.
+    pub history: u16,
+    /// How many of them there were.
+    pub rounds: u32,
     /// It answered words against it: so much more patience it gets.
     pub patience: u32,
     /// The number of the last word on it, and whether it accused.
@@ -57,23 +61,32 @@
         Some(probe.of)
     }
 
-    /// The round is over: strikes for those that did not answer. How many did, and how many did not.
-    pub fn end_round(&mut self) -> (usize, usize) {
-        let mut counts = (0, 0);
+    /// The round is over: strikes for those that did not answer.
+    pub fn end_round(&mut self) {
         for probe in std::mem::take(&mut self.under_way).into_values() {
             let watched = self.watched.entry(probe.of).or_default();
+            watched.history = watched.history << 1 | u16::from(probe.answered);
+            watched.rounds = (watched.rounds + 1).min(u16::BITS);
             if probe.answered {
-                counts.0 += 1;
                 if watched.strikes == 0 {
                     watched.patience = watched.patience.saturating_sub(u32::from(!watched.accuses));
                 }
                 watched.strikes = 0;
             } else {
-                counts.1 += 1;
                 watched.strikes = watched.strikes.saturating_add(1);
             }
         }
-        counts
+    }
+
+    /// Whether this member's own link is bad: of those that answer it at all, most probes go unanswered. The dead and
+    /// those behind a split answer nothing any more, so this tells a bad link from them; until then they are the newest
+    /// few rounds of sixteen.
+    pub fn is_bad_link(&self) -> bool {
+        let alive = self.watched.values().filter(|watched| watched.history != 0);
+        let (answered, rounds) = alive.fold((0, 0), |(answered, rounds), watched| {
+            (answered + watched.history.count_ones(), rounds + watched.rounds)
+        });
+        2 * answered < rounds
     }
 
     /// This member was not running: nothing can be made of what went unanswered meanwhile.
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -350,6 +350,13 @@
                 // One's own word comes back by others.
                 if word.by != self.me && self.table.word(now, word) {
                     self.spread.add(About::Word(word.of, word.by));
+                } else if self
+                    .table
+                    .get(word.of)
+                    .is_some_and(|entry| (entry.record.life, entry.record.count) > (word.life, word.count))
+                {
+                    // It was answered, and whoever says so has not heard of it: on a bad link once is not enough.
+                    self.spread.add(About::Record(word.of));
                 }
             }
         }
@@ -483,7 +490,8 @@
             .filter(|(of, _)| subjects.contains(of) || helped.contains(of))
             .map(|(of, watched)| (*of, watched.strikes >= STRIKES * (1 + watched.patience)))
             .collect();
-        for (of, silent) in watched {
+        let doubtful = self.probes.is_bad_link() && !self.cfg.switches.single_observer;
+        for (of, silent) in watched.into_iter().filter(|(_, silent)| !(*silent && doubtful)) {
             self.have_a_word(now, of, silent);
         }
     }
@@ -527,11 +535,13 @@
 
     /// Drops those that several say do not answer, more than say they do, and that had the time to say otherwise.
     fn judge(&mut self, now: Time) {
-        // Whoever hears from nobody can't tell whether it is the others that are lost.
-        if now - self.answered > CUT_OFF * self.cfg.round / 2 {
+        // Whoever hears from nobody can't tell whether it is the others that are lost. Nor can one on a bad link: what
+        // it holds for silence others hear answered.
+        let switches = self.cfg.switches;
+        let cut_off = now - self.answered > CUT_OFF * self.cfg.round / 2;
+        if cut_off || self.probes.is_bad_link() && !switches.single_observer {
             return;
         }
-        let switches = self.cfg.switches;
         let least = if switches.single_observer { 1 } else { 2 };
         let time = if switches.no_suspicion { 0 } else { ANSWER * self.cfg.round };
         let lost = |entry: &crate::Entry| {
--- a/crates/view/tests/fleet/main.rs
+++ b/crates/view/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod faults;
+mod measure;
 mod settles;
 mod switches;
 mod wire;
