--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -102,6 +102,18 @@
 
 impl Fleet {
     async fn start(&self, n: usize) -> Result<(), Fault> {
+        /// Tries to get a port that stays free until the steward binds it.
+        const TRIES: usize = 8;
+        for _ in 1..TRIES {
+            if self.try_start(n).await.is_ok() {
+                return Ok(());
+            }
+            self.ways.another_port(n)?;
+        }
+        self.try_start(n).await
+    }
+
+    async fn try_start(&self, n: usize) -> Result<(), Fault> {
         let (shown, own) = self.ways.of(n);
         let seeds = self.day.fleet.seeds.iter().map(|&seed| self.ways.of(seed).0);
         let peers: Vec<String> =
--- a/crates/lab/src/fleet/ways.rs
+++ b/crates/lab/src/fleet/ways.rs
@@ -91,6 +91,14 @@
         Ok(())
     }
 
+    /// Another port for the steward to listen at, where somebody else got the one before: it was free when it was chosen.
+    pub fn another_port(&self, n: usize) -> std::io::Result<()> {
+        let own = std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+        self.owners.borrow_mut().insert(own, n);
+        self.places.borrow_mut()[n].own = own;
+        Ok(())
+    }
+
     async fn carry(self: Rc<Ways>, to: usize, socket: &Rc<UdpSocket>) {
         let shown = socket.local_addr().ok();
         let mut buffer = [0; 512];
