A steward that reaches few of the forwarders that others reach gives its slices away

crates/sharing/src/useful.rs, pure: by what the view carries a steward judges itself, with hysteresis, and says in the store that it rests; whoever rests is dealt no slices, unless more than half do, as then it is the forwarders' network.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -41,6 +41,9 @@
     /// Where stewards send each other notes: the share of them that is lost.
     #[serde(default)]
     pub notes_lost: Option<f64>,
+    /// Whether stewards keep a view of the fleet among themselves.
+    #[serde(default)]
+    pub view: bool,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -27,6 +27,18 @@
     Failed(String),
 }
 
+/// Ports for the stewards' view, found free, and their key.
+fn view_ports(stewards: usize, dir: &Path) -> io::Result<Vec<std::net::SocketAddr>> {
+    use std::os::unix::fs::PermissionsExt as _;
+    let key = dir.join("fleet.key");
+    std::fs::write(&key, "a key for the view of stewards of a lab's day")?;
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600))?;
+    // Held until all are found, so that no two are the same.
+    let found: Vec<std::net::UdpSocket> =
+        (0..stewards).map(|_| std::net::UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    found.iter().map(std::net::UdpSocket::local_addr).collect()
+}
+
 impl From<io::Error> for Fault {
     fn from(error: io::Error) -> Fault {
         Fault::Failed(error.to_string())
@@ -45,6 +57,8 @@
     pub stewards: Vec<tokio::sync::Mutex<Option<Process>>>,
     pub store: Option<Store>,
     pub notes: Option<NotesWay>,
+    /// Where the stewards keep a view among themselves.
+    views: Vec<std::net::SocketAddr>,
     /// Each steward's way to the store.
     pub pipes: Vec<Rc<Pipe>>,
     pub clients: Rc<Clients>,
@@ -108,6 +122,7 @@
             Some(lost) => Some(NotesWay::start(targets.len(), lost, dir).await?),
             None => None,
         };
+        let views = if day.view && store.is_some() { view_ports(targets.len(), dir)? } else { Vec::new() };
         let timeout = |k: usize| {
             let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
             let text = kinds.and_then(|kind| kind.get("client_timeout")).and_then(|t| t.as_str());
@@ -146,6 +161,7 @@
             stewards: targets.iter().map(|_| tokio::sync::Mutex::new(None)).collect(),
             store,
             notes,
+            views,
             pipes,
             clients,
             targets,
@@ -196,6 +212,12 @@
             if let Some(notes) = &self.notes {
                 cfg["share"]["notes"] = notes.share(number);
             }
+            if let Some(at) = self.views.get(number) {
+                let peers: Vec<String> = self.views.iter().map(|at| at.to_string()).collect();
+                cfg["fleet"] = serde_json::json!({
+                    "name": name, "listen": at.to_string(), "key": "fleet.key", "peers": peers,
+                });
+            }
             std::fs::write(self.dir.join(format!("{name}.yaml")), serde_json::to_string_pretty(&cfg)?)?;
         }
         let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -53,6 +53,12 @@
     keeps_the_rules("stewards-killed");
 }
 
+/// A steward that the store reaches loses all forwarders and gives its slices away; when all lose them, nobody does.
+#[test]
+fn cut_from_forwarders() {
+    keeps_the_rules("cut-from-forwarders");
+}
+
 /// What the judge looks for there is there to be found: late lines at forwarders that ignore terms.
 #[test]
 fn stale_steward_is_judged_to_break_the_rules() {
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -247,7 +247,7 @@
             .map(|(life, member)| {
                 serde_json::json!({
                     "life": format!("{life:016x}"), "name": member.name, "address": member.address,
-                    "leaving": member.leaving, "slices": count(*life),
+                    "leaving": member.leaving, "resting": member.resting, "slices": count(*life),
                 })
             })
             .collect();
@@ -259,7 +259,11 @@
     }
     say(format_args!("{:<16}  {:<20}  {:<21}  {:>6}  state", "life", "name", "address", "slices"));
     for (life, member) in &said.members {
-        let state = if member.leaving { "leaving" } else { "in" };
+        let state = match (member.leaving, member.resting) {
+            (true, _) => "leaving",
+            (false, true) => "resting",
+            (false, false) => "in",
+        };
         let (name, address) = (&member.name, &member.address);
         say(format_args!("{life:016x}  {name:<20}  {address:<21}  {:>6}  {state}", count(*life)));
     }
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -188,8 +188,17 @@
         const EVERY: Time = ravenspar_steward::SECOND;
         let now = self.clock.now();
         if let Some(fleet) = self.door.fleet.as_ref().filter(|_| now >= self.reach_at) {
-            fleet.set_reach(ravenspar_view::Reach::of(self.host.joined()));
+            let reach = ravenspar_view::Reach::of(self.host.joined());
+            fleet.set_reach(reach);
             self.reach_at = now + EVERY;
+            let shown = fleet.shown.borrow();
+            // One that hears from nobody, or whose fleet is changing, knows too little of the others.
+            let known = shown.settled && !shown.cut_off;
+            let others = shown.reaches.clone();
+            drop(shown);
+            if known {
+                self.be_of_use(reach.joined, &others);
+            }
         }
     }
 
--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -31,6 +31,8 @@
     pub cut_off: bool,
     /// Names and lives, in order of names.
     pub members: Vec<(String, u64)>,
+    /// How many forwarders each of the others reaches, in no order that means anything.
+    pub reaches: Vec<u32>,
 }
 
 enum Command {
@@ -181,6 +183,7 @@
             settled: self.view.is_settled(now),
             cut_off: self.view.is_cut_off(now),
             members,
+            reaches: self.view.reaches().map(|reach| reach.joined).collect(),
         };
         self.shown.send_if_modified(|old| {
             if *old == new {
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -133,7 +133,13 @@
         }
         membership.renewed(sent);
         let notes = joining.office.as_ref().map_or(String::new(), |office| office.address.to_string());
-        let member = Member { name: share.name.clone(), address: address.to_owned(), notes, leaving: false };
+        let member = Member {
+            name: share.name.clone(),
+            address: address.to_owned(),
+            notes,
+            leaving: false,
+            resting: false,
+        };
         let joined = Hand::join(client, keys, number, &member).await;
         let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
         let hand = Arc::new(Mutex::new(hand));
@@ -264,8 +270,19 @@
 
     /// Says that it is leaving.
     pub fn say_leaving(&mut self) {
+        self.member.leaving = true;
+        self.say();
+    }
+
+    /// Says whether it is to be dealt slices.
+    pub fn say_resting(&mut self, resting: bool) {
+        self.member.resting = resting;
+        self.say();
+    }
+
+    fn say(&mut self) {
         let (hand, events) = (self.hand.clone(), self.events.clone());
-        let member = Member { leaving: true, ..self.member.clone() };
+        let member = self.member.clone();
         let task = tokio::spawn(async move {
             if let Err(Stop::Over(why)) = hand.lock().await.say(&member).await {
                 let _ = events.send(Event::Over(why)).await;
--- a/crates/ravenspar/src/shared/rows.rs
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -61,6 +61,9 @@
     #[serde(default)]
     pub notes: String,
     pub leaving: bool,
+    /// It reaches few of the forwarders that others reach: it is dealt no slices.
+    #[serde(default)]
+    pub resting: bool,
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -2,6 +2,7 @@
 
 use ravenspar_host::Charged;
 use ravenspar_notes::kind;
+use ravenspar_sharing::useful::{dealt_nothing, Useful};
 use ravenspar_sharing::Step;
 use ravenspar_steward::{Time, SECOND};
 
@@ -27,13 +28,27 @@
     pub arrived: Vec<Charged>,
     pub since: Time,
     pub away: bool,
+    /// Whether this steward reaches the forwarders that others reach.
+    useful: Useful,
+    resting: bool,
     /// How many members the store had at the last look.
     members: usize,
 }
 
 impl Shared {
     pub fn new(life: Life, seen: Option<(u64, u64)>) -> Shared {
-        Shared { life, seen, noted: 0, waits: None, arrived: Vec::new(), since: 0, away: false, members: 0 }
+        Shared {
+            life,
+            seen,
+            noted: 0,
+            waits: None,
+            arrived: Vec::new(),
+            since: 0,
+            away: false,
+            members: 0,
+            useful: Useful::default(),
+            resting: false,
+        }
     }
 }
 
@@ -69,7 +84,8 @@
                 }
                 shared.seen = Some((said.cluster, said.revision as u64));
                 said.charges.iter().for_each(|&(slice, life, term)| fleet.charge(slice, life, term));
-                let members: Vec<_> = said.members.iter().map(|(life, m)| (*life, m.leaving)).collect();
+                let members = said.members.iter().map(|(life, m)| (*life, m.leaving, m.resting));
+                let members = dealt_nothing(&members.collect::<Vec<_>>());
                 fleet.members(&members);
                 if members.len() < std::mem::replace(&mut shared.members, members.len()) {
                     shared.life.look_as_usual();
@@ -132,6 +148,18 @@
         }
     }
 
+    /// Says in the store whether this steward rests: it reaches so few of the forwarders that others reach that its slices
+    /// are better off with them.
+    pub fn be_of_use(&mut self, own: u32, others: &[u32]) {
+        let now = self.clock.now();
+        let Some(shared) = self.shared.as_mut() else { return };
+        let resting = shared.useful.look(now, own, others);
+        if resting != std::mem::replace(&mut shared.resting, resting) {
+            tracing::warn!(resting, own, ?others, "forwarders reached here and by the others");
+            shared.life.say_resting(resting);
+        }
+    }
+
     /// Another steward says that there is something to be looked at.
     fn hint(&mut self, kind: u8, number: u64) {
         let Some(shared) = &self.shared else { return };
--- a/crates/sharing/src/lib.rs
+++ b/crates/sharing/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 pub mod membership;
 pub mod shares;
+pub mod useful;
 
 pub use fleet::{Fleet, Step};
 
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -148,6 +148,15 @@
         self.shown.iter().map(move |(of, life)| (name(of), *life))
     }
 
+    /// What the others in the view said last that they reach.
+    pub fn reaches(&self) -> impl Iterator<Item = Reach> + '_ {
+        let others = self.shown.keys().filter(|of| **of != self.me);
+        others
+            .filter_map(|of| self.table.get(*of))
+            .filter(|entry| entry.view.is_some())
+            .map(|entry| entry.reach)
+    }
+
     /// The whole view and the member at a place among all that are known, the lost ones as well.
     pub fn page(&self, now: Time, ask: &Ask) -> Page {
         let member = self.table.entries.iter().nth(usize::from(ask.index)).map(|(of, entry)| Shown {
