--- a/crates/lab/src/fleet/judge.rs
+++ b/crates/lab/src/fleet/judge.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug)]
 pub struct Checkpoint {
     pub at: u64,
+    /// When the last fault before began or ended.
+    pub since: u64,
     pub parts: Vec<Vec<usize>>,
 }
 
@@ -78,6 +80,7 @@
     // V1: one view, the truth, at all that reach each other.
     let mut breaks = Vec::new();
     let mut parts = 0;
+    let mut times: Vec<f64> = Vec::new();
     for check in checkpoints {
         for part in &check.parts {
             let firm: Vec<usize> = part.iter().copied().filter(|n| !day.judge.loose.contains(n)).collect();
@@ -89,16 +92,28 @@
             let seen: Vec<(usize, Option<&Look>)> = firm.iter().map(|&n| (n, of(n))).collect();
             parts += 1;
             let loose = |shown: &str| day.judge.loose.iter().any(|&n| name(n) == shown);
+            let truth: Vec<String> = {
+                let mut truth: Vec<String> = firm.iter().map(|&n| name(n)).collect();
+                truth.sort();
+                truth
+            };
+            let names = |look: &Look| -> Vec<String> {
+                look.shown.keys().filter(|shown| !loose(shown)).cloned().collect()
+            };
+            // Until the last look of any of them at which it showed something else.
+            let within =
+                |look: &&Look| look.at >= check.since && look.at <= check.at && firm.contains(&look.of);
+            let late =
+                looks.iter().filter(within).filter(|look| names(look) != truth).map(|look| look.at).max();
+            if let Some(late) = late.filter(|_| firm.len() > 1) {
+                times.push(seconds(late - check.since));
+            }
             for (n, look) in &seen {
                 let Some(look) = look.filter(|look| look.at.abs_diff(check.at) < 5_000) else {
                     breaks.push(format!("{:.1} s: steward-{n} showed nothing", seconds(check.at)));
                     continue;
                 };
-                let mut shown: Vec<&str> =
-                    look.shown.keys().map(String::as_str).filter(|name| !loose(name)).collect();
-                let mut truth: Vec<String> = firm.iter().map(|&n| name(n)).collect();
-                truth.sort();
-                shown.sort_unstable();
+                let shown = names(look);
                 let alone = firm.len() == 1 && look.cut_off;
                 if shown != truth && !alone {
                     breaks.push(format!(
@@ -114,8 +129,11 @@
         }
     }
     let within = seconds(day.judge.settles_within.0 as u64 / 10);
-    let figure =
-        format!("{} moments, {parts} parts, {within} s after the last fault before", checkpoints.len());
+    let worst = times.iter().copied().fold(0.0, f64::max);
+    let figure = format!(
+        "{} moments, {parts} parts, {within} s after the last fault before; the slowest took {worst:.1} s",
+        checkpoints.len()
+    );
     verdict.rules.push(("V1 settles", figure, breaks));
 
     // V2: whom nothing befell stays, as the same life, with all whom nothing befell.
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -256,17 +256,17 @@
         for (at, step) in steps {
             if at > last + within {
                 self.wait_until(last + within).await;
-                self.check();
+                self.check(last);
             }
             self.wait_until(at).await;
             self.step(step).await?;
             last = self.ways.now();
         }
         self.wait_until(last + within).await;
-        self.check();
+        self.check(last);
         // What was settled stays so.
         sleep(LOOK * 20).await;
-        self.check();
+        self.check(last);
         Ok(self.ways.now())
     }
 
@@ -274,9 +274,9 @@
         sleep(Duration::from_millis(at.saturating_sub(self.ways.now()))).await;
     }
 
-    fn check(&self) {
+    fn check(&self, since: u64) {
         let parts = self.parts();
-        self.checkpoints.borrow_mut().push(Checkpoint { at: self.ways.now(), parts });
+        self.checkpoints.borrow_mut().push(Checkpoint { at: self.ways.now(), since, parts });
     }
 
     async fn step(self: &Rc<Fleet>, step: Step) -> Result<(), Fault> {
