--- a/crates/lab/src/measure_sharing.rs
+++ b/crates/lab/src/measure_sharing.rs
@@ -284,13 +284,7 @@
 
 /// What the settings of each say of a view that they keep among themselves.
 fn views(stewards: usize, dir: &std::path::Path) -> std::io::Result<Vec<String>> {
-    use std::os::unix::fs::PermissionsExt as _;
-    let key = dir.join("fleet.key");
-    std::fs::write(&key, "a key for the view of stewards that are measured")?;
-    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600))?;
-    let ports = (0..stewards).map(|_| std::net::UdpSocket::bind("127.0.0.1:0"));
-    let ports: Vec<std::net::UdpSocket> = ports.collect::<Result<_, _>>()?;
-    let at: Vec<_> = ports.iter().map(std::net::UdpSocket::local_addr).collect::<Result<_, _>>()?;
+    let at = crate::play::view_ports(stewards, dir)?;
     let one = |steward: usize| {
         let (own, first) = (at[steward], at[0]);
         format!("fleet: {{name: steward-{steward}, listen: \"{own}\", key: fleet.key, peers: [\"{first}\", \"{}\"]}}\n", at[1])
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -27,8 +27,8 @@
     Failed(String),
 }
 
-/// Ports for the stewards' view, found free, and their key.
-fn view_ports(stewards: usize, dir: &Path) -> io::Result<Vec<std::net::SocketAddr>> {
+/// Ports for the stewards' view, found free, and the file `fleet.key` with their key.
+pub fn view_ports(stewards: usize, dir: &Path) -> io::Result<Vec<std::net::SocketAddr>> {
     use std::os::unix::fs::PermissionsExt as _;
     let key = dir.join("fleet.key");
     std::fs::write(&key, "a key for the view of stewards of a lab's day")?;
