A member watched no more says nothing of one's own link; lives have an end

Found on reading the change. Whoever answered words against it stayed among the watched for good, with a history that stood still: some of those made is_bad_link true for ever, and the member would neither accuse nor drop again. A record of one's own name with the highest life, or a word with the highest count, overflowed: a panic in a debug build, in release a life of 0. An asker's number was drawn from its process's number, so a later process with the same one could be refused. ravenspar members of an address of IPv6 off loopback asked from a socket of IPv4.

Watched are subjects alone; lives above half the range are unreadable, sums saturate; askers draw their numbers; the page's count of names, which nobody read, is gone; what is left out at two bounds has gauges.

--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -218,6 +218,8 @@
             unsent = self.unsent,
             refused = self.inbox.refused,
             unreadable = figures.unreadable,
+            left_out = figures.left_out,
+            unhelped = figures.unhelped,
             news = figures.news,
             news_dropped = figures.news_dropped,
             comparisons = figures.comparisons,
@@ -236,16 +238,18 @@
 }
 
 /// Asks the steward at an address. Fails with what is wrong.
-pub async fn ask(at: SocketAddr, key: &std::path::Path, token: u32) -> Result<Answer, String> {
+pub async fn ask(at: SocketAddr, key: &std::path::Path) -> Result<Answer, String> {
     use ravenspar_view::show::{Ask, Page};
     /// An answer comes within a moment or is lost; a steward that runs a tenth of the time needs longer.
     const WITHIN: std::time::Duration = std::time::Duration::from_millis(300);
     const TRIES: usize = 10;
     let key = read_key(key)?;
-    let near: SocketAddr = if at.is_ipv4() { ([127, 0, 0, 1], 0).into() } else { ([0u16; 8], 0).into() };
-    let near = if at.ip().is_loopback() { near } else { SocketAddr::new([0, 0, 0, 0].into(), 0) };
+    let near: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
     let socket = UdpSocket::bind(near).await.map_err(|e| e.to_string())?;
-    let mut outbox = Outbox::new(&key, u64::from(token) << 32 | u64::from(std::process::id()));
+    // As no other asker's: the steward takes a count of a sender that it knows in once.
+    let mut chance = fastrand::Rng::new();
+    let (token, sender) = (chance.u32(..), chance.u64(..));
+    let mut outbox = Outbox::new(&key, sender);
     let mut inbox = Inbox::of_anybody(&key, 16);
     let (mut members, mut index) = (Vec::new(), 0);
     'pages: loop {
--- a/crates/view/src/show.rs
+++ b/crates/view/src/show.rs
@@ -23,8 +23,6 @@
 pub struct Page {
     pub token: u32,
     pub index: u16,
-    /// Names known, those of the lost included.
-    pub names: u16,
     pub number: u32,
     pub digest: u64,
     pub settled: bool,
@@ -74,7 +72,6 @@
         let mut body = Vec::new();
         body.put_u32(self.token);
         body.put_u16(self.index);
-        body.put_u16(self.names);
         body.put_u32(self.number);
         body.put_u64(self.digest);
         let member = self.member.as_ref();
@@ -104,14 +101,12 @@
 
     pub fn read(mut body: &[u8]) -> Option<Page> {
         let from = &mut body;
-        let (token, index, names) =
-            (from.try_get_u32().ok()?, from.try_get_u16().ok()?, from.try_get_u16().ok()?);
+        let (token, index) = (from.try_get_u32().ok()?, from.try_get_u16().ok()?);
         let (number, digest, flags) =
             (from.try_get_u32().ok()?, from.try_get_u64().ok()?, from.try_get_u8().ok()?);
         let mut page = Page {
             token,
             index,
-            names,
             number,
             digest,
             settled: flags & SETTLED != 0,
--- a/crates/view/src/table.rs
+++ b/crates/view/src/table.rs
@@ -60,8 +60,8 @@
     pub words: Vec<Word>,
     /// Since when there has been an accusation among them.
     pub accused: Option<Time>,
-    /// What it last said of itself: its view's digest and number, the forwarders it reaches, and when that was heard.
-    pub view: Option<(u64, u32)>,
+    /// What it last said of itself: its view's number and digest, the forwarders it reaches, and when that was heard.
+    pub view: Option<(u32, u64)>,
     pub reach: Reach,
     pub heard: Time,
     /// Since when its copy of the table has been another than this one's.
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -18,6 +18,9 @@
     pub sent: u64,
     pub sent_bytes: u64,
     pub unreadable: u64,
+    /// Datagrams that were left out and probes for others that were not made, at their bounds.
+    pub left_out: u64,
+    pub unhelped: u64,
     /// News that wait, and those that gave way at the bound.
     pub news: usize,
     pub news_dropped: u64,
@@ -170,13 +173,12 @@
             reach: entry.reach,
             view: match *of == self.me {
                 true => Some((self.number, self.digest)),
-                false => entry.view.map(|(digest, number)| (number, digest)),
+                false => entry.view,
             },
         });
         Page {
             token: ask.token,
             index: ask.index,
-            names: self.table.entries.len().min(usize::from(u16::MAX)) as u16,
             number: self.number,
             digest: self.digest,
             settled: self.is_settled(now),
@@ -207,7 +209,7 @@
         let same = |entry: &crate::Entry| {
             let heard = entry.view.filter(|_| now - entry.heard <= lately);
             match heard {
-                Some((digest, _)) => digest == self.digest,
+                Some((_, digest)) => digest == self.digest,
                 None => self.table.members > 32,
             }
         };
@@ -422,7 +424,7 @@
         self.last_life = now;
         self.figures.lives += 1;
         let name = self.cfg.name.clone();
-        let life = self.life() + 1;
+        let life = self.life().saturating_add(1);
         self.table.merge(
             now,
             &Record { id: self.me, name, address: self.cfg.address, life, count: 0, state: State::In },
@@ -436,7 +438,7 @@
     fn accused(&mut self, now: Time, word: &Word) {
         let Some(own) = self.table.get(self.me).map(|entry| entry.record.clone()) else { return };
         if word.accuses && own.state == State::In && (word.life, word.count) == (own.life, own.count) {
-            self.table.merge(now, &Record { count: own.count + 1, ..own });
+            self.table.merge(now, &Record { count: own.count.saturating_add(1), ..own });
             self.spread.add(About::Record(self.me));
         }
     }
@@ -446,7 +448,7 @@
         if let Some(entry) =
             self.table.entries.get_mut(&said.from).filter(|entry| entry.record.life == said.life)
         {
-            (entry.view, entry.reach, entry.heard) = (Some((said.view, said.number)), said.reach, now);
+            (entry.view, entry.reach, entry.heard) = (Some((said.number, said.view)), said.reach, now);
         }
     }
 
@@ -476,6 +478,7 @@
         self.probes.helped.retain(|_, helped| helped.until > now);
         let Some(address) = self.table.get(of).map(|entry| entry.record.address) else { return };
         if self.probes.helped.len() >= HELPED {
+            self.figures.unhelped += 1;
             return;
         }
         let own = self.next_seq();
@@ -489,14 +492,12 @@
         self.probes.end_round();
         let subjects = self.subjects();
         let helped: Vec<Id> = self.helping();
-        self.probes
-            .watched
-            .retain(|of, watched| subjects.contains(of) || helped.contains(of) || watched.patience > 0);
+        // Whoever is not looked at any more has a history that stands still, which says nothing of one's own link.
+        self.probes.watched.retain(|of, _| subjects.contains(of) || helped.contains(of));
         let watched: Vec<(Id, bool)> = self
             .probes
             .watched
             .iter()
-            .filter(|(of, _)| subjects.contains(of) || helped.contains(of))
             .map(|(of, watched)| (*of, watched.strikes >= STRIKES * (1 + watched.patience)))
             .collect();
         let doubtful = self.probes.is_bad_link() && !self.cfg.switches.single_observer;
@@ -764,7 +765,7 @@
         let shown: BTreeMap<Id, Life> =
             self.table.members().map(|(of, entry)| (of, entry.record.life)).collect();
         if shown != self.shown {
-            let said = self.table.members().filter_map(|(_, entry)| entry.view.map(|(_, number)| number));
+            let said = self.table.members().filter_map(|(_, entry)| entry.view.map(|(number, _)| number));
             self.number = said.max().unwrap_or(0).max(self.number) + 1;
             self.figures.changes += 1;
             self.shown = shown;
@@ -830,6 +831,8 @@
     fn send(&mut self, to: SocketAddr, kind: Kind, body: Vec<u8>) {
         if self.out.len() < OUT {
             self.out.push_back(Send { to, kind, body });
+        } else {
+            self.figures.left_out += 1;
         }
     }
 }
@@ -839,3 +842,21 @@
     *body = rest;
     Some(bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::probe::Watched;
+
+    #[test]
+    fn whoever_is_watched_no_more_says_nothing_of_ones_own_link() {
+        let at: SocketAddr = ([127, 0, 0, 1], 9).into();
+        let mut view = View::new(0, 1, 1, Settings::new("a", at, &[]));
+        // It answered once of sixteen rounds, and has been gone since.
+        let past = Watched { history: 1, rounds: 16, patience: 3, ..Watched::default() };
+        view.probes.watched.insert(id("b"), past);
+        assert!(view.probes.is_bad_link());
+        view.handle_timeout(view.round_at);
+        assert!(!view.probes.is_bad_link());
+    }
+}
--- a/crates/view/src/wire.rs
+++ b/crates/view/src/wire.rs
@@ -110,6 +110,9 @@
     Word(Word),
 }
 
+/// Lives begin at milliseconds of the wall clock and go up by ones: none comes near. Guards those that follow on it.
+const MOST_LIFE: Life = Life::MAX / 2;
+
 const WORD: u8 = 16;
 const ACCUSES: u8 = 17;
 /// Bytes of a word.
@@ -167,6 +170,9 @@
         };
         let address = read_address(from)?;
         let (life, count): (Life, u32) = (from.try_get_u64().ok()?, from.try_get_u32().ok()?);
+        if life > MOST_LIFE {
+            return None;
+        }
         let length = usize::from(from.try_get_u8().ok()?);
         if length == 0 || length > NAME || from.remaining() < length {
             return None;
--- a/crates/view/tests/fleet/wire.rs
+++ b/crates/view/tests/fleet/wire.rs
@@ -10,6 +10,27 @@
     (3u8..=11).prop_map(|byte| Kind::read(byte).expect("a kind"))
 }
 
+/// News of one record, as another steward would send it.
+fn record(name: &str, life: u64, count: u32, state: u8) -> Vec<u8> {
+    let mut body = vec![state, 4, 127, 0, 0, 1, 0, 9];
+    body.extend(life.to_be_bytes());
+    body.extend(count.to_be_bytes());
+    body.push(name.len() as u8);
+    body.extend(name.as_bytes());
+    body
+}
+
+#[test]
+fn lives_and_counts_at_their_ends_stop_nobody() {
+    for (life, count, state) in [(u64::MAX, 0, 1), (u64::MAX / 2, u32::MAX, 3), (1, u32::MAX, 1), (1, 0, 3)] {
+        let mut view = View::new(SECOND, 1, 1, Settings::new("a", address(0), &[]));
+        view.handle(SECOND, address(1), Kind::Gossip, &record("a", life, count, state));
+        (1..60).for_each(|second| view.handle_timeout(second * SECOND));
+        assert_eq!(view.names().map(|(name, _)| name).collect::<Vec<_>>(), ["a"], "{life} {count} {state}");
+        assert!(view.life() == 1 || view.life() == 2 || view.life() == u64::MAX / 2 + 1);
+    }
+}
+
 proptest! {
     #[test]
     fn a_page_reads_as_it_was_written(token: u32, index: u16, number: u32, digest: u64, flags in 0u8..16,
@@ -22,7 +43,7 @@
             view: (flags & 2 != 0).then_some((number, digest)),
         };
         let page = Page {
-            token, index, names: index, number, digest, settled: flags & 4 != 0, cut_off: flags & 8 != 0,
+            token, index, number, digest, settled: flags & 4 != 0, cut_off: flags & 8 != 0,
             member: (flags != 0).then_some(member),
         };
         prop_assert!(page.write().len() <= BODY);
