Whether the fleet is known is part of the pure rule for a steward of no use

The core decided that an unsettled view says nothing, and time in it counted towards resting: three seconds of which two were a split would have done. The rule takes none where the others are not known, and starts its wait over; a test of its own.

fleet.listen at all addresses without fleet.address told others an address that nobody reaches: now refused, with its place.

--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -192,13 +192,9 @@
             fleet.set_reach(reach);
             self.reach_at = now + EVERY;
             let shown = fleet.shown.borrow();
-            // One that hears from nobody, or whose fleet is changing, knows too little of the others.
-            let known = shown.settled && !shown.cut_off;
-            let others = shown.reaches.clone();
+            let others = shown.settled.then(|| shown.reaches.clone());
             drop(shown);
-            if known {
-                self.be_of_use(reach.joined, &others);
-            }
+            self.be_of_use(reach.joined, others.as_deref());
         }
     }
 
--- a/crates/ravenspar/src/members.rs
+++ b/crates/ravenspar/src/members.rs
@@ -15,11 +15,9 @@
 pub async fn show(fleet: &Fleet, json: bool, watch: bool) -> Result<(), String> {
     let at = fleet.address.unwrap_or(fleet.listen);
     let mut last = String::new();
-    let mut token = std::process::id();
     loop {
-        token = token.wrapping_add(1);
         // What is compared leaves out that time goes on.
-        let (text, still) = match ask(at, &fleet.key, token).await {
+        let (text, still) = match ask(at, &fleet.key).await {
             Ok(mut answer) => {
                 let text = if json { as_json(&answer).to_string() } else { as_table(&answer) };
                 answer.members.iter_mut().for_each(|member| member.since_ms = 0);
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -290,6 +290,11 @@
         let what = format!("fleet.name: expected at most {} bytes", ravenspar_view::NAME);
         faults.push((line, column, what));
     }
+    let listen: std::net::SocketAddr = text("fleet.listen").parse().ok()?;
+    if listen.ip().is_unspecified() && text("fleet.address").is_empty() {
+        let what = format!("fleet.address: missing, expected where others reach {listen}");
+        faults.push((line, column, what));
+    }
     let time = |name: &str| (text(name).parse::<f64>().unwrap_or(0.0) * 10_000.0).round() as i64;
     let (round, forget) = (time("fleet.round"), time("fleet.forget"));
     // Below it answers over a network of some milliseconds come too late, above it nobody is dropped within a minute.
@@ -298,7 +303,7 @@
     }
     Some(Fleet {
         name: text("fleet.name").to_owned(),
-        listen: text("fleet.listen").parse().ok()?,
+        listen,
         address: text("fleet.address").parse().ok(),
         peers: text("fleet.peers").lines().filter_map(|peer| peer.parse().ok()).collect(),
         key: folder.join(text("fleet.key")),
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -150,7 +150,7 @@
 
     /// Says in the store whether this steward rests: it reaches so few of the forwarders that others reach that its slices
     /// are better off with them.
-    pub fn be_of_use(&mut self, own: u32, others: &[u32]) {
+    pub fn be_of_use(&mut self, own: u32, others: Option<&[u32]>) {
         let now = self.clock.now();
         let Some(shared) = self.shared.as_mut() else { return };
         let resting = shared.useful.look(now, own, others);
--- a/crates/ravenspar/tests/fleet.rs
+++ b/crates/ravenspar/tests/fleet.rs
@@ -156,6 +156,10 @@
             format!(":{line}:78: fleet.peers: 127.0.0.1: expected an address"),
         ),
         ("fleet: {name: a, listen: \"127.0.0.1:7946\", key: k, round: 1ms}", "fleet.round: expected".to_owned()),
+        (
+            "fleet: {name: a, listen: \"0.0.0.0:7946\", key: k}",
+            format!(":{line}:1: fleet.address: missing, expected where others reach 0.0.0.0:7946"),
+        ),
         ("fleet: {name: a, listen: \"127.0.0.1:7946\", key: k, port: 1}", "fleet.port: unknown setting".to_owned()),
     ] {
         std::fs::write(dir.settings(), format!("{base}{fleet}\n")).expect("written");
--- a/crates/sharing/src/useful.rs
+++ b/crates/sharing/src/useful.rs
@@ -21,8 +21,14 @@
     /// It is back after this long: some times longer, so that a link that comes and goes moves slices once.
     const WELL: Time = 100_000;
 
-    /// How many forwarders this steward reaches, and each of the others. Returns whether it rests.
-    pub fn look(&mut self, now: Time, own: u32, others: &[u32]) -> bool {
+    /// How many forwarders this steward reaches, and each of the others: none where it is not known who they are, as the
+    /// view is changing or nobody answers. Returns whether it rests.
+    pub fn look(&mut self, now: Time, own: u32, others: Option<&[u32]>) -> bool {
+        let Some(others) = others else {
+            // What was seen before it may have had its reason in the same fault.
+            self.since = None;
+            return self.resting;
+        };
         let mut others = others.to_vec();
         others.sort_unstable();
         // What half of the others or more reach: a single one that says more than is true moves nobody.
@@ -68,35 +74,45 @@
     #[test]
     fn one_that_reaches_less_than_half_rests_after_a_while_and_is_back_after_a_longer_one() {
         let mut useful = Useful::default();
-        assert!(!useful.look(0, 4, &[10, 10, 9]));
-        assert!(!useful.look(2 * SECOND, 4, &[10, 10, 9]));
-        assert!(useful.look(3 * SECOND, 4, &[10, 10, 9]));
+        assert!(!useful.look(0, 4, Some(&[10, 10, 9])));
+        assert!(!useful.look(2 * SECOND, 4, Some(&[10, 10, 9])));
+        assert!(useful.look(3 * SECOND, 4, Some(&[10, 10, 9])));
         assert!(
-            useful.look(20 * SECOND, 6, &[10, 10, 9]),
+            useful.look(20 * SECOND, 6, Some(&[10, 10, 9])),
             "between half and three quarters it stays as it is"
         );
-        assert!(useful.look(21 * SECOND, 8, &[10, 10, 9]));
-        assert!(useful.look(25 * SECOND, 6, &[10, 10, 9]), "it was well for a moment only");
-        assert!(useful.look(26 * SECOND, 8, &[10, 10, 9]));
-        assert!(!useful.look(36 * SECOND, 8, &[10, 10, 9]));
+        assert!(useful.look(21 * SECOND, 8, Some(&[10, 10, 9])));
+        assert!(useful.look(25 * SECOND, 6, Some(&[10, 10, 9])), "it was well for a moment only");
+        assert!(useful.look(26 * SECOND, 8, Some(&[10, 10, 9])));
+        assert!(!useful.look(36 * SECOND, 8, Some(&[10, 10, 9])));
     }
 
     #[test]
     fn a_fault_that_befalls_all_and_a_single_boast_rest_nobody() {
         let mut useful = Useful::default();
         for second in 0..60 {
-            assert!(!useful.look(second * SECOND, 0, &[0, 0, 0, 0]));
-            assert!(!useful.look(second * SECOND, 10, &[10, 10, 4_000_000_000]));
-            assert!(!useful.look(second * SECOND, 0, &[]));
+            assert!(!useful.look(second * SECOND, 0, Some(&[0, 0, 0, 0])));
+            assert!(!useful.look(second * SECOND, 10, Some(&[10, 10, 4_000_000_000])));
+            assert!(!useful.look(second * SECOND, 0, Some(&[])));
         }
     }
 
+    #[test]
+    fn time_in_which_the_fleet_is_not_known_does_not_count() {
+        let mut useful = Useful::default();
+        assert!(!useful.look(0, 0, Some(&[10, 10])));
+        assert!(!useful.look(2 * SECOND, 0, None));
+        assert!(!useful.look(4 * SECOND, 0, Some(&[10, 10])));
+        assert!(useful.look(7 * SECOND, 0, Some(&[10, 10])));
+        assert!(useful.look(60 * SECOND, 10, None), "it rests until it is known to be well");
+    }
+
     #[test]
     fn a_moment_is_no_reason() {
         let mut useful = Useful::default();
         for second in 0..60 {
             // Every other second its forwarders are gone.
-            assert!(!useful.look(second * SECOND, if second % 2 == 0 { 0 } else { 10 }, &[10, 10]));
+            assert!(!useful.look(second * SECOND, if second % 2 == 0 { 0 } else { 10 }, Some(&[10, 10])));
         }
     }
 
