The explorer with a view that lies as a test of its own

The issue asks for it: each steward is told of any members, at any time, that they rest, each something else; slices move that need not, and none gets two writers.

--- a/crates/sharing/tests/explore.rs
+++ b/crates/sharing/tests/explore.rs
@@ -11,6 +11,7 @@
 use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
+use ravenspar_sharing::useful::{dealt_nothing, Standing};
 use ravenspar_sharing::{Fleet, Life, Step};
 
 const STEWARDS: usize = 3;
@@ -77,6 +78,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     without: Without,
+    /// Hints lie: each steward is told of any members, at any time, that they rest.
+    lies: bool,
     members: BTreeSet<usize>,
     revision: u64,
     charge: [(usize, u64); SLICES],
@@ -93,6 +96,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Event {
     Look(usize),
+    /// The same, with a bit for each member that is said to rest.
+    Believe(usize, usize),
     Act(usize),
     Store(usize),
     Hear(usize),
@@ -131,6 +136,7 @@
         let held = |slice| Held { term: 1, steward: in_charge[slice], owner: Some(0), left: None };
         World {
             without,
+            lies: false,
             members: (0..STEWARDS).collect(),
             revision: 1,
             charge: std::array::from_fn(|slice| (in_charge[slice], 1)),
@@ -196,7 +202,11 @@
                 // What was asked for may be carried out however long its steward is gone.
                 Some((_, None)) => events.push(Event::Store(s)),
                 Some((_, Some(_))) if !steward.over => events.push(Event::Hear(s)),
-                None if !steward.over => events.extend([Event::Look(s), Event::Act(s)]),
+                None if !steward.over => {
+                    events.extend([Event::Look(s), Event::Act(s)]);
+                    let lies = (1..1 << STEWARDS).filter(|_| self.lies);
+                    events.extend(lies.map(|resting| Event::Believe(s, resting)));
+                }
                 _ => {}
             }
             for slice in 0..SLICES {
@@ -253,8 +263,16 @@
 
     fn happen(&mut self, event: &Event) {
         match *event {
-            Event::Look(s) => {
-                let members: Vec<(Life, bool)> = self.members.iter().map(|&m| (life(m), false)).collect();
+            Event::Look(_) | Event::Believe(..) => {
+                let (s, resting) = match *event {
+                    Event::Believe(s, resting) => (s, resting),
+                    Event::Look(s) => (s, 0),
+                    _ => return,
+                };
+                let rests = |m: usize| resting >> m & 1 == 1;
+                let members: Vec<Standing> =
+                    self.members.iter().map(|&m| (life(m), false, rests(m))).collect();
+                let members = dealt_nothing(&members);
                 let fleet = &mut self.stewards[s].fleet;
                 for (slice, (steward, term)) in self.charge.iter().enumerate() {
                     fleet.charge(slice, life(*steward), *term);
@@ -493,15 +511,14 @@
 
 /// Long ways at random; the way to the first bad state, if one is met.
 fn walk(
-    without: Without,
+    start: impl Fn([usize; SLICES]) -> World,
     walks: impl Iterator<Item = u64>,
     steps: usize,
     seen: &mut HashSet<u64>,
 ) -> Option<(u64, Vec<Event>)> {
     for seed in walks {
         let mut chance = fastrand::Rng::with_seed(seed);
-        let (mut world, mut way) =
-            (World::new(without, if seed % 2 == 0 { EVEN } else { FIRST }), Vec::new());
+        let (mut world, mut way) = (start(if seed % 2 == 0 { EVEN } else { FIRST }), Vec::new());
         for _ in 0..steps {
             let events = world.events();
             if events.is_empty() {
@@ -549,11 +566,33 @@
 fn no_long_way_gives_a_slice_two_writers() {
     let (began, mut seen) = (Instant::now(), HashSet::new());
     let walks = setting("WALKS", 3_000);
-    let bad = walk(Without::Nothing, 0..walks, 120, &mut seen);
+    let bad = walk(|charge| World::new(Without::Nothing, charge), 0..walks, 120, &mut seen);
     assert!(bad.is_none(), "two writers by seed and way {bad:?}");
     println!("{walks} walks: {} states in {:.1} s", seen.len(), began.elapsed().as_secs_f64());
 }
 
+fn lying(charge: [usize; SLICES]) -> World {
+    World { lies: true, ..World::new(Without::Nothing, charge) }
+}
+
+/// A view that lies makes stewards look whenever it likes and say of themselves what isn't so, each told something else:
+/// slices move that need not, and still none has two writers.
+#[test]
+fn no_view_that_lies_gives_a_slice_two_writers() {
+    let (began, mut seen) = (Instant::now(), HashSet::new());
+    let depth = setting("DEPTH", 5) as usize - 1;
+    let bad = explore(&lying(EVEN), depth, &mut seen);
+    assert!(bad.is_none(), "two writers by {bad:?}");
+    let walks = setting("WALKS", 3_000);
+    let bad = walk(lying, 0..walks, 120, &mut seen);
+    assert!(bad.is_none(), "two writers by seed and way {bad:?}");
+    println!("depth {depth}, {walks} walks: {} states in {:.1} s", seen.len(), began.elapsed().as_secs_f64());
+    // The lies do something: shares that are even are given away.
+    let mut told = lying(EVEN);
+    [Event::Believe(0, 1), Event::Act(0), Event::Store(0)].iter().for_each(|event| told.happen(event));
+    assert_ne!(told.charge[0].0, 0);
+}
+
 /// For each safeguard left out, the seed that finds two writers first.
 const FOUND: [(Without, u64); 4] = [
     (Without::Terms, 2635),
@@ -570,7 +609,7 @@
         let (began, mut seen) = (Instant::now(), HashSet::new());
         // The seed that found it first of all, or a search for it.
         let walks = if setting("SEARCH", 0) > 0 { 0..setting("SEARCH", 0) } else { found..found + 1 };
-        let found = walk(without, walks, 120, &mut seen);
+        let found = walk(|charge| World::new(without, charge), walks, 120, &mut seen);
         let Some((seed, way)) = found else {
             println!("{without:?}: nothing found");
             missed += 1;
