One mechanism for faults between processes; hints on the view's socket; stewards counted by it

Need: datagrams between stewards, streams to the store and streams of forwarders each went through a relay of their own in the lab, the latter two only whole and in both directions; hints had a socket beside the view's; the decisions divided by the settings' number of stewards whatever the fleet was.

Change: lab/src/ways is the one place for faults: between any two ends, each direction by itself, cut, closed, lost, doubled, late, slow, for datagrams and streams; relay.rs, pipe.rs and notes_way.rs are gone. LOOK and LIST travel in the view's datagrams to whoever the view shows; share.notes is refused with what to write instead. sharing::counted (pure) follows the view's number where the store says the same for 15 s, within half and twice the settings'; the module is untouched, its settings may hold a number that changes.

A gain by the count was not measured.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -38,12 +38,12 @@
     pub pauses: Vec<Pause>,
     /// Between what happens to a server and what the list says of it.
     pub notice: Span,
-    /// Where stewards send each other notes: the share of them that is lost.
-    #[serde(default)]
-    pub notes_lost: Option<f64>,
     /// Whether stewards keep a view of the fleet among themselves.
     #[serde(default)]
     pub view: bool,
+    /// What befalls each datagram between them.
+    #[serde(default)]
+    pub datagrams: How,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
@@ -121,6 +121,66 @@
     pub work: BTreeMap<String, Span>,
 }
 
+/// How a way is in one direction.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct How {
+    /// Nothing passes; streams stay open and silent.
+    #[serde(default)]
+    pub cut: bool,
+    /// Nothing passes; streams end, and new ones find nobody.
+    #[serde(default)]
+    pub closed: bool,
+    /// The share that is lost; of a stream that comes again, later.
+    #[serde(default)]
+    pub lost: f64,
+    /// The share of datagrams that come twice.
+    #[serde(default)]
+    pub doubled: f64,
+    /// Each is up to so much later; datagrams get out of order by it.
+    #[serde(default)]
+    pub late: Span,
+    /// What passes at most.
+    #[serde(default)]
+    pub bytes_per_s: Option<u32>,
+}
+
+impl How {
+    fn check(&self) -> Result<(), String> {
+        let share = |of: f64| (0.0..=1.0).contains(&of);
+        match share(self.lost) && share(self.doubled) && self.bytes_per_s != Some(0) {
+            true => Ok(()),
+            false => Err("lost and doubled: expected shares from 0 to 1, bytes_per_s: 1 or more".to_owned()),
+        }
+    }
+}
+
+/// Some ends of ways: `store`, `stewards`, `forwarders`, or one of them as `steward-2`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ends {
+    Store,
+    Stewards(Option<usize>),
+    Forwarders(Option<usize>),
+}
+
+impl<'de> Deserialize<'de> for Ends {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Ends, D::Error> {
+        let text = String::deserialize(from)?;
+        let number = |prefix: &str| text.strip_prefix(prefix).and_then(|number| number.parse().ok());
+        match text.as_str() {
+            "store" => return Ok(Ends::Store),
+            "stewards" => return Ok(Ends::Stewards(None)),
+            "forwarders" => return Ok(Ends::Forwarders(None)),
+            _ => {}
+        }
+        let one = number("steward-").map(|n| Ends::Stewards(Some(n)));
+        one.or_else(|| number("forwarder-").map(|n| Ends::Forwarders(Some(n)))).ok_or_else(|| {
+            let what = "expected store, stewards, forwarders, steward-N or forwarder-N";
+            serde::de::Error::custom(format!("{text}: {what}"))
+        })
+    }
+}
+
 /// One piece of trouble: when, what, on which part of the fleet. Targets are drawn from the day's seed.
 #[derive(Clone, Debug)]
 pub struct Trouble {
@@ -227,6 +287,8 @@
     },
     /// Forwarders reach one steward alone.
     OneStewardOnly { forwarders: usize, lasts: Span },
+    /// Ways from these to those, this direction alone.
+    Way { from: Vec<Ends>, to: Vec<Ends>, how: How, lasts: Span },
     /// What a steward sends is held up on the way, and arrives when that ends.
     HoldSteward { steward: usize, lasts: Span },
     /// The store answers nobody, and goes on with what it held.
@@ -291,6 +353,19 @@
         {
             return Err("clients.shares and servers.speeds: expected numbers above 0".to_owned());
         }
+        self.datagrams.check().map_err(|what| format!("datagrams: {what}"))?;
+        for trouble in &self.troubles {
+            let What::Way { from, to, how, .. } = &trouble.what else { continue };
+            how.check()?;
+            let known = |ends: &Ends| match *ends {
+                Ends::Stewards(Some(n)) => n < self.stewards(),
+                Ends::Forwarders(Some(n)) => n < self.forwarders.count,
+                _ => true,
+            };
+            if let Some(end) = from.iter().chain(to).find(|end| !known(end)) {
+                return Err(format!("way: {end:?}: there is none of this number"));
+            }
+        }
         if let Some(kind) = self.clients.shares.keys().find(|kind| !self.clients.work.contains_key(*kind)) {
             return Err(format!("clients.work: {kind} is missing"));
         }
--- a/crates/lab/src/fleet/day.rs
+++ b/crates/lab/src/fleet/day.rs
@@ -38,7 +38,7 @@
     pub without: Vec<String>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
     /// V1: from the last fault to one view at all that reach each other.
--- a/crates/lab/src/fleet/judge.rs
+++ b/crates/lab/src/fleet/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::day::FleetDay;
-use super::ways::Crossed;
+use crate::ways::Crossed;
 
 /// What a steward showed at a moment.
 #[derive(Clone, Debug)]
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,8 +3,9 @@
 
 mod day;
 mod judge;
+mod measure;
 mod play;
-mod ways;
 
 pub use day::FleetDay;
+pub use measure::measure;
 pub use play::play;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -17,8 +17,8 @@
 use tokio::task::spawn_local;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::play::Fault;
 use crate::processes::Process;
+use crate::stage::Fault;
 
 /// What a forwarder has been told, and when things reached it.
 #[derive(Default)]
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -57,7 +57,7 @@
     /// Sends a signal by name.
     pub async fn signal(&self, name: &str) {
         if let Some(id) = self.child.id() {
-            let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status().await;
+            send(id, name).await;
         }
     }
 
@@ -74,3 +74,8 @@
         }
     }
 }
+
+/// Sends a signal by name to one of the day's own processes.
+pub async fn send(id: u32, name: &str) {
+    let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status().await;
+}
--- /dev/null
+++ b/crates/lab/src/stage.rs
@@ -0,0 +1,350 @@
+//! The stage of a day: all processes, servers, clients, and the ways between them.
+
+use std::cell::{Cell, RefCell};
+use std::ffi::OsString;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use ravenspar::settings;
+use ravenspar_protocol::{codec, MOST_DOWN};
+use ravenspar_standin::capture::hex;
+use ravenspar_standin::clients::{Clients, Kind, Load};
+use ravenspar_standin::server::{Model, Server};
+use ravenspar_standin::store::Store;
+use ravenspar_standin::{duration, Capture, Clock, Event, SECOND};
+use tokio_util::codec::BytesCodec;
+
+use crate::day::Day;
+use crate::judge::Rules;
+use crate::listing::Listing;
+use crate::processes::Process;
+use crate::ways::{make_key, Datagrams, End, Seen, Streams, Way, Ways};
+
+/// Why a day could not be played, and whether that is bad input.
+pub enum Fault {
+    Input(String),
+    Failed(String),
+}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Fault {
+        Fault::Failed(error.to_string())
+    }
+}
+
+pub struct Fleet {
+    pub day: Day,
+    pub dir: PathBuf,
+    pub capture: Capture,
+    pub servers: RefCell<Vec<Rc<Server>>>,
+    pub listing: Listing,
+    pub ways: Rc<Ways>,
+    /// Of forwarders to stewards, by forwarder and steward.
+    pub relays: Vec<Vec<Rc<Streams>>>,
+    pub forwarders: Vec<tokio::sync::Mutex<Option<Process>>>,
+    pub stewards: Vec<tokio::sync::Mutex<Option<Process>>>,
+    pub store: Option<Store>,
+    /// Where the stewards keep a view among themselves.
+    datagrams: Option<Rc<Datagrams>>,
+    /// Each steward's streams to the store.
+    pipes: Vec<Rc<Streams>>,
+    pub clients: Rc<Clients>,
+    pub chance: RefCell<fastrand::Rng>,
+    targets: Vec<Rc<Cell<Option<std::net::SocketAddr>>>>,
+}
+
+/// Writes the steward's settings into the folder and reads them as the steward will.
+pub fn settle(day: &Day, file: &Path, dir: &Path) -> Result<(settings::Checked, Rules), Fault> {
+    let mut cfg = day.steward.clone();
+    let Some(map) = cfg.as_object_mut() else {
+        return Err(Fault::Input(format!("{}:1:1: steward: expected a map of settings", file.display())));
+    };
+    map.insert("listen".to_owned(), "127.0.0.1:0".into());
+    map.insert("record".to_owned(), "steward.redb".into());
+    map.insert("list".to_owned(), serde_json::json!({ "path": "servers.yaml" }));
+    map.insert("forwarders".to_owned(), day.forwarders.count.into());
+    map.insert("seed".to_owned(), day.seed.into());
+    if map.get("store").is_some_and(|store| store == "etcd") {
+        let share = map.entry("share").or_insert_with(|| serde_json::json!({}));
+        // Each steward gets its own way to the store when it is started.
+        share["endpoints"] = serde_json::json!(["http://127.0.0.1:1"]);
+    }
+    let path = dir.join("steward.yaml");
+    // JSON is YAML.
+    std::fs::write(&path, serde_json::to_string_pretty(&cfg).map_err(|e| Fault::Failed(e.to_string()))?)?;
+    rules(dir).map_err(|what| Fault::Input(format!("{}: steward: {what}", file.display())))
+}
+
+/// The settings and rules of a kept day.
+pub fn rules(dir: &Path) -> Result<(settings::Checked, Rules), String> {
+    let cfg = settings::load(&dir.join("steward.yaml")).map_err(|faults| faults.to_string())?;
+    let rules = Rules::new(&cfg.map).ok_or("the settings lack a figure of the rules")?;
+    Ok((cfg, rules))
+}
+
+impl Fleet {
+    pub async fn start(day: Day, dir: &Path, rules: &Rules) -> Result<Rc<Fleet>, Fault> {
+        let clock = Clock::default();
+        let capture = Capture::create(&dir.join("capture.jsonl"), clock)?;
+        let targets: Vec<_> = (0..day.stewards()).map(|_| Rc::new(Cell::new(None))).collect();
+        let usual = Way {
+            loss: day.datagrams.lost,
+            doubled: day.datagrams.doubled,
+            late: duration(day.datagrams.late.0),
+            ..Way::default()
+        };
+        let ways = Ways::new(day.seed, usual);
+        let mut relays = Vec::new();
+        for forwarder in 0..day.forwarders.count {
+            let mut own = Vec::new();
+            for (steward, target) in targets.iter().enumerate() {
+                let ends = (End::Forwarder(forwarder), End::Steward(steward));
+                let watch = captured(&capture, steward);
+                own.push(Streams::listen(&ways, ends, target.clone(), || codec(MOST_DOWN), watch).await?);
+            }
+            relays.push(own);
+        }
+        let shared = day.steward.get("store").is_some_and(|store| store == "etcd");
+        let store = shared.then(|| Store::new(day.seed | 1));
+        let mut pipes = Vec::new();
+        if let Some(store) = &store {
+            let address = Rc::new(Cell::new(Some(store.listen().await?)));
+            for steward in 0..targets.len() {
+                let ends = (End::Steward(steward), End::Store);
+                pipes.push(
+                    Streams::listen(&ways, ends, address.clone(), BytesCodec::new, Rc::new(|_, _| ()))
+                        .await?,
+                );
+            }
+        }
+        let mut datagrams = None;
+        if day.view && store.is_some() {
+            make_key(dir)?;
+            datagrams = Some(Datagrams::open(&ways, targets.len(), false).await?);
+        }
+        let timeout = |k: usize| {
+            let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
+            let text = kinds.and_then(|kind| kind.get("client_timeout")).and_then(|t| t.as_str());
+            text.and_then(ravenspar::yaml::seconds).map_or(SECOND, |s| (s * SECOND as f64) as i64)
+        };
+        let replayable = |k: usize| {
+            let kinds = day.steward.get("kinds").and_then(|kinds| kinds.get(k));
+            kinds.and_then(|kind| kind.get("repeats")).is_some_and(|repeats| repeats == "replayable")
+        };
+        let kind = |(k, kind): (usize, &crate::judge::Kind)| Kind {
+            share: day.clients.shares.get(&kind.name).copied().unwrap_or(0.0),
+            work: day.clients.work.get(&kind.name).map_or(0.0, |work| work.0 as f64 / SECOND as f64),
+            client_timeout: timeout(k),
+            replayable: replayable(k),
+        };
+        let load = Load {
+            rate: day.clients.rate,
+            kinds: rules.kinds.iter().enumerate().map(kind).collect(),
+            keys: day.clients.keys.max(1),
+            skew: day.clients.skew,
+            retries: day.clients.retries,
+            retry_after: day.clients.retry_after.0,
+            seed: day.seed ^ 0x5eed,
+        };
+        let clients = Clients::new(load, day.forwarders.count, capture.clone());
+        let listing = Listing::new(dir.join("servers.yaml"), capture.clone());
+        let fleet = Rc::new(Fleet {
+            forwarders: (0..day.forwarders.count).map(|_| tokio::sync::Mutex::new(None)).collect(),
+            chance: RefCell::new(fastrand::Rng::with_seed(day.seed)),
+            day,
+            dir: dir.to_owned(),
+            capture,
+            servers: RefCell::default(),
+            listing,
+            relays,
+            stewards: targets.iter().map(|_| tokio::sync::Mutex::new(None)).collect(),
+            store,
+            ways,
+            datagrams,
+            pipes,
+            clients,
+            targets,
+        });
+        for _ in 0..fleet.day.servers.count {
+            let server = fleet.new_server().await?;
+            fleet.listing.show(&server, "ready");
+        }
+        for number in 0..fleet.stewards.len() {
+            fleet.start_steward(number).await?;
+        }
+        for number in 0..fleet.day.forwarders.count {
+            fleet.start_forwarder(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// The next server, up and warm.
+    pub async fn new_server(&self) -> io::Result<Rc<Server>> {
+        let place = self.servers.borrow().len();
+        let (servers, zones) = (&self.day.servers, &self.day.servers.zones);
+        let model = Model {
+            cores: servers.cores,
+            speed: servers.speeds[place % servers.speeds.len()],
+            queue: servers.queue,
+            connections: servers.connections,
+            cold_from: servers.cold_from,
+            cold_for: servers.cold_for.0,
+            fall_multiple: servers.fall_multiple,
+            fall_for: servers.fall_for.0,
+        };
+        let zone = &zones[place % zones.len()];
+        let seed = self.day.seed.wrapping_mul(31).wrapping_add(place as u64);
+        let server = Server::start(&format!("plan-{place}"), zone, model, seed, self.capture.clone()).await?;
+        self.servers.borrow_mut().push(server.clone());
+        Ok(server)
+    }
+
+    pub async fn start_steward(&self, number: usize) -> io::Result<()> {
+        let mut place = self.stewards[number].lock().await;
+        let name = if self.stewards.len() > 1 { format!("steward-{number}") } else { "steward".to_owned() };
+        if let Some(pipe) = self.pipes.get(number) {
+            let text = std::fs::read_to_string(self.dir.join("steward.yaml"))?;
+            let mut cfg: serde_json::Value = serde_json::from_str(&text)?;
+            cfg["record"] = format!("{name}.redb").into();
+            cfg["share"]["name"] = name.clone().into();
+            cfg["share"]["endpoints"] = serde_json::json!([format!("http://{}", pipe.address)]);
+            if let Some(datagrams) = &self.datagrams {
+                cfg["fleet"] = datagrams.settings(number);
+            }
+            std::fs::write(self.dir.join(format!("{name}.yaml")), serde_json::to_string_pretty(&cfg)?)?;
+        }
+        let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
+        let path = self.dir.join(format!("{name}.yaml"));
+        let mut args: Vec<OsString> = args.into_iter().chain([path.into_os_string()]).collect();
+        // At its first start alone: a pause is met once.
+        let pause = self.day.pauses.iter().find(|pause| pause.steward == number);
+        if let Some(pause) = pause.filter(|_| !self.dir.join(format!("{name}.log")).exists()) {
+            args.extend(["--pause".into(), OsString::from(&pause.at)]);
+        }
+        let process = Process::start(args, &self.dir.join(format!("{name}.log"))).await?;
+        self.targets[number].set(Some(process.address));
+        *place = Some(process);
+        self.note_steward(number, "started");
+        Ok(())
+    }
+
+    pub fn note_steward(&self, number: usize, state: &str) {
+        self.capture.note(|at| Event::Steward { at, number, state: state.to_owned() });
+    }
+
+    pub async fn kill_steward(&self, number: usize) {
+        self.targets[number].set(None);
+        if let Some(mut process) = self.stewards[number].lock().await.take() {
+            process.kill().await;
+        }
+        self.note_steward(number, "killed");
+    }
+
+    /// Asks a steward to end in order, and waits for it.
+    pub async fn end_steward(&self, number: usize) -> Option<i32> {
+        let process = self.stewards[number].lock().await.take();
+        let code = match process {
+            Some(mut process) => process.end().await,
+            None => Some(0),
+        };
+        self.targets[number].set(None);
+        self.note_steward(number, "ended");
+        code
+    }
+
+    pub async fn start_forwarder(&self, number: usize) -> io::Result<()> {
+        let mut place = self.forwarders[number].lock().await;
+        let day = &self.day;
+        let zones = &day.servers.zones;
+        let usual = day.clients.rate / day.forwarders.count as f64;
+        let mut args = vec![
+            "forwarder".to_owned(),
+            format!("--number={number}"),
+            format!("--zone={}", zones[number % zones.len()]),
+            format!("--seed={}", day.seed.wrapping_add(number as u64)),
+            format!("--usual={usual}"),
+            format!("--stall-us={}", day.forwarders.stall_us),
+            format!("--away-after={}", day.forwarders.away_after),
+            format!("--away-for-ms={}", day.forwarders.away_for.0 / 10),
+        ];
+        args.extend(self.relays[number].iter().map(|relay| format!("--steward={}", relay.address)));
+        if day.forwarders.ignore_terms.contains(&number) {
+            args.push("--ignores-terms".to_owned());
+        }
+        if day.forwarders.liars.contains(&number) {
+            args.push("--lies".to_owned());
+        }
+        if let Some(stops) = day.forwarders.stops.as_ref().filter(|stops| stops.forwarder == number) {
+            args.push(format!("--stop-at={}", stops.write));
+        }
+        let args = args.into_iter().map(OsString::from).collect();
+        let process = Process::start(args, &self.dir.join(format!("forwarder-{number}.log"))).await?;
+        self.clients.forwarder_at(number, process.address);
+        *place = Some(process);
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: "started".to_owned() });
+        Ok(())
+    }
+
+    pub async fn kill_forwarder(&self, number: usize) {
+        if let Some(mut process) = self.forwarders[number].lock().await.take() {
+            process.kill().await;
+        }
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: "killed".to_owned() });
+    }
+
+    pub async fn signal_forwarder(&self, number: usize, signal: &str, state: &str) {
+        if let Some(process) = self.forwarders[number].lock().await.as_ref() {
+            process.signal(signal).await;
+        }
+        self.capture.note(|at| Event::Forwarder { at, number: number as u64, state: state.to_owned() });
+    }
+
+    pub async fn signal_steward(&self, number: usize, signal: &str, state: &str) {
+        if let Some(process) = self.stewards[number].lock().await.as_ref() {
+            process.signal(signal).await;
+        }
+        self.note_steward(number, state);
+    }
+
+    /// Waits until forwarders answer a req for every slice, or says that they never did.
+    pub async fn warm_up(&self, checked: &settings::Checked) -> Result<(), Fault> {
+        let slices = checked.map.number("family_info.ranges").unwrap_or(0.0) as u64;
+        let lease = checked.map.time("family_info.write_lease_s").unwrap_or(SECOND);
+        let settle = checked.map.time("family_info.settle_s").unwrap_or(SECOND);
+        let most = self.capture.now() + 4 * (lease + settle) + 20 * SECOND;
+        let writing =
+            checked.map.text("family_info.mutating").unwrap_or("").split(',').position(|flag| flag == "true");
+        for slice in 0..slices {
+            for door in 0..self.day.forwarders.count {
+                while !self.clients.probe(door, slice, writing.unwrap_or(0)).await {
+                    if self.capture.now() > most {
+                        return Err(Fault::Failed(format!(
+                            "slice {slice} was never served by forwarder {door}"
+                        )));
+                    }
+                    for steward in &self.stewards {
+                        if steward.lock().await.as_mut().is_none_or(Process::ended) {
+                            return Err(Fault::Failed("a steward ended, see its log".to_owned()));
+                        }
+                    }
+                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes down what crosses between a forwarder and a steward.
+fn captured(capture: &Capture, steward: usize) -> Rc<dyn Fn(u64, Seen)> {
+    let capture = capture.clone();
+    Rc::new(move |stream, seen| match seen {
+        Seen::Opened => capture.note(|at| Event::Opened { at, stream, steward }),
+        Seen::Piece { up, bytes } => {
+            let body = hex(bytes);
+            capture.note(|at| Event::Frame { at, stream, down: !up, body });
+        }
+        Seen::Shut => capture.note(|at| Event::Shut { at, stream }),
+    })
+}
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -37,6 +37,12 @@
     keeps_the_rules("killed-steward");
 }
 
+/// Ways that are bad in one direction alone: to and from the store, forwarders and other stewards.
+#[test]
+fn lost_answers() {
+    keeps_the_rules("lost-answers");
+}
+
 /// Three stewards killed, paused, cut off and revived at random.
 #[test]
 fn stewards_killed() {
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -9,7 +9,7 @@
 use ravenspar_steward::{Scope, Time};
 use tokio::sync::mpsc;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Heard};
 use crate::halt::{Halt, Point};
 use crate::list::{self, News};
 use crate::recorder::{Batch, Recorder};
@@ -54,7 +54,7 @@
     pub next: u64,
     pub ran: Ran,
     /// Names and lives in the view, as last looked at.
-    members: Vec<(String, u64)>,
+    pub members: Vec<(String, u64)>,
     /// When the others are told next which forwarders are joined.
     reach_at: Time,
 }
@@ -67,19 +67,12 @@
     }
 }
 
-/// Names whose life the view shows no more, once it has changed; none ever without one.
-async fn went(fleet: &mut Option<Fleet>, known: &mut Vec<(String, u64)>) -> Vec<String> {
-    let Some(fleet) = fleet else { return std::future::pending().await };
-    if fleet.shown.changed().await.is_err() {
-        return std::future::pending().await;
-    }
-    let shown = fleet.shown.borrow_and_update().clone();
-    // One that hears from nobody knows nothing of who is gone.
-    if shown.cut_off {
-        return Vec::new();
+/// What is heard of the fleet next; never anything without a view.
+async fn heard(fleet: &mut Option<Fleet>) -> Heard {
+    match fleet {
+        Some(fleet) => fleet.heard().await,
+        None => std::future::pending().await,
     }
-    let before = std::mem::replace(known, shown.members);
-    before.into_iter().filter(|member| !known.contains(member)).map(|(name, _)| name).collect()
 }
 
 impl<'a> Core<'a> {
@@ -120,9 +113,6 @@
             refused = self.ran.refused,
             "ending"
         );
-        if let Some(post) = self.shared.as_ref().and_then(|shared| shared.life.post.as_ref()) {
-            tracing::info!(refused = post.inbox.refused, "notes");
-        }
         let streams = std::mem::take(&mut self.streams);
         if matches!(end, Ok(End::Over(_))) {
             // Not a line that was decided in this life may arrive any more.
@@ -149,7 +139,10 @@
                 }
                 Some(news) = self.door.list.recv() => self.news(news).await,
                 said = next(&mut self.shared) => event = Some(said),
-                went = went(&mut self.door.fleet, &mut self.members) => self.view_changed(&went),
+                heard = heard(&mut self.door.fleet) => match heard {
+                    Heard::Shown => self.view_changed(),
+                    Heard::Hint(kind, number) => self.hint(kind, number),
+                },
                 () = self.recorder.changed() => {}
                 () = tokio::time::sleep_until(wake) => {}
             }
@@ -193,8 +186,10 @@
             self.reach_at = now + EVERY;
             let shown = fleet.shown.borrow();
             let others = shown.settled.then(|| shown.reaches.clone());
+            let members = shown.settled.then_some(shown.members.len());
             drop(shown);
             self.be_of_use(reach.joined, others.as_deref());
+            self.count_stewards(members);
         }
     }
 
@@ -254,9 +249,7 @@
                 }
                 self.host.list_end(Scope::Whole);
                 self.door.rows = rows;
-                if let Some(shared) = &mut self.shared {
-                    shared.life.tell(kind::LIST, 0);
-                }
+                self.give_hint(kind::LIST, 0);
             }
             News::Followed(kept) => self.door.kept.write(Batch::Followed(kept)).await,
             News::Failed(why) => {
--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -1,9 +1,10 @@
 //! The view of the fleet on a socket: one task that owns it, and says what it shows.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use ravenspar_net::Clock;
-use ravenspar_notes::{Inbox, Outbox, LENGTH};
+use ravenspar_notes::{kind, Inbox, Outbox, LENGTH};
 use ravenspar_steward::{Time, SECOND};
 use ravenspar_view::{Figures, Kind, Reach, View};
 use tokio::net::UdpSocket;
@@ -11,7 +12,6 @@
 use tokio::time::Instant;
 
 use crate::settings;
-use crate::shared::read_key;
 
 /// Senders told apart: as many as may come and go in a fleet of some hundred within an hour.
 const SENDERS: usize = 4_096;
@@ -22,6 +22,29 @@
 /// Commands that may wait: they are few, and whoever sends one waits.
 const COMMANDS: usize = 16;
 
+/// Hints to others that are told at once of a change; more stewards than that don't share one fleet.
+const HINTED: usize = 64;
+
+/// Hints taken in that wait for the core: each says no more than that a look is worth while, and one of each kind would do.
+const HINTS: usize = 16;
+
+/// A key that others than its owner may read is no key.
+pub fn read_key(path: &Path) -> Result<Vec<u8>, String> {
+    use std::os::unix::fs::PermissionsExt as _;
+    /// As long as the hash, RFC 2104.
+    const LEAST: usize = 32;
+    let shown = path.display();
+    let meta = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?;
+    if meta.permissions().mode() & 0o077 != 0 {
+        return Err(format!("{shown}: others may read it, expected mode 0600"));
+    }
+    let key = std::fs::read(path).map_err(|e| format!("{shown}: {e}"))?;
+    match key.len() >= LEAST {
+        true => Ok(key),
+        false => Err(format!("{shown}: {} bytes, expected {LEAST} or more", key.len())),
+    }
+}
+
 /// What the view shows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shown {
@@ -37,14 +60,23 @@
 
 enum Command {
     Reach(Reach),
+    Hint(u8, u64),
     Leave(oneshot::Sender<()>),
 }
 
+/// What the core hears of the fleet.
+pub enum Heard {
+    /// The view is another, or what is said of it.
+    Shown,
+    /// Another steward's hint, of a kind with a number.
+    Hint(u8, u64),
+}
+
 /// The task's handle.
-#[derive(Clone)]
 pub struct Fleet {
     commands: mpsc::Sender<Command>,
     pub shown: watch::Receiver<Shown>,
+    hints: mpsc::Receiver<(u8, u64)>,
 }
 
 impl Fleet {
@@ -53,6 +85,20 @@
         let _ = self.commands.try_send(Command::Reach(reach));
     }
 
+    /// Gives all others in the view a hint; left out where the task is behind, as a hint may be lost anyway.
+    pub fn hint(&self, kind: u8, number: u64) {
+        let _ = self.commands.try_send(Command::Hint(kind, number));
+    }
+
+    /// What is heard next; never, once the task has ended.
+    pub async fn heard(&mut self) -> Heard {
+        tokio::select! {
+            Ok(()) = self.shown.changed() => Heard::Shown,
+            Some((kind, number)) = self.hints.recv() => Heard::Hint(kind, number),
+            else => std::future::pending().await,
+        }
+    }
+
     /// Says to the others that this steward leaves. Returns once that is on its way.
     pub async fn leave(&self) {
         let (done, left) = oneshot::channel();
@@ -70,6 +116,9 @@
     outbox: Outbox,
     commands: mpsc::Receiver<Command>,
     shown: watch::Sender<Shown>,
+    hints: mpsc::Sender<(u8, u64)>,
+    /// Hints sent, taken in, and dropped as the core was behind.
+    hinted: [u64; 3],
     /// Datagrams that the system did not take.
     unsent: u64,
     status_at: Time,
@@ -90,16 +139,19 @@
     let view = View::new(now, life, seed, with);
     let (to_task, commands) = mpsc::channel(COMMANDS);
     let (shown, seen) = watch::channel(Shown::default());
+    let (to_core, hints) = mpsc::channel(HINTS);
     // Drawn anew at each start, so that counts need no memory.
     let sender = seed ^ (now as u64).rotate_left(32) ^ u64::from(std::process::id());
     let mut task = Task {
         clock,
         socket,
         view,
-        inbox: Inbox::of_anybody(&key, SENDERS),
+        inbox: Inbox::new(&key, SENDERS),
         outbox: Outbox::new(&key, sender),
         commands,
         shown,
+        hints: to_core,
+        hinted: [0; 3],
         unsent: 0,
         status_at: now + STATUS,
         told: Figures::default(),
@@ -107,7 +159,7 @@
     tracing::info!(listen = %own, %address, name = %cfg.name, life, "in the fleet");
     task.tell();
     tokio::spawn(async move { task.run().await });
-    Ok(Fleet { commands: to_task, shown: seen })
+    Ok(Fleet { commands: to_task, shown: seen, hints })
 }
 
 impl Task {
@@ -137,6 +189,7 @@
                 command = self.commands.recv() => match command {
                     None => return,
                     Some(Command::Reach(reach)) => self.view.set_reach(reach),
+                    Some(Command::Hint(kind, number)) => self.hint(kind, number),
                     Some(Command::Leave(done)) => {
                         self.view.leave(self.clock.now());
                         self.send();
@@ -154,14 +207,27 @@
 
     fn take(&mut self, now: Time, from: SocketAddr, datagram: &[u8]) {
         match self.inbox.open(datagram) {
-            Ok(opened) => match Kind::read(opened.kind) {
-                Some(kind) => self.view.handle(now, from, kind, opened.body),
-                None => tracing::trace!(%from, kind = opened.kind, "a datagram of a kind that is not known"),
+            Ok(opened) => match (Kind::read(opened.kind), opened.kind, opened.number()) {
+                (Some(kind), ..) => self.view.handle(now, from, kind, opened.body),
+                (None, kind @ (kind::LOOK | kind::LIST), Some(number)) => {
+                    let taken = self.hints.try_send((kind, number)).is_ok();
+                    self.hinted[if taken { 1 } else { 2 }] += 1;
+                }
+                _ => tracing::trace!(%from, kind = opened.kind, "a datagram of a kind that is not known"),
             },
             Err(why) => tracing::debug!(%from, ?why, "a datagram is not taken in"),
         }
     }
 
+    /// To all others in the view, each once.
+    fn hint(&mut self, kind: u8, number: u64) {
+        let datagram = self.outbox.note(kind, number);
+        for to in self.view.addresses().take(HINTED) {
+            self.hinted[0] += 1;
+            self.unsent += u64::from(self.socket.try_send_to(&datagram, to).is_err());
+        }
+    }
+
     fn send(&mut self) {
         while let Some(send) = self.view.poll() {
             let datagram = self.outbox.seal(send.kind as u8, &send.body);
@@ -222,6 +288,7 @@
             unhelped = figures.unhelped,
             news = figures.news,
             news_dropped = figures.news_dropped,
+            hints = ?self.hinted,
             comparisons = figures.comparisons,
             lives = figures.lives,
             stalls = figures.stalls,
@@ -238,7 +305,7 @@
 }
 
 /// Asks the steward at an address. Fails with what is wrong.
-pub async fn ask(at: SocketAddr, key: &std::path::Path) -> Result<Answer, String> {
+pub async fn ask(at: SocketAddr, key: &Path) -> Result<Answer, String> {
     use ravenspar_view::show::{Ask, Page};
     /// An answer comes within a moment or is lost; a steward that runs a tenth of the time needs longer.
     const WITHIN: std::time::Duration = std::time::Duration::from_millis(300);
@@ -250,7 +317,7 @@
     let mut chance = fastrand::Rng::new();
     let (token, sender) = (chance.u32(..), chance.u64(..));
     let mut outbox = Outbox::new(&key, sender);
-    let mut inbox = Inbox::of_anybody(&key, 16);
+    let mut inbox = Inbox::new(&key, 16);
     let (mut members, mut index) = (Vec::new(), 0);
     'pages: loop {
         for _ in 0..TRIES {
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -6,7 +6,8 @@
 use ravenspar_host::{Host, Server};
 use ravenspar_list::Stop;
 use ravenspar_record::{Record, ServerRow, SliceRow};
-use ravenspar_steward::{Health, Time};
+use ravenspar_sharing::counted::Counted;
+use ravenspar_steward::{Health, Live, Time};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -18,7 +19,7 @@
 use crate::list_store::Stored;
 use crate::recorder::{Batch, Recorder};
 use crate::settings::Checked;
-use crate::shared::{Joining, Keys, Life, Office, Snapshot};
+use crate::shared::{Joining, Keys, Life, Snapshot};
 use crate::sharing::Shared;
 use ravenspar_net::Clock;
 
@@ -49,6 +50,8 @@
     pub halt: Option<Halt>,
     /// The view of the fleet, if there is one.
     pub fleet: Option<Fleet>,
+    /// How many stewards the decisions go by, where the view says it.
+    pub counted: Option<(Counted, Live)>,
     /// The list last seen.
     pub rows: Vec<ServerRow>,
 }
@@ -63,7 +66,7 @@
 
 /// Serves until SIGTERM or SIGINT. `listening` is told the address.
 pub async fn serve(
-    cfg: Checked,
+    mut cfg: Checked,
     halt: Option<Halt>,
     listening: impl FnOnce(SocketAddr),
 ) -> Result<(), Fault> {
@@ -103,6 +106,12 @@
             )
         }
     };
+    let counted = cfg.fleet.as_ref().and(cfg.share.as_ref()).map(|_| {
+        let planned = cfg.map.number("balancers").unwrap_or(1.0);
+        let live = Live::new(planned);
+        cfg.map.set_live("balancers", live.clone());
+        (Counted::new(planned as usize), live)
+    });
     let mut door = Door {
         clock,
         listener,
@@ -114,6 +123,7 @@
         most: cfg.map.number("family_info.proxy_count").unwrap_or(0.0) as usize * 2 + 16,
         halt,
         fleet,
+        counted,
         rows: kept.servers,
     };
     let served = match &cfg.share {
@@ -166,12 +176,7 @@
     let client = ravenspar_etcd::Client::new(&share.endpoints, share.call_within, chance.u64(..));
     let client = std::sync::Arc::new(client.map_err(Fault::Input)?);
     let keys = Keys::new(&share.prefix);
-    let office = match &share.notes {
-        Some(notes) => Some(Office::open(notes).await.map_err(Fault::Input)?),
-        None => None,
-    };
     let joining = Joining {
-        office,
         client: client.clone(),
         keys: keys.clone(),
         clock: door.clock,
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -64,9 +64,6 @@
     own("share.prefix", Form::Text, Some("/ravenspar/")),
     own("share.member_lease", Form::Time, Some("3s")),
     own("share.call_within", Form::Time, Some("1s")),
-    own("share.notes.listen", Form::Text, Some("")),
-    own("share.notes.address", Form::Text, Some("")),
-    own("share.notes.key", Form::Text, Some("")),
     own("fleet.name", Form::Text, Some("")),
     own("fleet.listen", Form::Address, Some("")),
     own("fleet.address", Form::Address, Some("")),
@@ -165,17 +162,6 @@
     /// Whole seconds, as the store has them.
     pub member_lease: i64,
     pub call_within: std::time::Duration,
-    pub notes: Option<Notes>,
-}
-
-/// How notes to other stewards travel.
-#[derive(Clone, Debug)]
-pub struct Notes {
-    pub listen: std::net::SocketAddr,
-    /// Where others reach it; none: where it listens.
-    pub address: Option<std::net::SocketAddr>,
-    /// The file with the key that all stewards have.
-    pub key: PathBuf,
 }
 
 /// Reads and checks a file. Relative paths in it count from its folder.
@@ -195,7 +181,7 @@
             format!("listen: {listen}: expected an address and a port"),
         ));
     }
-    let share = share(&own, &mut check_faults, &tree, folder);
+    let share = share(&own, &mut check_faults, &tree);
     let fleet = fleet(&own, &mut check_faults, &tree, folder);
     let list_store = list_store(&own, &mut check_faults, &tree);
     let checked = Checked {
@@ -318,7 +304,6 @@
     own: &impl Fn(&str) -> Option<&'a str>,
     faults: &mut Vec<(u64, u64, String)>,
     tree: &Placed,
-    folder: &Path,
 ) -> Option<Share> {
     if own("store") != Some("etcd") {
         return None;
@@ -331,29 +316,12 @@
         let what = format!("share.member_lease: {lease}s: expected whole seconds");
         faults.push((tree.line, tree.column, what));
     }
-    let mut address = |name: &str| {
-        let text = text(name);
-        let address = text.parse::<std::net::SocketAddr>().ok();
-        if address.is_none() && !text.is_empty() {
-            let what = format!("{name}: {text}: expected an address and a port");
-            faults.push((tree.line, tree.column, what));
-        }
-        address
-    };
-    let (listen, shown) = (address("share.notes.listen"), address("share.notes.address"));
-    let key = text("share.notes.key");
-    if listen.is_some() && key.is_empty() {
-        let what = "share.notes.key: missing, expected the file of the key that all stewards have";
-        faults.push((tree.line, tree.column, what.to_owned()));
-    }
-    let notes = listen.map(|listen| Notes { listen, address: shown, key: folder.join(key) });
     Some(Share {
         name: text("share.name"),
         endpoints,
         prefix: text("share.prefix"),
         member_lease: lease as i64,
         call_within: std::time::Duration::from_secs_f64(seconds("share.call_within")),
-        notes,
     })
 }
 
@@ -388,6 +356,10 @@
                 self.value(value, entry, index);
             } else if table.iter().any(|entry| entry.path.starts_with(&format!("{path}."))) {
                 self.map(value, &format!("{path}."), table, index, &[]);
+            } else if path == "share.notes" {
+                let what =
+                    "gone, hints travel with the view of the fleet: expected fleet.listen and fleet.key";
+                self.fault(key, format!("{path}: {what}"));
             } else if !others.contains(&name.as_str()) {
                 let known = names(table, prefix, others);
                 self.fault(key, format!("{path}: unknown setting, expected one of {known}"));
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -13,7 +13,6 @@
 use tokio::sync::{mpsc, Mutex, Notify};
 use tokio::task::AbortHandle;
 
-use super::post::{Office, Post};
 use super::rows::{Keys, Member};
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
 use crate::recorder::{Gathered, Keep, Recorder};
@@ -39,8 +38,6 @@
         to: u64,
         term: u64,
     },
-    /// A note has come in, unread.
-    Note(Vec<u8>),
     /// The step under way has ended.
     Done,
     Over(String),
@@ -74,7 +71,6 @@
     pub keys: Keys,
     pub clock: Clock,
     pub slices: usize,
-    pub office: Option<Office>,
     /// The shortest time between two rounds of giving.
     pub pace: Time,
 }
@@ -85,7 +81,6 @@
     pub fleet: Fleet,
     pub membership: Membership,
     pub recorder: Rc<Recorder>,
-    pub post: Option<Post>,
     /// The store is to be looked at before its time.
     look: Arc<Notify>,
     /// Until then it is looked at as often as may be.
@@ -132,14 +127,8 @@
             return Err(format!("the store gives leases of {seconds} s, not of {} s", share.member_lease));
         }
         membership.renewed(sent);
-        let notes = joining.office.as_ref().map_or(String::new(), |office| office.address.to_string());
-        let member = Member {
-            name: share.name.clone(),
-            address: address.to_owned(),
-            notes,
-            leaving: false,
-            resting: false,
-        };
+        let member =
+            Member { name: share.name.clone(), address: address.to_owned(), leaving: false, resting: false };
         let joined = Hand::join(client, keys, number, &member).await;
         let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
         let hand = Arc::new(Mutex::new(hand));
@@ -153,7 +142,6 @@
             fleet,
             membership,
             recorder,
-            post: joining.office.clone().map(|office| Post::new(office, number)),
             look: Arc::default(),
             often: Arc::new(AtomicI64::new(Time::MIN)),
             member,
@@ -165,8 +153,6 @@
             renewals: Arc::default(),
         };
         life.start_polls();
-        let receiver = life.post.as_ref().map(|post| post.receive(life.events.clone()));
-        life.tasks.extend(receiver);
         Ok(life)
     }
 
@@ -220,11 +206,6 @@
         self.often.store(Time::MIN, Ordering::Relaxed);
     }
 
-    /// Tells the other members something that may be of use to them.
-    pub fn tell(&mut self, kind: u8, number: u64) {
-        self.post.iter_mut().for_each(|post| post.tell(kind, number));
-    }
-
     /// Sends a renewal, beside those that have no answer yet.
     pub fn renew(&mut self, now: Time) {
         /// Renewals under way at a time.
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -1,11 +1,9 @@
 //! A steward among others: its membership at the shared store, and the steps by which slices change hands.
 
 mod life;
-mod post;
 mod rows;
 mod store;
 
 pub use life::{Event, From, Joining, Life, EARLY};
-pub use post::{read_key, Office, Post};
 pub use rows::{Keys, Member};
 pub use store::{record, snapshot, Snapshot};
--- a/crates/ravenspar/src/shared/rows.rs
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -57,9 +57,6 @@
 pub struct Member {
     pub name: String,
     pub address: String,
-    /// Where its notes are to be sent; empty: it takes none.
-    #[serde(default)]
-    pub notes: String,
     pub leaving: bool,
     /// It reaches few of the forwarders that others reach: it is dealt no slices.
     #[serde(default)]
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -62,7 +62,7 @@
         tracing::info!(slices = shared.life.fleet.count(), "leaving");
         shared.life.fleet.leave(now);
         shared.life.say_leaving();
-        shared.life.tell(kind::LOOK, u64::MAX);
+        self.give_hint(kind::LOOK, u64::MAX);
         false
     }
 
@@ -90,8 +90,6 @@
                 if members.len() < std::mem::replace(&mut shared.members, members.len()) {
                     shared.life.look_as_usual();
                 }
-                let me = shared.life.number;
-                shared.life.post.iter_mut().for_each(|post| post.members(me, &said.members));
             }
             Event::Away(why) => {
                 if !std::mem::replace(&mut shared.away, true) {
@@ -121,15 +119,7 @@
             Event::Gave { slices, to, term } => {
                 tracing::info!(slices = slices.len(), to = %format_args!("{to:016x}"), term, "gave slices");
                 fleet.gave(&slices, to, term);
-                shared.life.tell(kind::LOOK, term);
-            }
-            Event::Note(bytes) => {
-                let opened = shared.life.post.as_mut().map(|post| post.inbox.open(&bytes));
-                match opened.map(|opened| opened.map(|opened| (opened.kind, opened.number()))) {
-                    Some(Ok((kind, Some(number)))) => self.hint(kind, number),
-                    Some(Err(why)) => tracing::debug!(?why, "a note is not taken in"),
-                    _ => {}
-                }
+                self.give_hint(kind::LOOK, term);
             }
             Event::Done => {
                 shared.since = 0; // what has arrived is told at once
@@ -141,13 +131,29 @@
     }
 
     /// The view of the fleet is another. It never says more than that a look at the store is worth while.
-    pub fn view_changed(&mut self, went: &[String]) {
+    pub fn view_changed(&mut self) {
+        let Some(fleet) = &mut self.door.fleet else { return };
+        let shown = fleet.shown.borrow_and_update().clone();
+        // One that hears from nobody knows nothing of who is gone.
+        if shown.cut_off {
+            return;
+        }
+        let before = std::mem::replace(&mut self.members, shown.members);
+        let went = before.into_iter().filter(|member| !self.members.contains(member));
+        let went: Vec<String> = went.map(|(name, _)| name).collect();
         if let Some(shared) = self.shared.as_ref().filter(|_| !went.is_empty()) {
             tracing::debug!(?went, "the store is looked at often");
             shared.life.look_often(self.clock.now());
         }
     }
 
+    /// Tells the other stewards something that may be of use to them.
+    pub fn give_hint(&self, kind: u8, number: u64) {
+        if let Some(fleet) = self.door.fleet.as_ref().filter(|_| self.shared.is_some()) {
+            fleet.hint(kind, number);
+        }
+    }
+
     /// Says in the store whether this steward rests: it reaches so few of the forwarders that others reach that its slices
     /// are better off with them.
     pub fn be_of_use(&mut self, own: u32, others: Option<&[u32]>) {
@@ -160,8 +166,20 @@
         }
     }
 
+    /// How many stewards the decisions go by follows the view, where it shows as many as the store.
+    pub fn count_stewards(&mut self, view: Option<usize>) {
+        let now = self.clock.now();
+        let Some((counted, live)) = &mut self.door.counted else { return };
+        let store = self.shared.as_ref().filter(|shared| !shared.away).map(|shared| shared.members);
+        let (before, count) = (live.get(), counted.look(now, view, store));
+        if before != count as f64 {
+            tracing::info!(before, count, "stewards that the decisions divide by");
+            live.set(count as f64);
+        }
+    }
+
     /// Another steward says that there is something to be looked at.
-    fn hint(&mut self, kind: u8, number: u64) {
+    pub fn hint(&mut self, kind: u8, number: u64) {
         let Some(shared) = &self.shared else { return };
         match kind {
             // Only what was not seen yet is worth a look.
--- a/crates/sharing/src/lib.rs
+++ b/crates/sharing/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`membership::Membership`] says how long a steward may trust in its own place in the fleet. `docs/design/sharing.md`
 //! has the reasoning.
 
+pub mod counted;
 mod fleet;
 pub mod membership;
 pub mod shares;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -6,6 +6,8 @@
 mod rebalance;
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 pub use rebalance::Steward;
 
@@ -73,20 +75,47 @@
     },
 }
 
-/// The settings of a deployment: a plain map of names to values.
+/// The settings of a deployment: a plain map of names to values, and what of them changes while a steward runs.
 #[derive(Clone, Debug, Default)]
-pub struct Settings(HashMap<String, String>);
+pub struct Settings(HashMap<String, String>, Vec<(String, Live)>);
+
+/// A number that all copies of some settings have together, and that may change between two turns.
+#[derive(Clone, Debug, Default)]
+pub struct Live(Arc<AtomicU64>);
+
+impl Live {
+    pub fn new(number: f64) -> Live {
+        Live(Arc::new(AtomicU64::new(number.to_bits())))
+    }
+
+    pub fn set(&self, number: f64) {
+        self.0.store(number.to_bits(), Ordering::Relaxed);
+    }
+
+    pub fn get(&self) -> f64 {
+        f64::from_bits(self.0.load(Ordering::Relaxed))
+    }
+}
 
 impl Settings {
     pub fn set(&mut self, name: &str, value: &str) {
         self.0.insert(name.to_owned(), value.to_owned());
     }
 
+    /// This setting is a number that changes from now on.
+    pub fn set_live(&mut self, name: &str, live: Live) {
+        self.1.retain(|(known, _)| known != name);
+        self.1.push((name.to_owned(), live));
+    }
+
     pub fn text(&self, name: &str) -> Option<&str> {
         self.0.get(name).map(String::as_str)
     }
 
     pub fn number(&self, name: &str) -> Option<f64> {
+        if let Some((_, live)) = self.1.iter().find(|(known, _)| known == name) {
+            return Some(live.get());
+        }
         self.text(name)?.parse().ok().filter(|n: &f64| n.is_finite())
     }
 
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -151,6 +151,12 @@
         self.shown.iter().map(move |(of, life)| (name(of), *life))
     }
 
+    /// Where the others in the view are reached.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let others = self.shown.keys().filter(|of| **of != self.me);
+        others.filter_map(|of| self.table.get(*of)).map(|entry| entry.record.address)
+    }
+
     /// What the others in the view said last that they reach.
     pub fn reaches(&self) -> impl Iterator<Item = Reach> + '_ {
         let others = self.shown.keys().filter(|of| **of != self.me);
