--- a/crates/lab/src/fleet/measure.rs
+++ b/crates/lab/src/fleet/measure.rs
@@ -9,6 +9,8 @@
 use super::day::{Bounds, Fleet as Shape, FleetDay};
 use super::play::Fleet;
 use crate::day::Span;
+use crate::measure::quantiles;
+use crate::processes::Process;
 use crate::stage::Fault;
 use crate::ways::End;
 
@@ -88,9 +90,9 @@
         say(format_args!(
             "| {count} | {} | {} | {} | {} | {:.1} | {:.0} | {:.2}% |",
             every.as_millis(),
-            quantiles(crashes),
-            quantiles(joins),
-            quantiles(heals),
+            quantiles(crashes, 1),
+            quantiles(joins, 1),
+            quantiles(heals, 1),
             load.0,
             load.1,
             load.2 * 100.0
@@ -129,25 +131,5 @@
 
 /// Seconds of CPU that all processes had so far.
 fn cpu(fleet: &Fleet) -> f64 {
-    /// As the system counts in /proc.
-    const TICKS: f64 = 100.0;
-    let of = |id: u32| {
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-        let fields: Vec<f64> = stat
-            .rsplit(')')
-            .next()
-            .map(|rest| rest.split_whitespace().map(|field| field.parse().unwrap_or(0.0)).collect())
-            .unwrap_or_default();
-        // User and system time, fields 14 and 15 of all.
-        fields.get(11).copied().unwrap_or(0.0) + fields.get(12).copied().unwrap_or(0.0)
-    };
-    fleet.processes.borrow().iter().flatten().filter_map(|process| process.id()).map(of).sum::<f64>() / TICKS
-}
-
-fn quantiles(mut of: Vec<f64>) -> String {
-    of.sort_by(f64::total_cmp);
-    let at = |q: f64| {
-        of.get(((of.len() as f64 * q) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(0.0)
-    };
-    format!("{:.1} / {:.1} / {:.1}", at(0.5), at(0.99), of.last().copied().unwrap_or(0.0))
+    fleet.processes.borrow().iter().flatten().map(Process::cpu).sum()
 }
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -123,15 +123,7 @@
     }
 
     pub async fn start(&self, n: usize) -> Result<(), Fault> {
-        /// Tries to get a port that stays free until the steward binds it.
-        const TRIES: usize = 8;
-        for _ in 1..TRIES {
-            if self.try_start(n).await.is_ok() {
-                return Ok(());
-            }
-            self.datagrams.another_port(n)?;
-        }
-        self.try_start(n).await
+        self.datagrams.started(n, async || self.try_start(n).await).await
     }
 
     async fn try_start(&self, n: usize) -> Result<(), Fault> {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -187,13 +187,6 @@
         .await
     }
 
-    fn cpu(&self) -> f64 {
-        let stat = self.steward.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
-        let fields = stat.as_deref().and_then(|stat| stat.rsplit(") ").next()).unwrap_or("");
-        // User and system time are the 12th and 13th behind the name, in hundredths of a second.
-        fields.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
-    }
-
     fn memory(&self) -> f64 {
         let status =
             self.steward.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
@@ -247,6 +240,15 @@
     Ok(Some([a, b, c, d, e]))
 }
 
+/// Median, 99th and worst, with so many digits.
+pub fn quantiles(mut of: Vec<f64>, digits: usize) -> String {
+    of.sort_by(f64::total_cmp);
+    let last = of.len().saturating_sub(1);
+    let at = |q: f64| of.get(((of.len() as f64 * q) as usize).min(last)).copied().unwrap_or(0.0);
+    let worst = of.last().copied().unwrap_or(0.0);
+    format!("{:.digits$} / {:.digits$} / {worst:.digits$}", at(0.5), at(0.99))
+}
+
 fn median(column: &mut [f64]) -> f64 {
     column.sort_by(f64::total_cmp);
     column.get(column.len() / 2).copied().unwrap_or(f64::NAN)
@@ -322,12 +324,12 @@
     say("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for &count in forwarders {
         let mut rig = Rig::start(slices, servers, count, "info").await?;
-        let (before, began) = (rig.cpu(), Instant::now());
+        let (before, began) = (rig.steward.cpu(), Instant::now());
         tokio::time::sleep(Duration::from_secs(10)).await;
-        let rest = (rig.cpu() - before) / began.elapsed().as_secs_f64();
+        let rest = (rig.steward.cpu() - before) / began.elapsed().as_secs_f64();
         let memory = rig.memory();
         let frames = |rig: &Rig| rig.told.borrow().iter().map(|t| t.frames - t.echoes).sum::<u64>();
-        let (before, began, sent) = (rig.cpu(), Instant::now(), frames(&rig));
+        let (before, began, sent) = (rig.steward.cpu(), Instant::now(), frames(&rig));
         let mut gone = Vec::new();
         for wave in 0..3 {
             gone.extend((0..servers / 9).map(|n| wave * (servers / 9) + n));
@@ -336,7 +338,7 @@
         }
         rig.settled(slices, &gone).await?;
         let took = began.elapsed().as_secs_f64();
-        let busy = (rig.cpu() - before) / took;
+        let busy = (rig.steward.cpu() - before) / took;
         let each = (frames(&rig) - sent) as f64 / count as f64;
         let after = rig.memory();
         rig.steward.end().await;
--- a/crates/lab/src/measure_sharing.rs
+++ b/crates/lab/src/measure_sharing.rs
@@ -13,7 +13,7 @@
 use ravenspar_standin::store::Store;
 use tokio::task::spawn_local;
 
-use crate::measure::{dial, list, wait};
+use crate::measure::{dial, list, quantiles, wait};
 use crate::processes::Process;
 use crate::stage::Fault;
 use crate::ways::{make_key, Datagrams, Way, Ways};
@@ -298,13 +298,6 @@
     )
 }
 
-fn quantiles(of: &[f64]) -> String {
-    let at = |q: f64| {
-        of.get(((of.len() as f64 * q) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(0.0)
-    };
-    format!("{:.0} / {:.0} / {:.0}", at(0.5), at(0.99), of.last().copied().unwrap_or(0.0))
-}
-
 /// The fewest charges that have to change hands for even shares.
 fn fewest(shares: &BTreeMap<usize, Vec<usize>>, before: usize, after: usize, slices: usize) -> usize {
     if after < before {
@@ -370,8 +363,8 @@
             say(format_args!(
                 "| {count} | {slices} | {} | {rest:.1} | {bare} | {} | {} | {} | {} | {} |",
                 if view { "yes" } else { "no" },
-                quantiles(&until),
-                quantiles(&gaps),
+                quantiles(until, 0),
+                quantiles(gaps, 0),
                 asked / rounds as u64,
                 moves(&joins),
                 moves(&leaves)
@@ -417,7 +410,7 @@
         waits.sort_by(f64::total_cmp);
         gaps.sort_by(f64::total_cmp);
         let lost = rig.datagrams.as_ref().map_or(String::new(), |of| format!(" ({})", of.counts()));
-        say(format_args!("| {name}{lost} | {} | {} |", quantiles(&waits), quantiles(&gaps)));
+        say(format_args!("| {name}{lost} | {} | {} |", quantiles(waits, 0), quantiles(gaps, 0)));
     }
     Ok(())
 }
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -45,6 +45,14 @@
         self.child.id()
     }
 
+    /// Seconds of CPU that it had so far; 0 of one that has ended.
+    pub fn cpu(&self) -> f64 {
+        let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
+        let fields = stat.as_deref().and_then(|stat| stat.rsplit(") ").next()).unwrap_or("");
+        // User and system time are the 12th and 13th behind the name, in hundredths of a second.
+        fields.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
+    }
+
     /// Whether it stands still by a signal, as the system says.
     pub fn is_stopped(&self) -> bool {
         let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -203,11 +203,26 @@
     pub async fn start_steward(&self, number: usize) -> io::Result<()> {
         let mut place = self.stewards[number].lock().await;
         let name = if self.stewards.len() > 1 { format!("steward-{number}") } else { "steward".to_owned() };
+        // At its first start alone: a pause is met once.
+        let first = !self.dir.join(format!("{name}.log")).exists();
+        let process = match &self.datagrams {
+            Some(datagrams) => {
+                datagrams.started(number, async || self.try_steward(number, &name, first).await).await?
+            }
+            None => self.try_steward(number, &name, first).await?,
+        };
+        self.targets[number].set(Some(process.address));
+        *place = Some(process);
+        self.note_steward(number, "started");
+        Ok(())
+    }
+
+    async fn try_steward(&self, number: usize, name: &str, first: bool) -> io::Result<Process> {
         if let Some(pipe) = self.pipes.get(number) {
             let text = std::fs::read_to_string(self.dir.join("steward.yaml"))?;
             let mut cfg: serde_json::Value = serde_json::from_str(&text)?;
             cfg["record"] = format!("{name}.redb").into();
-            cfg["share"]["name"] = name.clone().into();
+            cfg["share"]["name"] = name.into();
             cfg["share"]["endpoints"] = serde_json::json!([format!("http://{}", pipe.address)]);
             if let Some(datagrams) = &self.datagrams {
                 cfg["fleet"] = datagrams.settings(number);
@@ -217,16 +232,11 @@
         let args = ["steward", "--log-format", "json", "serve"].map(OsString::from);
         let path = self.dir.join(format!("{name}.yaml"));
         let mut args: Vec<OsString> = args.into_iter().chain([path.into_os_string()]).collect();
-        // At its first start alone: a pause is met once.
         let pause = self.day.pauses.iter().find(|pause| pause.steward == number);
-        if let Some(pause) = pause.filter(|_| !self.dir.join(format!("{name}.log")).exists()) {
+        if let Some(pause) = pause.filter(|_| first) {
             args.extend(["--pause".into(), OsString::from(&pause.at)]);
         }
-        let process = Process::start(args, &self.dir.join(format!("{name}.log"))).await?;
-        self.targets[number].set(Some(process.address));
-        *place = Some(process);
-        self.note_steward(number, "started");
-        Ok(())
+        Process::start(args, &self.dir.join(format!("{name}.log"))).await
     }
 
     pub fn note_steward(&self, number: usize, state: &str) {
--- a/crates/lab/src/ways/datagrams.rs
+++ b/crates/lab/src/ways/datagrams.rs
@@ -81,13 +81,30 @@
     }
 
     /// Another port for the steward to listen at, where somebody else got the one before: it was free when it was chosen.
-    pub fn another_port(&self, n: usize) -> std::io::Result<()> {
+    fn another_port(&self, n: usize) -> std::io::Result<()> {
         let own = std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
         self.owners.borrow_mut().insert(own, n);
         self.places.borrow_mut()[n].own = own;
         Ok(())
     }
 
+    /// Starts a steward, with another port where the one found free is somebody else's by then.
+    pub async fn started<T, E: From<std::io::Error>>(
+        &self,
+        n: usize,
+        start: impl AsyncFn() -> Result<T, E>,
+    ) -> Result<T, E> {
+        /// Tries to get a port that stays free until the steward binds it.
+        const TRIES: usize = 8;
+        for _ in 1..TRIES {
+            if let Ok(started) = start().await {
+                return Ok(started);
+            }
+            self.another_port(n)?;
+        }
+        start().await
+    }
+
     async fn carry(self: Rc<Datagrams>, to: usize, socket: &Rc<UdpSocket>) {
         let shown = socket.local_addr().ok();
         let mut buffer = [0; 512];
--- a/crates/lab/src/ways/mod.rs
+++ b/crates/lab/src/ways/mod.rs
@@ -3,6 +3,8 @@
 
 mod datagrams;
 mod streams;
+#[cfg(test)]
+mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
