What is to be done outside is one type for copy and keeper; answers go out in order

Read once more as a reviewer: Output and Effect had four variants alike; answers went out last first; an order that was put where a dropped one had waited, before the loss was told, left that one without an answer.

--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -2,7 +2,7 @@
 //! step down when a majority is silent (Ongaro's thesis, 2014, 9.6 and 6.2), votes changed one at a time by the log (4.1),
 //! reads by a round (6.4).
 //!
-//! Order of outputs: what is promised to others stands behind the [`Output::Save`] of what it promises, and is handed out
+//! Order of outputs: what is promised to others stands behind the [`Act::Save`] of what it promises, and is handed out
 //! once [`Copy::saved`] has been called.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -84,33 +84,37 @@
     },
 }
 
+/// What is to be done outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
+pub enum Act {
     Send {
         to: Id,
         message: Message,
     },
     /// To wherever the settings say that others may be.
     Seek(Message),
-    /// Drop what is saved from this index on, save these, and call [`Copy::saved`].
+    /// Drop what is saved from this index on, save these, and say once that is done.
     Save {
         hard: Hard,
         from: Index,
         entries: Vec<Entry>,
     },
-    /// An entry is committed, each in order.
-    Committed {
+    /// This copy differs from the leader in what both hold for committed: it has to stop.
+    Differs {
         index: Index,
-        entry: Entry,
     },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// A [`Act::Save`] is answered by [`Copy::saved`].
+    Act(Act),
+    /// An entry is committed, each in order.
+    Committed { index: Index, entry: Entry },
     /// A read may be answered from what is committed so far.
     Read(u64),
     /// This copy leads no more: what became of orders that wait is not known here, and reads are to be asked elsewhere.
     Lost,
-    /// This copy differs from the leader in what both hold for committed: it has to stop.
-    Differs {
-        index: Index,
-    },
 }
 
 /// Why an order or a read is not taken.
@@ -329,7 +333,7 @@
         self.wait(now);
         // Also one that is in by its own log: what took it in may have been dropped by the others.
         let member = Member { name: self.cfg.name.clone(), address: self.cfg.address.clone(), vote: false };
-        self.out.push_back(Output::Seek(Message::Join { member }));
+        self.out.push_back(Output::Act(Act::Seek(Message::Join { member })));
         if self.members().votes(self.me) {
             self.campaign(now, true);
         }
@@ -371,7 +375,7 @@
                     // It answers no round: the same copy may lead again in this term, and count rounds from the start.
                     let (term, hint) = (self.hard.term, self.log.last());
                     let answer = Message::Appended { term, matched: None, hint, round: 0 };
-                    self.out.push_back(Output::Send { to: from, message: answer });
+                    self.out.push_back(Output::Act(Act::Send { to: from, message: answer }));
                     return;
                 }
                 if term > self.hard.term || !matches!(self.role, Role::Follower) {
@@ -429,7 +433,7 @@
         self.hard_changed = false;
         self.saving = Some((self.held.len(), self.log.last()));
         let entries = self.log.from(from).cloned().collect();
-        Some(Output::Save { hard: self.hard, from, entries })
+        Some(Output::Act(Act::Save { hard: self.hard, from, entries }))
     }
 
     fn last(&self) -> (Term, Index) {
@@ -470,7 +474,7 @@
         let members = self.members();
         for to in members.voters().filter(|to| *to != self.me) {
             // Its own vote is saved before others hear of it.
-            let asked = Output::Send { to, message: message.clone() };
+            let asked = Output::Act(Act::Send { to, message: message.clone() });
             if before {
                 self.out.push_back(asked);
             } else {
@@ -487,7 +491,7 @@
             let granted = !led && term > self.hard.term && last >= self.last();
             let term = if granted { term } else { self.hard.term };
             let message = Message::Vote { term, granted, before };
-            self.out.push_back(Output::Send { to: from, message });
+            self.out.push_back(Output::Act(Act::Send { to: from, message }));
             return;
         }
         if led && term > self.hard.term {
@@ -504,7 +508,7 @@
             self.wait(now);
         }
         let message = Message::Vote { term: self.hard.term, granted, before };
-        self.held.push_back(Output::Send { to: from, message });
+        self.held.push_back(Output::Act(Act::Send { to: from, message }));
     }
 
     fn voted(&mut self, now: Time, from: Id, term: Term, granted: bool, of_before: bool) {
@@ -608,7 +612,7 @@
                 commit,
                 round,
             };
-            self.out.push_back(Output::Send { to, message });
+            self.out.push_back(Output::Act(Act::Send { to, message }));
             if !sent {
                 break;
             }
@@ -662,7 +666,7 @@
                     first.unwrap_or(after).saturating_sub(1).max(self.commit)
                 }
             };
-            self.out.push_back(Output::Send { to: from, message: refuse(hint) });
+            self.out.push_back(Output::Act(Act::Send { to: from, message: refuse(hint) }));
             return;
         }
         let mut before = after_hash;
@@ -693,12 +697,12 @@
         // No further than what this message showed to be the same.
         self.commit = self.commit.max(commit.min(index));
         let message = Message::Appended { term, matched: Some(index), hint: index, round };
-        self.held.push_back(Output::Send { to: from, message });
+        self.held.push_back(Output::Act(Act::Send { to: from, message }));
     }
 
     fn differ(&mut self, index: Index) {
         self.differs = true;
-        self.out.push_back(Output::Differs { index });
+        self.out.push_back(Output::Act(Act::Differs { index }));
     }
 
     /// Drops what was never committed.
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -1,11 +1,11 @@
 //! One copy with its state, and the requests that wait for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use crate::copy::{Copy, Hard, Message, Output, Refused};
+use crate::copy::{Act, Copy, Output, Refused};
 use crate::log::{Body, Entry};
 use crate::state::{Order, Outcome, Range, State};
-use crate::{Id, Index, Term, Time};
+use crate::{Id, Index, Message, Term, Time};
 
 /// Of a request, by whoever asks.
 pub type Token = u64;
@@ -28,25 +28,12 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Send {
-        to: Id,
-        message: Message,
-    },
-    Seek(Message),
-    /// Drop what is saved from this index on, save these, and call [`Keeper::saved`].
-    Save {
-        hard: Hard,
-        from: Index,
-        entries: Vec<Entry>,
-    },
+    /// A [`Act::Save`] is answered by [`Keeper::saved`].
+    Act(Act),
     Answer {
         token: Token,
         answer: Answer,
     },
-    /// This copy differs from the leader in what both hold for committed: it has to stop.
-    Differs {
-        index: Index,
-    },
 }
 
 const SECOND: Time = 10_000;
@@ -64,7 +51,8 @@
     /// than when its holder sent it.
     leases: BTreeMap<u64, Time>,
     led: bool,
-    answers: Vec<Effect>,
+    /// In the order in which they came about; no more than requests wait.
+    answers: VecDeque<Effect>,
 }
 
 impl Keeper {
@@ -77,7 +65,7 @@
             reads: BTreeMap::new(),
             leases: BTreeMap::new(),
             led: false,
-            answers: Vec::new(),
+            answers: VecDeque::new(),
         }
     }
 
@@ -93,15 +81,18 @@
     pub fn request(&mut self, token: Token, request: Request) {
         let term = self.copy.hard().term;
         let taken = match request {
-            Request::Order(order) => {
-                self.copy.order(order.write()).map(|index| _ = self.orders.insert(index, (term, token)))
-            }
+            Request::Order(order) => self.copy.order(order.write()).map(|index| {
+                // One that waited there was dropped with the log's end, and nobody has heard of it yet.
+                if let Some((_, dropped)) = self.orders.insert(index, (term, token)) {
+                    self.answers.push_back(Effect::Answer { token: dropped, answer: Answer::Unknown });
+                }
+            }),
             Request::Read(ranges) => {
                 self.copy.read().map(|ticket| _ = self.reads.insert(ticket, (token, ranges)))
             }
         };
         if let Err(refused) = taken {
-            self.answers.push(Effect::Answer { token, answer: Answer::Refused(refused) });
+            self.answers.push_back(Effect::Answer { token, answer: Answer::Refused(refused) });
         }
     }
 
@@ -136,21 +127,18 @@
 
     pub fn poll(&mut self, now: Time) -> Option<Effect> {
         loop {
-            if let Some(answer) = self.answers.pop() {
+            if let Some(answer) = self.answers.pop_front() {
                 return Some(answer);
             }
             let output = self.copy.poll();
             self.follow_leases(now);
             match output? {
-                Output::Send { to, message } => return Some(Effect::Send { to, message }),
-                Output::Seek(message) => return Some(Effect::Seek(message)),
-                Output::Save { hard, from, entries } => return Some(Effect::Save { hard, from, entries }),
-                Output::Differs { index } => return Some(Effect::Differs { index }),
+                Output::Act(act) => return Some(Effect::Act(act)),
                 Output::Committed { index, entry } => self.apply(now, index, &entry),
                 Output::Read(ticket) => {
                     if let Some((token, ranges)) = self.reads.remove(&ticket) {
                         let answer = Answer::Done(self.state.read(&ranges));
-                        self.answers.push(Effect::Answer { token, answer });
+                        self.answers.push_back(Effect::Answer { token, answer });
                     }
                 }
                 Output::Lost => {
@@ -193,7 +181,7 @@
         if let Some((term, token)) = self.orders.remove(&index) {
             // Another's order in its place: this one was dropped before it was committed.
             let answer = if term == entry.term { Answer::Done(outcome) } else { Answer::Unknown };
-            self.answers.push(Effect::Answer { token, answer });
+            self.answers.push_back(Effect::Answer { token, answer });
         }
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -11,7 +11,7 @@
 mod members;
 pub mod state;
 
-pub use copy::{Copy, Hard, Message, Output, Settings, Switches};
+pub use copy::{Act, Copy, Hard, Message, Output, Settings, Switches};
 pub use keeper::{Answer, Effect, Keeper, Request, Token};
 pub use log::{Body, Entry, Hash, Log};
 pub use members::{Member, Members};
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use ravenspar_replica::state::{By, Compare, Did, Done, How, Order, Range, Step};
 use ravenspar_replica::{
-    Answer, Copy, Effect, Entry, Hard, Hash, Id, Index, Keeper, Log, Member, Message, Request, Settings,
+    Act, Answer, Copy, Effect, Entry, Hard, Hash, Id, Index, Keeper, Log, Member, Message, Request, Settings,
     State, Switches, Time,
 };
 
@@ -229,13 +229,13 @@
             let Some(keeper) = self.nodes[n].keeper.as_mut() else { return };
             let Some(effect) = keeper.poll(now) else { break };
             match effect {
-                Effect::Send { to, message } => self.send(n, (to - 100) as usize, message),
-                Effect::Seek(message) => {
+                Effect::Act(Act::Send { to, message }) => self.send(n, (to - 100) as usize, message),
+                Effect::Act(Act::Seek(message)) => {
                     for to in (0..self.nodes.len()).filter(|to| *to != n) {
                         self.send(n, to, message.clone());
                     }
                 }
-                Effect::Save { hard, from, entries } => {
+                Effect::Act(Act::Save { hard, from, entries }) => {
                     let mut disk = self.nodes[n].disk.clone();
                     disk.log.truncate(from as usize - 1);
                     disk.log.extend(entries);
@@ -244,7 +244,7 @@
                     self.nodes[n].saving = Some((done, disk));
                 }
                 Effect::Answer { token, answer } => self.answered(token, answer),
-                Effect::Differs { index } => {
+                Effect::Act(Act::Differs { index }) => {
                     self.broken.get_or_insert(format!("copy {n} differs at {index}"));
                 }
             }
