--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,6 +1,5 @@
 //! Calls with endpoints tried in turn, deadlines, and retries where a repeat is safe.
 
-use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::time::Duration;
@@ -8,6 +7,8 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status};
 
+use ravenspar_store::Fault;
+
 use crate::api::kv_client::KvClient;
 use crate::api::lease_client::LeaseClient;
 use crate::api::{
@@ -15,26 +16,6 @@
     TxnResponse,
 };
 
-/// Why a call has no answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// It surely had no effect: nobody was reached, or it was refused.
-    Refused(String),
-    /// It may have had its effect, or may have it yet.
-    Unknown(String),
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Fault::Refused(why) => write!(f, "refused: {why}"),
-            Fault::Unknown(why) => write!(f, "the outcome is unknown: {why}"),
-        }
-    }
-}
-
-impl std::error::Error for Fault {}
-
 /// Codes by which a server says that it did not carry a call out. Anything else may come after the effect.
 pub(crate) fn fault(status: &Status) -> Fault {
     let why = format!("{}: {}", status.code(), status.message());
--- a/crates/etcd/src/commit.rs
+++ b/crates/etcd/src/commit.rs
@@ -1,55 +1,14 @@
 //! Transactions whose outcome is always known in the end.
 
-use crate::api::compare::{CompareResult, CompareTarget, TargetUnion};
-use crate::api::request_op::Request;
-use crate::api::response_op::Response;
-use crate::api::{Compare, PutRequest, RangeRequest, RequestOp, TxnRequest};
-use crate::client::{Client, Fault};
-
-/// What became of a guarded transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Committed {
-    /// It was carried out; the witness now has this revision.
-    Yes { witness: i64 },
-    /// It was not, and never will be; the witness now has this revision.
-    No { witness: i64 },
-}
-
-/// A transaction with a witness: a key that its writer alone writes, with each of its transactions.
-///
-/// It compares the witness's revision and writes the witness anew. So once anything else has written the witness, a
-/// transaction that is still under way somewhere can't succeed any more: that is what makes its outcome final.
-#[derive(Clone, Debug)]
-pub struct Guarded {
-    pub witness: Vec<u8>,
-    /// The witness's revision of modification; 0: it is not there yet.
-    pub revision: i64,
-    /// No other write of the witness has had this value.
-    pub value: Vec<u8>,
-    /// What else has to hold, and what is to be done then.
-    pub compare: Vec<Compare>,
-    pub then: Vec<RequestOp>,
-    /// The lease that the witness is bound to; 0: none.
-    pub lease: i64,
-}
-
-fn unmoved(key: &[u8], revision: i64) -> Compare {
-    Compare {
-        result: CompareResult::Equal as i32,
-        target: CompareTarget::Mod as i32,
-        key: key.to_vec(),
-        target_union: Some(TargetUnion::ModRevision(revision)),
-    }
-}
+use ravenspar_store::{at, put, Committed, Fault, Guarded, Range, Step};
 
-fn put(key: &[u8], value: &[u8], lease: i64) -> RequestOp {
-    let put = PutRequest { key: key.to_vec(), value: value.to_vec(), lease, prev_kv: false };
-    RequestOp { request: Some(Request::RequestPut(put)) }
-}
+use crate::api::response_op::Response;
+use crate::api::TxnRequest;
+use crate::client::Client;
+use crate::words;
 
-fn read(key: &[u8]) -> RequestOp {
-    let range = RangeRequest { key: key.to_vec(), ..RangeRequest::default() };
-    RequestOp { request: Some(Request::RequestRange(range)) }
+fn read(key: &[u8]) -> Step {
+    Step::Read(Range { key: key.to_vec(), end: Vec::new(), since: 0 })
 }
 
 impl Client {
@@ -57,14 +16,17 @@
     /// became of it, `fences` times; then nothing is known, and the writer may not write by this witness any more before
     /// it has read it.
     pub async fn commit(&self, guarded: &Guarded, fences: u32) -> Result<Committed, Fault> {
-        let mut compare = vec![unmoved(&guarded.witness, guarded.revision)];
-        compare.extend(guarded.compare.iter().cloned());
-        let mut success = guarded.then.clone();
-        success.push(put(&guarded.witness, &guarded.value, guarded.lease));
-        let request = TxnRequest { compare, success, failure: vec![read(&guarded.witness)] };
+        let unmoved = at(guarded.witness.clone(), guarded.revision);
+        let compare = std::iter::once(&unmoved).chain(&guarded.compare);
+        let witness_step = put(guarded.witness.clone(), guarded.value.clone(), guarded.lease);
+        let request = TxnRequest {
+            compare: compare.map(words::compare).collect(),
+            success: guarded.then.iter().chain([&witness_step]).map(words::step).collect(),
+            failure: vec![words::step(&read(&guarded.witness))],
+        };
         let mut last = match self.txn(request).await {
             Ok(answer) => {
-                let revision = answer.header.as_ref().map_or(0, |header| header.revision);
+                let revision = answer.header.as_ref().map_or(0, |header| header.revision as u64);
                 if answer.succeeded {
                     return Ok(Committed::Yes { witness: revision });
                 }
@@ -91,13 +53,14 @@
     async fn fence(&self, guarded: &Guarded, number: u32) -> Result<Committed, Fault> {
         let value = [&guarded.value[..], format!(" fenced {number}").as_bytes()].concat();
         let request = TxnRequest {
-            compare: vec![unmoved(&guarded.witness, guarded.revision)],
-            success: vec![put(&guarded.witness, &value, guarded.lease)],
-            failure: vec![read(&guarded.witness)],
+            compare: vec![words::compare(&at(guarded.witness.clone(), guarded.revision))],
+            success: vec![words::step(&put(guarded.witness.clone(), value, guarded.lease))],
+            failure: vec![words::step(&read(&guarded.witness))],
         };
         let answer = self.txn(request).await?;
         if answer.succeeded {
-            return Ok(Committed::No { witness: answer.header.map_or(0, |header| header.revision) });
+            let witness = answer.header.map_or(0, |header| header.revision as u64);
+            return Ok(Committed::No { witness });
         }
         // Somebody has written it: the transaction, or an earlier fence. A witness that is gone was written first.
         Ok(match witness(&answer.responses) {
@@ -109,10 +72,10 @@
 }
 
 /// The witness's revision and value in an answer that read it.
-fn witness(responses: &[crate::api::ResponseOp]) -> Option<(i64, Vec<u8>)> {
+fn witness(responses: &[crate::api::ResponseOp]) -> Option<(u64, Vec<u8>)> {
     let range = responses.iter().find_map(|response| match &response.response {
         Some(Response::ResponseRange(range)) => Some(range),
         _ => None,
     })?;
-    range.kvs.first().map(|kv| (kv.mod_revision, kv.value.clone()))
+    range.kvs.first().map(|kv| (kv.mod_revision as u64, kv.value.clone()))
 }
--- a/crates/etcd/src/watch.rs
+++ b/crates/etcd/src/watch.rs
@@ -7,7 +7,9 @@
 use crate::api::watch_client::WatchClient;
 use crate::api::watch_request::RequestUnion;
 use crate::api::{WatchCreateRequest, WatchProgressRequest, WatchRequest, WatchResponse};
-use crate::client::{fault, Client, Fault};
+use ravenspar_store::Fault;
+
+use crate::client::{fault, Client};
 
 /// Events that a response put together of fragments may have; more is a fault, so that memory stays bounded.
 const MOST: usize = 100_000;
--- /dev/null
+++ b/crates/etcd/src/words.rs
@@ -0,0 +1,120 @@
+//! What is asked of a store, in the API's words, and its answers in ours.
+
+use futures_util::future::BoxFuture;
+use ravenspar_store::{By, Committed, Compare, Fault, Guarded, How, Page, Range, Read, Row, Step, Store};
+
+use crate::api;
+use crate::api::compare::{CompareResult, CompareTarget, TargetUnion};
+use crate::api::request_op::Request;
+use crate::api::response_op::Response;
+use crate::api::{DeleteRangeRequest, KeyValue, PutRequest, RangeRequest, RequestOp, TxnRequest};
+use crate::client::Client;
+
+pub(crate) fn compare(compare: &Compare) -> api::Compare {
+    let result = match compare.how {
+        How::Equal => CompareResult::Equal,
+        How::Greater => CompareResult::Greater,
+        How::Less => CompareResult::Less,
+        How::NotEqual => CompareResult::NotEqual,
+    };
+    let (target, union) = match &compare.by {
+        By::Version(version) => (CompareTarget::Version, TargetUnion::Version(*version as i64)),
+        By::Created(revision) => (CompareTarget::Create, TargetUnion::CreateRevision(*revision as i64)),
+        By::Modified(revision) => (CompareTarget::Mod, TargetUnion::ModRevision(*revision as i64)),
+        By::Lease(lease) => (CompareTarget::Lease, TargetUnion::Lease(*lease as i64)),
+        By::Value(value) => (CompareTarget::Value, TargetUnion::Value(value.clone())),
+    };
+    api::Compare {
+        result: result as i32,
+        target: target as i32,
+        key: compare.key.clone(),
+        target_union: Some(union),
+    }
+}
+
+fn range(range: &Range) -> RangeRequest {
+    RangeRequest {
+        key: range.key.clone(),
+        range_end: range.end.clone(),
+        min_mod_revision: range.since as i64,
+        ..RangeRequest::default()
+    }
+}
+
+pub(crate) fn step(step: &Step) -> RequestOp {
+    let request = match step {
+        Step::Read(read) => Request::RequestRange(range(read)),
+        Step::Put { key, value, lease } => Request::RequestPut(PutRequest {
+            key: key.clone(),
+            value: value.clone(),
+            lease: *lease as i64,
+            prev_kv: false,
+        }),
+        Step::Delete(range) => Request::RequestDeleteRange(DeleteRangeRequest {
+            key: range.key.clone(),
+            range_end: range.end.clone(),
+            ..DeleteRangeRequest::default()
+        }),
+    };
+    RequestOp { request: Some(request) }
+}
+
+fn row(kv: KeyValue) -> Row {
+    Row {
+        key: kv.key,
+        value: kv.value,
+        created: kv.create_revision as u64,
+        modified: kv.mod_revision as u64,
+        version: kv.version as u64,
+        lease: kv.lease as u64,
+    }
+}
+
+impl Store for Client {
+    fn read(&self, ranges: Vec<Range>) -> BoxFuture<'_, Result<Read, Fault>> {
+        Box::pin(async move {
+            let success = ranges.into_iter().map(|range| step(&Step::Read(range))).collect();
+            let answer = Client::read(self, TxnRequest { success, ..TxnRequest::default() }).await?;
+            let header = answer.header.unwrap_or_default();
+            let rows = answer.responses.into_iter().map(|response| match response.response {
+                Some(Response::ResponseRange(range)) => range.kvs.into_iter().map(row).collect(),
+                _ => Vec::new(),
+            });
+            let ranges = rows.collect();
+            Ok(Read { cluster: header.cluster_id, revision: header.revision as u64, ranges })
+        })
+    }
+
+    fn page(&self, of: Range, limit: usize, revision: u64) -> BoxFuture<'_, Result<Page, Fault>> {
+        Box::pin(async move {
+            let request = RangeRequest { limit: limit as i64, revision: revision as i64, ..range(&of) };
+            let answer = self.range(request).await?;
+            // The header has the store's present revision, whatever was asked for.
+            let present = answer.header.as_ref().map_or(0, |header| header.revision as u64);
+            let rows = answer.kvs.into_iter().map(row).collect();
+            Ok(Page { revision: if revision > 0 { revision } else { present }, rows, more: answer.more })
+        })
+    }
+
+    fn commit(&self, guarded: Guarded, fences: u32) -> BoxFuture<'_, Result<Committed, Fault>> {
+        Box::pin(async move { Client::commit(self, &guarded, fences).await })
+    }
+
+    fn grant(&self, lease: u64, seconds: u32) -> BoxFuture<'_, Result<u32, Fault>> {
+        Box::pin(async move {
+            let seconds = self.lease_grant(lease as i64, i64::from(seconds)).await?;
+            Ok(u32::try_from(seconds).unwrap_or(u32::MAX))
+        })
+    }
+
+    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<Option<u32>, Fault>> {
+        Box::pin(async move {
+            let seconds = self.keep_alive(lease as i64).await?;
+            Ok(seconds.map(|seconds| u32::try_from(seconds).unwrap_or(u32::MAX)))
+        })
+    }
+
+    fn revoke(&self, lease: u64) -> BoxFuture<'_, Result<(), Fault>> {
+        Box::pin(async move { self.lease_revoke(lease as i64).await })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/giver.rs
@@ -0,0 +1,460 @@
+//! What the owner of the duty decides: which leases have ended, which job goes to which site next, what is given up.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{Job, Life, Line, State, Time};
+
+/// A site as the store has it: its key is there as long as its life's lease is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    pub life: Life,
+    pub name: String,
+    /// Jobs that it takes at a time.
+    pub room: usize,
+}
+
+/// Bounds, each of the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Jobs known at most; those past it wait unseen until others are gone.
+    pub jobs: usize,
+    /// How often a job is given out before it is parked.
+    pub attempts: u32,
+    /// How long a job waits after its first failed attempt; twice that after each further one.
+    pub again: Time,
+    /// For so long after it was first seen a site is cold: it gets a quarter of its room.
+    pub cold: Time,
+    /// How long ends are held back where most sites went at once.
+    pub most_gone: Time,
+    /// A job that has waited this long goes before any ranking.
+    pub wait: Time,
+    /// Lines written in one transaction.
+    pub writes: usize,
+}
+
+/// A line to be written, compared with what it is, and with the site's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    pub job: String,
+    /// The line's revision; 0: there is none.
+    pub seen: u64,
+    pub line: Line,
+    /// The site's key has to be there (given out) or gone (ended).
+    pub there: Option<Life>,
+    pub gone: Option<Life>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Jobs known, and of them waiting, held, parked.
+    pub jobs: usize,
+    pub waiting: usize,
+    pub held: usize,
+    pub parked: usize,
+    /// Jobs past the bound that were left out.
+    pub left_out: u64,
+    /// Ends held back at the moment, as most sites went at once.
+    pub held_back: bool,
+    pub given: u64,
+    pub ended: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    job: Option<Job>,
+    /// The revision at which it was handed in: its age.
+    created: u64,
+    line: Option<(Line, u64)>,
+    /// When it was first seen waiting, and before when it is not given out.
+    since: Time,
+    not_before: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    site: Site,
+    /// Since when it is seen, and how many jobs it holds by the lines.
+    since: Time,
+    held: usize,
+    /// Jobs that it has had since it is seen, while it is cold.
+    given_cold: usize,
+}
+
+/// One term of the duty. Whoever comes after begins with what the store says, and gives every wait its whole time anew.
+#[derive(Clone, Debug)]
+pub struct Giver {
+    limits: Limits,
+    term: u64,
+    entries: BTreeMap<String, Entry>,
+    sites: BTreeMap<Life, Known>,
+    /// Waiting jobs of each user, the oldest first.
+    waiting: BTreeMap<String, BTreeSet<(u64, String)>>,
+    /// All waiting jobs by since when, for the bound on the wait.
+    oldest: BTreeSet<(Time, u64, String)>,
+    /// Held jobs of each user.
+    in_hand: BTreeMap<String, usize>,
+    /// Held by sites that are gone.
+    orphans: BTreeSet<String>,
+    /// Cancelled, and not yet written so.
+    cancelled: BTreeSet<String>,
+    /// Each user's debt by the ranking in use; one that is not in it owes nothing.
+    debts: BTreeMap<String, u64>,
+    /// What a job in hand counts as, until its use is known: the mean use of a job.
+    mean: u64,
+    /// Sites that went and when, while that is recent.
+    went: Vec<(Time, Life)>,
+    held_back_until: Time,
+    busy: bool,
+    figures: Figures,
+}
+
+impl Giver {
+    /// How recent is recent where most sites went at once: sites cut off together go within a renewal of one another.
+    const TOGETHER: Time = 50_000;
+
+    pub fn new(term: u64, limits: Limits) -> Giver {
+        Giver {
+            limits,
+            term,
+            entries: BTreeMap::new(),
+            sites: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            oldest: BTreeSet::new(),
+            in_hand: BTreeMap::new(),
+            orphans: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            debts: BTreeMap::new(),
+            mean: 0,
+            went: Vec::new(),
+            held_back_until: Time::MIN,
+            busy: false,
+            figures: Figures::default(),
+        }
+    }
+
+    pub fn figures(&self) -> Figures {
+        let parked = |entry: &&Entry| matches!(&entry.line, Some((line, _)) if line.state == State::Parked);
+        Figures {
+            jobs: self.entries.len(),
+            waiting: self.oldest.len(),
+            held: self.in_hand.values().sum(),
+            parked: self.entries.values().filter(parked).count(),
+            ..self.figures
+        }
+    }
+
+    /// The ranking that is in use: debts, and the mean use of a job.
+    pub fn rank(&mut self, debts: BTreeMap<String, u64>, mean: u64) {
+        (self.debts, self.mean) = (debts, mean);
+    }
+
+    /// The sites whose keys are at the store, all of them.
+    pub fn sites(&mut self, now: Time, sites: Vec<Site>) {
+        let there: BTreeSet<Life> = sites.iter().map(|site| site.life).collect();
+        let before = self.sites.len();
+        let gone: Vec<Life> = self.sites.keys().filter(|life| !there.contains(life)).copied().collect();
+        for life in gone {
+            // One that comes back under another life at once is no loss.
+            if let Some(known) = self.sites.remove(&life) {
+                if !sites.iter().any(|site| site.name == known.site.name) {
+                    self.went.push((now, life));
+                }
+            }
+            let held = |entry: &Entry| entry.line.as_ref().is_some_and(|(line, _)| line.site() == Some(life));
+            let orphans = self.entries.iter().filter(|(_, entry)| held(entry));
+            let orphans: Vec<String> = orphans.map(|(job, _)| job.clone()).collect();
+            self.orphans.extend(orphans);
+        }
+        self.went.retain(|(at, _)| now < at + Self::TOGETHER);
+        // Most sites at once: it is more likely the stewards' own network. They come back under new lives, with what they
+        // have done in hand; until then the few that are left are spared the jobs of all.
+        if before > 1 && 2 * self.went.len() > before.max(self.sites.len() + self.went.len()) {
+            self.held_back_until = self.held_back_until.max(now + self.limits.most_gone);
+        }
+        for site in sites {
+            let held =
+                |entry: &&Entry| entry.line.as_ref().is_some_and(|(line, _)| line.site() == Some(site.life));
+            if let Some(known) = self.sites.get_mut(&site.life) {
+                known.site = site;
+                continue;
+            }
+            let held = self.entries.values().filter(held).count();
+            self.sites.insert(site.life, Known { site, since: now, held, given_cold: held });
+        }
+    }
+
+    /// A job as it was handed in, or as it is now.
+    pub fn job(&mut self, now: Time, id: &str, created: u64, job: Job) {
+        if !self.known(now, id) {
+            return;
+        }
+        self.change(now, id, |entry| {
+            entry.job = Some(job);
+            entry.created = created;
+        });
+    }
+
+    /// A line as the store has it at a revision.
+    pub fn line(&mut self, now: Time, id: &str, line: Line, modified: u64) {
+        if !self.known(now, id) {
+            return;
+        }
+        let again = self.limits.again;
+        self.change(now, id, |entry| {
+            if entry.line.as_ref().is_some_and(|(_, seen)| *seen >= modified) {
+                return;
+            }
+            if line.state == State::Waiting {
+                // It is not known since when it waits: from now on, the whole time.
+                let doublings = line.attempts.saturating_sub(1).min(6);
+                entry.not_before = now + if line.attempts == 0 { 0 } else { again << doublings };
+            }
+            entry.line = Some((line, modified));
+        });
+    }
+
+    /// A line or a job was deleted by its owner: nothing is kept of it.
+    pub fn forget(&mut self, now: Time, id: &str) {
+        self.change(now, id, |entry| entry.job = None);
+        self.entries.remove(id);
+    }
+
+    fn known(&mut self, now: Time, id: &str) -> bool {
+        if self.entries.contains_key(id) {
+            return true;
+        }
+        if self.entries.len() >= self.limits.jobs {
+            self.figures.left_out += 1;
+            return false;
+        }
+        let entry = Entry { job: None, created: 0, line: None, since: now, not_before: now };
+        self.entries.insert(id.to_owned(), entry);
+        true
+    }
+
+    /// Takes a job out of all orders, changes it, and puts it where it belongs.
+    fn change(&mut self, now: Time, id: &str, change: impl FnOnce(&mut Entry)) {
+        let Some(mut entry) = self.entries.remove(id) else { return };
+        let was_waiting = self.place(id, &entry, false);
+        change(&mut entry);
+        if !was_waiting && waits(&entry) {
+            entry.since = now;
+        }
+        self.place(id, &entry, true);
+        self.entries.insert(id.to_owned(), entry);
+    }
+
+    /// Puts a job into the orders that it belongs to, or takes it out of them. Returns whether it waits.
+    fn place(&mut self, id: &str, entry: &Entry, into: bool) -> bool {
+        let user = entry.job.as_ref().map_or("", |job| job.user.as_str());
+        let (at, age) = ((entry.created, id.to_owned()), (entry.since, entry.created, id.to_owned()));
+        let waits = waits(entry);
+        if waits && into {
+            self.waiting.entry(user.to_owned()).or_default().insert(at);
+            self.oldest.insert(age);
+        } else if waits {
+            if let Some(queue) = self.waiting.get_mut(user) {
+                queue.remove(&at);
+                if queue.is_empty() {
+                    self.waiting.remove(user);
+                }
+            }
+            self.oldest.remove(&age);
+        }
+        if let Some(site) = entry.line.as_ref().and_then(|(line, _)| line.site()) {
+            let count = self.in_hand.entry(user.to_owned()).or_default();
+            *count = if into { *count + 1 } else { count.saturating_sub(1) };
+            if *count == 0 {
+                self.in_hand.remove(user);
+            }
+            match self.sites.get_mut(&site) {
+                Some(known) if into => known.held += 1,
+                Some(known) => known.held = known.held.saturating_sub(1),
+                None => {}
+            }
+            if into && !self.sites.contains_key(&site) {
+                self.orphans.insert(id.to_owned());
+            } else {
+                self.orphans.remove(id);
+            }
+        }
+        let unwanted = entry.job.as_ref().is_some_and(|job| job.cancel);
+        let open = entry
+            .line
+            .as_ref()
+            .is_none_or(|(line, _)| matches!(line.state, State::Waiting | State::Leased(_)));
+        if into && unwanted && open {
+            self.cancelled.insert(id.to_owned());
+        } else {
+            self.cancelled.remove(id);
+        }
+        waits
+    }
+
+    /// The next lines to write, in one transaction; none while one is under way.
+    pub fn next(&mut self, now: Time) -> Vec<Write> {
+        if self.busy {
+            return Vec::new();
+        }
+        let mut writes = self.cancel();
+        if writes.is_empty() {
+            writes = self.end(now);
+        }
+        if writes.is_empty() {
+            writes = self.give(now);
+        }
+        self.busy = !writes.is_empty();
+        writes
+    }
+
+    fn write(&self, id: &str, state: State, why: &str) -> Option<Write> {
+        let entry = self.entries.get(id)?;
+        let (line, seen) = match &entry.line {
+            Some((line, seen)) => (line.clone(), *seen),
+            None => (Line::new(State::Waiting), 0),
+        };
+        let last = line.token(seen);
+        let attempts = line.attempts + u32::from(matches!(state, State::Leased(_)));
+        let line = Line { state, last, attempts, term: self.term, why: why.to_owned() };
+        Some(Write { job: id.to_owned(), seen, line, there: None, gone: None })
+    }
+
+    fn cancel(&self) -> Vec<Write> {
+        let writes = self.cancelled.iter().take(self.limits.writes).filter_map(|id| {
+            let held = self.entries.get(id)?.line.as_ref().and_then(|(line, _)| line.site());
+            self.write(id, held.map_or(State::Cancelled, State::Ending), "cancelled")
+        });
+        writes.collect()
+    }
+
+    /// Ends the leases of sites that are gone.
+    fn end(&mut self, now: Time) -> Vec<Write> {
+        self.figures.held_back = now < self.held_back_until && !self.orphans.is_empty();
+        if self.figures.held_back {
+            return Vec::new();
+        }
+        let writes = self.orphans.iter().filter_map(|id| {
+            let line = &self.entries.get(id)?.line.as_ref()?.0;
+            let (state, why) = match line.state {
+                State::Ending(_) => (State::Cancelled, "cancelled, and its site is gone"),
+                _ => (State::Waiting, "its site is gone"),
+            };
+            Some(Write { gone: line.site(), ..self.write(id, state, why)? })
+        });
+        // Few sites, so that each comparison of a site's key stands once.
+        writes.take(self.limits.writes).collect()
+    }
+
+    /// Room at a site: all of it, or a quarter while it is cold.
+    fn room(&self, now: Time, known: &Known) -> usize {
+        let room = known.site.room;
+        if now >= known.since + self.limits.cold {
+            return room.saturating_sub(known.held);
+        }
+        // Jobs that it finishes while it is cold warm it up; what it is given until then is bounded as well.
+        let cold = room.div_ceil(4);
+        cold.saturating_sub(known.held).min(room.saturating_sub(known.given_cold))
+    }
+
+    fn give(&mut self, now: Time) -> Vec<Write> {
+        let mut rooms: Vec<(usize, Life)> =
+            self.sites.values().map(|known| (self.room(now, known), known.site.life)).collect();
+        let mut in_hand = self.in_hand.clone();
+        let mut writes: Vec<Write> = Vec::new();
+        let mut chosen: BTreeSet<String> = BTreeSet::new();
+        let mut at: BTreeMap<&str, Option<(u64, &str)>> = BTreeMap::new();
+        let due = |id: &str| self.entries.get(id).is_some_and(|entry| now >= entry.not_before);
+        // Those that have waited too long, by age alone.
+        let mut late = self
+            .oldest
+            .iter()
+            .take_while(|(since, ..)| now >= since + self.limits.wait)
+            .map(|(.., id)| id.as_str())
+            .filter(|id| due(id))
+            .peekable();
+        // Users by what they owe, with what they have in hand counted as the mean.
+        let owed = |user: &str, held: usize| {
+            let debt = self.debts.get(user).copied().unwrap_or(0);
+            debt.saturating_add((held as u64).saturating_mul(self.mean.max(1)))
+        };
+        let mut order: BTreeSet<(u64, &str)> = self
+            .waiting
+            .keys()
+            .map(|user| (owed(user, in_hand.get(user).copied().unwrap_or(0)), user.as_str()))
+            .collect();
+        while writes.len() < self.limits.writes {
+            // The site with the most room; the first among equals.
+            rooms.sort_by_key(|&(room, life)| (std::cmp::Reverse(room), life));
+            let Some((room, site)) = rooms.first_mut().filter(|(room, _)| *room > 0) else { break };
+            let id = match late.next() {
+                Some(id) => id,
+                None => {
+                    let Some((owes, user)) = order.pop_first() else { break };
+                    let queue = &self.waiting[user];
+                    let from = at.get(user).copied().flatten();
+                    let after = queue
+                        .iter()
+                        .skip_while(|(created, id)| from.is_some_and(|from| (*created, id.as_str()) <= from));
+                    let next = after.map(|(created, id)| (*created, id.as_str())).find(|(_, id)| due(id));
+                    let Some(next) = next else { continue };
+                    at.insert(user, Some(next));
+                    order.insert((owes.saturating_add(self.mean.max(1)), user));
+                    next.1
+                }
+            };
+            if !chosen.insert(id.to_owned()) {
+                continue;
+            }
+            let attempts = self.entries[id].line.as_ref().map_or(0, |(line, _)| line.attempts);
+            if attempts >= self.limits.attempts {
+                let why = self.entries[id].line.as_ref().map_or("", |(line, _)| line.why.as_str());
+                let why = format!("given up after {attempts} attempts: {why}");
+                writes.extend(self.write(id, State::Parked, &why));
+                continue;
+            }
+            let user = self.entries[id].job.as_ref().map_or("", |job| job.user.as_str());
+            *in_hand.entry(user.to_owned()).or_default() += 1;
+            *room -= 1;
+            let site = *site;
+            writes.extend(self.write(id, State::Leased(site), "").map(|w| Write { there: Some(site), ..w }));
+        }
+        writes
+    }
+
+    /// What came of the last writes: the revision that they have, where they were carried out. Where they were not, what is
+    /// so is told by the next look at the store.
+    pub fn done(&mut self, now: Time, writes: &[Write], revision: Option<u64>) {
+        self.busy = false;
+        let Some(revision) = revision else { return };
+        for write in writes {
+            match write.line.state {
+                State::Leased(site) => {
+                    self.figures.given += 1;
+                    if let Some(known) = self.sites.get_mut(&site) {
+                        known.given_cold += 1;
+                    }
+                }
+                State::Waiting => self.figures.ended += 1,
+                _ => {}
+            }
+            self.line(now, &write.job, write.line.clone(), revision);
+        }
+    }
+
+    /// When there is something to do without news.
+    pub fn next_at(&self, now: Time) -> Time {
+        /// Waits and rooms are looked at again this often: far finer than any of them.
+        const AGAIN: Time = 2_000;
+        if self.busy || (self.oldest.is_empty() && self.orphans.is_empty()) {
+            Time::MAX
+        } else {
+            now + AGAIN
+        }
+    }
+}
+
+/// Whether a job is wanted and nobody holds it.
+fn waits(entry: &Entry) -> bool {
+    entry.job.as_ref().is_some_and(|job| !job.cancel)
+        && entry.line.as_ref().is_none_or(|(line, _)| line.state == State::Waiting)
+}
--- /dev/null
+++ b/crates/jobs/tests/giver.rs
@@ -0,0 +1,189 @@
+//! The owner's decisions, on a store of lines that is told and asked by hand.
+
+use std::collections::BTreeMap;
+
+use ravenspar_jobs::{Giver, Job, Limits, Line, Site, State, Time, Write};
+
+const SECOND: Time = 10_000;
+
+fn limits() -> Limits {
+    Limits {
+        jobs: 1_000,
+        attempts: 3,
+        again: SECOND,
+        cold: 2 * SECOND,
+        most_gone: 5 * SECOND,
+        wait: 60 * SECOND,
+        writes: 40,
+    }
+}
+
+fn job(user: &str) -> Job {
+    Job { user: user.to_owned(), group: String::new(), cancel: false }
+}
+
+fn site(life: u64, room: usize) -> Site {
+    Site { life, name: format!("site-{life}"), room }
+}
+
+/// Carries everything out until there is nothing left; returns what was written, job and state.
+fn rest(giver: &mut Giver, now: Time, revision: &mut u64) -> Vec<(String, State)> {
+    let mut said = Vec::new();
+    loop {
+        let writes = giver.next(now);
+        if writes.is_empty() {
+            return said;
+        }
+        assert!(giver.next(now).is_empty(), "one transaction at a time");
+        *revision += 1;
+        giver.done(now, &writes, Some(*revision));
+        said.extend(writes.into_iter().map(|write| (write.job, write.line.state)));
+    }
+}
+
+fn states(said: &[(String, State)]) -> Vec<(&str, State)> {
+    said.iter().map(|(job, state)| (job.as_str(), *state)).collect()
+}
+
+#[test]
+fn a_job_goes_to_a_site_and_elsewhere_once_that_is_gone() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, vec![site(1, 4), site(2, 2), site(3, 1)]);
+    giver.job(0, "a", 10, job("u"));
+    assert_eq!(states(&rest(&mut giver, 0, &mut revision)), [("a", State::Leased(1))]);
+    assert!(rest(&mut giver, SECOND, &mut revision).is_empty());
+    giver.sites(5 * SECOND, vec![site(2, 2), site(3, 1)]);
+    let writes = giver.next(5 * SECOND);
+    assert_eq!(writes.len(), 1);
+    assert_eq!((writes[0].gone, writes[0].seen, writes[0].line.last), (Some(1), 101, 101));
+    assert_eq!((writes[0].line.term, writes[0].line.attempts), (7, 1));
+    revision += 1;
+    giver.done(5 * SECOND, &writes, Some(revision));
+    assert!(rest(&mut giver, 5 * SECOND + 1, &mut revision).is_empty(), "after a wait");
+    let said = rest(&mut giver, 6 * SECOND, &mut revision);
+    assert_eq!(states(&said), [("a", State::Leased(2))]);
+}
+
+#[test]
+fn what_was_not_carried_out_is_asked_for_again_by_what_the_store_says() {
+    let mut giver = Giver::new(7, limits());
+    giver.sites(0, vec![site(1, 4)]);
+    giver.job(0, "a", 10, job("u"));
+    let writes: Vec<Write> = giver.next(0);
+    giver.done(0, &writes, None);
+    // An outcome came first.
+    giver.line(0, "a", Line { last: 9, ..Line::new(State::Done) }, 50);
+    assert!(giver.next(0).is_empty());
+    // What is older than what is known changes nothing.
+    giver.line(0, "a", Line::new(State::Waiting), 40);
+    assert!(giver.next(0).is_empty());
+}
+
+#[test]
+fn a_cold_site_gets_a_quarter_and_nobody_more_than_its_room() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, vec![site(1, 8)]);
+    (0..20).for_each(|n| giver.job(0, &format!("j{n:02}"), 10 + n, job("u")));
+    assert_eq!(rest(&mut giver, 0, &mut revision).len(), 2);
+    assert_eq!(rest(&mut giver, SECOND, &mut revision).len(), 0);
+    assert_eq!(rest(&mut giver, 2 * SECOND, &mut revision).len(), 6);
+    assert_eq!(rest(&mut giver, 9 * SECOND, &mut revision).len(), 0);
+    assert_eq!((giver.figures().held, giver.figures().waiting), (8, 12));
+}
+
+#[test]
+fn attempts_are_bounded_with_waits_that_grow() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, vec![site(1, 8)]);
+    giver.job(0, "a", 10, job("u"));
+    let mut now = 0;
+    let mut given = Vec::new();
+    for _ in 0..400 {
+        for (_, state) in rest(&mut giver, now, &mut revision) {
+            match state {
+                State::Leased(_) => {
+                    given.push(now);
+                    revision += 1;
+                    let last = revision - 1;
+                    let attempts = given.len() as u32;
+                    let failed = Line { last, attempts, why: "x".into(), ..Line::new(State::Waiting) };
+                    giver.line(now, "a", failed, revision);
+                }
+                state => assert_eq!((state, given.len()), (State::Parked, 3)),
+            }
+        }
+        now += SECOND / 10;
+    }
+    assert_eq!(given, [0, SECOND, 3 * SECOND]);
+    assert_eq!(giver.figures().parked, 1);
+}
+
+#[test]
+fn where_most_sites_go_at_once_their_jobs_wait() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, (1..=4).map(|life| site(life, 8)).collect());
+    (0..8).for_each(|n| giver.job(0, &format!("j{n}"), 10 + n, job("u")));
+    rest(&mut giver, 0, &mut revision);
+    giver.sites(10 * SECOND, vec![site(4, 8)]);
+    assert!(rest(&mut giver, 14 * SECOND, &mut revision).is_empty());
+    assert!(giver.figures().held_back);
+    let said = rest(&mut giver, 15 * SECOND, &mut revision);
+    assert!(said.iter().any(|(_, state)| *state == State::Waiting), "not for ever");
+    // One of four is a lost site like any other.
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, (1..=4).map(|life| site(life, 8)).collect());
+    (0..8).for_each(|n| giver.job(0, &format!("j{n}"), 10 + n, job("u")));
+    rest(&mut giver, 0, &mut revision);
+    giver.sites(10 * SECOND, (2..=4).map(|life| site(life, 8)).collect());
+    assert!(!rest(&mut giver, 10 * SECOND, &mut revision).is_empty());
+}
+
+#[test]
+fn who_owes_less_goes_first_and_nobody_waits_past_the_bound() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    (0..50).for_each(|n| giver.job(0, &format!("flood-{n:02}"), 10 + n, job("flood")));
+    giver.job(0, "small-1", 90, job("small"));
+    giver.job(0, "small-2", 91, job("small"));
+    giver.rank(BTreeMap::from([("flood".to_owned(), 1_000), ("small".to_owned(), 0)]), 100);
+    giver.sites(0, vec![site(1, 2)]);
+    let said = rest(&mut giver, 2 * SECOND, &mut revision);
+    assert_eq!(said.iter().map(|(job, _)| job.as_str()).collect::<Vec<_>>(), ["small-1", "small-2"]);
+    // The other way round, until the wait is too long.
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.job(0, "small-1", 5, job("small"));
+    giver.rank(BTreeMap::from([("flood".to_owned(), 0), ("small".to_owned(), u64::MAX)]), 1);
+    (0..50).for_each(|n| giver.job(SECOND, &format!("flood-{n:02}"), 10 + n, job("flood")));
+    giver.sites(SECOND, vec![site(1, 2)]);
+    let said = rest(&mut giver, 3 * SECOND, &mut revision);
+    assert!(said.iter().all(|(job, _)| job.starts_with("flood")));
+    giver.sites(60 * SECOND, vec![site(1, 2), site(2, 4)]);
+    let said = rest(&mut giver, 60 * SECOND, &mut revision);
+    assert_eq!(said[0].0, "small-1");
+}
+
+#[test]
+fn cancelling_ends_what_waits_and_stops_what_is_held() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, vec![site(1, 1)]);
+    giver.job(0, "a", 10, job("u"));
+    giver.job(0, "b", 11, job("u"));
+    rest(&mut giver, 0, &mut revision);
+    let cancelled = Job { cancel: true, ..job("u") };
+    giver.job(0, "a", 10, cancelled.clone());
+    giver.job(0, "b", 11, cancelled);
+    let said = rest(&mut giver, 0, &mut revision);
+    assert_eq!(states(&said), [("a", State::Ending(1)), ("b", State::Cancelled)]);
+    giver.sites(SECOND, Vec::new());
+    let said = rest(&mut giver, SECOND, &mut revision);
+    assert_eq!(states(&said), [("a", State::Cancelled)]);
+}
+
+#[test]
+fn jobs_past_the_bound_are_left_out_and_counted() {
+    let mut giver = Giver::new(7, Limits { jobs: 2, ..limits() });
+    (0..3).for_each(|n| giver.job(0, &format!("j{n}"), 10 + n, job("u")));
+    assert_eq!((giver.figures().jobs, giver.figures().left_out), (2, 1));
+    giver.forget(0, "j0");
+    giver.job(0, "j2", 12, job("u"));
+    assert_eq!((giver.figures().jobs, giver.figures().waiting), (2, 2));
+}
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -7,8 +7,9 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use ravenspar_record::Record;
 
+use crate::door::Fault;
 use crate::halt::Halt;
-use crate::serve::{serve, Fault};
+use crate::serve::serve;
 use crate::{logs, members, say, settings, shared};
 
 #[derive(Parser)]
@@ -210,7 +211,7 @@
 /// Asks the shared store, from a runtime of its own.
 fn ask<T>(
     share: &settings::Share,
-    call: impl AsyncFnOnce(&ravenspar_etcd::Client, &shared::Keys) -> Result<T, ravenspar_etcd::Fault>,
+    call: impl AsyncFnOnce(&dyn ravenspar_store::Store, &shared::Keys) -> Result<T, ravenspar_store::Fault>,
 ) -> Result<T, Fault> {
     runtime()?.block_on(async {
         let client =
@@ -234,7 +235,7 @@
         return Err(Fault::Input(format!("{}: --watch: expected settings with a fleet", file.display())));
     }
     let share = shared_of(&cfg, file)?;
-    let said = ask(&share, async |client, keys| shared::snapshot(client, keys, 0).await)?;
+    let said = ask(&share, async |store, keys| shared::snapshot(store, keys, 0).await)?;
     let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
     let count = |life: u64| said.charges.iter().filter(|(_, steward, _)| *steward == life).count();
     let there = |life: u64| said.members.iter().any(|(member, _)| *member == life);
@@ -297,9 +298,9 @@
 /// The record in a shared store, with who is in charge of each slice.
 fn show_shared(cfg: &settings::Checked, share: &settings::Share, json: bool) -> Result<(), Fault> {
     let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
-    let (said, rows) = ask(share, async |client, keys| {
-        let said = shared::snapshot(client, keys, 0).await?;
-        Ok((said, shared::record(client, keys, 0, slices.saturating_sub(1)).await?))
+    let (said, rows) = ask(share, async |store, keys| {
+        let said = shared::snapshot(store, keys, 0).await?;
+        Ok((said, shared::record(store, keys, 0, slices.saturating_sub(1)).await?))
     })?;
     let name = |life: u64| {
         let member = said.members.iter().find(|(member, _)| *member == life);
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -1,63 +1,19 @@
 //! One loop that hands the host what sockets, record, list and store bring, and carries out what it says.
 
-use std::collections::BTreeMap;
-use std::rc::Rc;
-
-use ravenspar_host::{Host, Output};
+use ravenspar_host::Output;
 use ravenspar_notes::kind;
 use ravenspar_record::SliceRow;
 use ravenspar_steward::{Scope, Time};
-use tokio::sync::mpsc;
 
+use crate::door::Fault;
 use crate::fleet::{Fleet, Heard};
 use crate::halt::{Halt, Point};
 use crate::list::{self, News};
-use crate::recorder::{Batch, Recorder};
-use crate::serve::{Door, Fault};
+use crate::recorder::Batch;
 use crate::shared::Event;
-use crate::sharing::{Shared, GATHER};
+use crate::sharing::GATHER;
+use crate::state::{Core, End, Shared};
 use crate::streams::{self, Input, Stream};
-use ravenspar_net::Clock;
-
-/// How a life as a core came to its end, where nothing failed.
-pub enum End {
-    Stopped,
-    /// It may not go on as a member, and nothing of it may go out any more.
-    Over(String),
-}
-
-#[derive(Default)]
-pub struct Ran {
-    pub messages: u64,
-    pub batches: u64,
-    /// Lines handed to the record.
-    pub lines: u64,
-    pub refused: u64,
-    pub list_failed: bool,
-    /// The last ticket that was handed to the record.
-    pub ticket: Option<u64>,
-    /// The last ticket that was said to be durable.
-    pub durable: Option<u64>,
-}
-
-pub struct Core<'a> {
-    pub door: &'a mut Door,
-    pub clock: Clock,
-    pub host: Host,
-    /// Where lines of slices are made durable.
-    pub recorder: Rc<Recorder>,
-    pub shared: Option<Shared>,
-    pub streams: BTreeMap<u64, Stream>,
-    pub inputs: mpsc::Sender<Input>,
-    pub queue: mpsc::Receiver<Input>,
-    /// The number of the next stream.
-    pub next: u64,
-    pub ran: Ran,
-    /// Names and lives in the view, as last looked at.
-    pub members: Vec<(String, u64)>,
-    /// When the others are told next which forwarders are joined.
-    reach_at: Time,
-}
 
 /// The next event of a life; none ever without one.
 async fn next(shared: &mut Option<Shared>) -> Event {
@@ -75,27 +31,7 @@
     }
 }
 
-impl<'a> Core<'a> {
-    pub fn new(door: &'a mut Door, host: Host, shared: Option<Shared>) -> Core<'a> {
-        let (inputs, queue) = mpsc::channel(streams::INPUTS);
-        let clock = door.clock;
-        let recorder = shared.as_ref().map_or(&door.kept, |shared| &shared.life.recorder).clone();
-        Core {
-            door,
-            clock,
-            host,
-            recorder,
-            shared,
-            streams: BTreeMap::new(),
-            inputs,
-            queue,
-            next: 0,
-            ran: Ran::default(),
-            members: Vec::new(),
-            reach_at: Time::MIN,
-        }
-    }
-
+impl Core<'_> {
     pub async fn run(&mut self) -> Result<End, Fault> {
         let end = self.steps().await;
         let figures = self.host.figures();
--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod yaml;
 
 mod core;
+mod door;
 mod fleet;
 mod halt;
 mod logs;
@@ -15,6 +16,7 @@
 mod recorder;
 mod serve;
 mod sharing;
+mod state;
 mod streams;
 
 pub use fleet::{ask as ask_fleet, Answer};
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -4,58 +4,26 @@
 use std::rc::Rc;
 
 use ravenspar_host::{Host, Server};
-use ravenspar_list::Stop;
 use ravenspar_record::{Record, ServerRow, SliceRow};
 use ravenspar_sharing::counted::Counted;
 use ravenspar_steward::{Health, Live, Time};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
-use crate::core::{Core, End};
-use crate::fleet::Fleet;
+use crate::door::{Door, Fault};
 use crate::halt::Halt;
 use crate::list::{self, File, News, Source};
 use crate::list_store::Stored;
 use crate::recorder::{Batch, Recorder};
 use crate::settings::Checked;
-use crate::shared::{Joining, Keys, Life, Snapshot};
-use crate::sharing::Shared;
+use crate::shared::{backward, Joining, Keys, Life, Snapshot};
+use crate::state::{Core, End, Shared};
 use ravenspar_net::Clock;
 
-/// Why the steward could not start or go on, and whether that is bad input.
-#[derive(Debug)]
-pub enum Fault {
-    Input(String),
-    Failed(String),
-}
-
 fn failed(what: &str) -> impl Fn(std::io::Error) -> Fault + '_ {
     move |error| Fault::Failed(format!("{what}: {error}"))
 }
 
-/// What lasts for as long as the process does.
-pub struct Door {
-    pub clock: Clock,
-    pub listener: TcpListener,
-    pub list: mpsc::Receiver<News>,
-    /// Has the list read before its time.
-    pub look: std::sync::Arc<tokio::sync::Notify>,
-    /// Where the list last seen is kept, and without a shared store the slices too.
-    pub kept: Rc<Recorder>,
-    pub terminate: Signal,
-    pub interrupt: Signal,
-    /// Streams open at a time: each proxy's with one that replaces it, and some that have not said hello.
-    pub most: usize,
-    pub halt: Option<Halt>,
-    /// The view of the fleet, if there is one.
-    pub fleet: Option<Fleet>,
-    /// How many stewards the decisions go by, where the view says it.
-    pub counted: Option<(Counted, Live)>,
-    /// The list last seen.
-    pub rows: Vec<ServerRow>,
-}
-
 /// Returns when the process is asked to end.
 async fn stopped(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
@@ -174,10 +142,10 @@
     let mut chance =
         fastrand::Rng::with_seed(cfg.seed ^ door.clock.now() as u64 ^ (u64::from(std::process::id()) << 40));
     let client = ravenspar_etcd::Client::new(&share.endpoints, share.call_within, chance.u64(..));
-    let client = std::sync::Arc::new(client.map_err(Fault::Input)?);
+    let store: ravenspar_store::Shared = std::sync::Arc::new(client.map_err(Fault::Input)?);
     let keys = Keys::new(&share.prefix);
     let joining = Joining {
-        client: client.clone(),
+        store,
         keys: keys.clone(),
         clock: door.clock,
         slices: cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize,
@@ -206,7 +174,7 @@
         };
         let why = match joined {
             Ok((life, snapshot)) => {
-                seen = Some((snapshot.cluster, snapshot.revision as u64));
+                seen = Some((snapshot.cluster, snapshot.revision));
                 failures = 0;
                 let term = life.term;
                 let last = last_seen(&door.rows);
@@ -269,26 +237,9 @@
     address: &str,
     seen: Option<(u64, u64)>,
 ) -> Result<(Life, Snapshot), Refused> {
-    let said = crate::shared::snapshot(&joining.client, &joining.keys, 0).await;
+    let said = crate::shared::snapshot(&*joining.store, &joining.keys, 0).await;
     let said = said.map_err(|fault| Refused::Not(fault.to_string()))?;
     backward(&said, seen).map_or(Ok(()), |why| Err(Refused::Backward(why)))?;
     let life = Life::join(joining, number, address).await.map_err(Refused::Not)?;
     Ok((life, said))
 }
-
-/// Why what a store says can't follow on what was seen.
-pub fn backward(said: &Snapshot, seen: Option<(u64, u64)>) -> Option<String> {
-    let (cluster, revision) = seen?;
-    let found = (said.cluster, said.revision);
-    let stop = ravenspar_list::follows((cluster, revision as i64), found).err()?;
-    let what = match stop {
-        Stop::Cluster { .. } => "another store",
-        Stop::Backward { .. } => "an older store",
-    };
-    Some(format!(
-            "{what}: cluster {:x} revision {} where cluster {cluster:x} revision {revision} was seen; \
-             slices could get a second writer by it. Once every other steward is stopped and every forwarder's \
-             lease is over, `ravenspar accept` takes it",
-            found.0, found.1
-        ))
-}
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -160,7 +160,7 @@
     pub endpoints: Vec<String>,
     pub prefix: String,
     /// Whole seconds, as the store has them.
-    pub member_lease: i64,
+    pub member_lease: u32,
     pub call_within: std::time::Duration,
 }
 
@@ -320,7 +320,7 @@
         name: text("share.name"),
         endpoints,
         prefix: text("share.prefix"),
-        member_lease: lease as i64,
+        member_lease: lease as u32,
         call_within: std::time::Duration::from_secs_f64(seconds("share.call_within")),
     })
 }
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ravenspar_etcd::Client;
 use ravenspar_record::SliceRow;
 use ravenspar_sharing::membership::Membership;
 use ravenspar_sharing::{Fleet, Step};
 use ravenspar_steward::{Time, SECOND};
+use ravenspar_store::Shared;
 use tokio::sync::{mpsc, Mutex, Notify};
 use tokio::task::AbortHandle;
 
@@ -67,7 +67,7 @@
 #[derive(Clone)]
 pub struct Joining {
     pub share: Share,
-    pub client: Arc<Client>,
+    pub store: Shared,
     pub keys: Keys,
     pub clock: Clock,
     pub slices: usize,
@@ -116,20 +116,19 @@
 impl Life {
     /// Becomes a member. `number`: of its lease, drawn at random, as no other life's.
     pub async fn join(joining: &Joining, number: u64, address: &str) -> Result<Life, String> {
-        let Joining { share, client, keys, clock, .. } = joining.clone();
-        let lease = share.member_lease * SECOND;
+        let Joining { share, store, keys, clock, .. } = joining.clone();
+        let lease = Time::from(share.member_lease) * SECOND;
         let mut membership = Membership::new(lease, MARGIN);
         let sent = clock.now();
         membership.renewing(sent);
-        let seconds =
-            client.lease_grant(number as i64, share.member_lease).await.map_err(|f| f.to_string())?;
+        let seconds = store.grant(number, share.member_lease).await.map_err(|f| f.to_string())?;
         if seconds != share.member_lease {
             return Err(format!("the store gives leases of {seconds} s, not of {} s", share.member_lease));
         }
         membership.renewed(sent);
         let member =
             Member { name: share.name.clone(), address: address.to_owned(), leaving: false, resting: false };
-        let joined = Hand::join(client, keys, number, &member).await;
+        let joined = Hand::join(store, keys, number, &member).await;
         let (hand, term) = joined.map_err(|stop| format!("{stop:?}"))?;
         let hand = Arc::new(Mutex::new(hand));
         // Two looks at who is there: those that start together, or come back with the store, share from the first.
@@ -169,7 +168,7 @@
         let task = tokio::spawn(async move {
             let mut since = 0;
             loop {
-                let event = match snapshot(&joining.client, &joining.keys, since).await {
+                let event = match snapshot(&*joining.store, &joining.keys, since).await {
                     Ok(said) => {
                         since = said.revision + 1;
                         Event::Snapshot(said)
@@ -197,7 +196,8 @@
     /// A steward is gone by the view of the fleet: the store lets its membership go within a lease, and what it was in
     /// charge of may be taken from that moment on.
     pub fn look_often(&self, now: Time) {
-        self.often.store(now + self.joining.share.member_lease * SECOND + SECOND, Ordering::Relaxed);
+        self.often
+            .store(now + Time::from(self.joining.share.member_lease) * SECOND + SECOND, Ordering::Relaxed);
         self.look();
     }
 
@@ -215,11 +215,11 @@
             return;
         }
         self.renewals.fetch_add(1, Ordering::Relaxed);
-        let (events, client, renewals) =
-            (self.events.clone(), self.joining.client.clone(), self.renewals.clone());
-        let number = self.number as i64;
+        let (events, store, renewals) =
+            (self.events.clone(), self.joining.store.clone(), self.renewals.clone());
+        let number = self.number;
         tokio::spawn(async move {
-            let event = match client.keep_alive(number).await {
+            let event = match store.renew(number).await {
                 Ok(Some(_)) => Event::Renewed(now),
                 Ok(None) => Event::Over("the store has let the membership go".to_owned()),
                 Err(fault) => Event::Away(fault.to_string()),
@@ -275,7 +275,7 @@
     /// Ends the membership at the store, for one that is in charge of nothing and publishes nothing any more.
     pub async fn end(self) {
         // Best effort: the lease runs out by itself.
-        let _ = self.joining.client.lease_revoke(self.number as i64).await;
+        let _ = self.joining.store.revoke(self.number).await;
     }
 }
 
@@ -311,7 +311,7 @@
     events: &mpsc::Sender<Event>,
 ) -> Result<(), Stop> {
     let (Some(&(first, _)), Some(&(last, _))) = (slices.first(), slices.last()) else { return Ok(()) };
-    let mut rows = record(&joining.client, &joining.keys, first, last).await?;
+    let mut rows = record(&*joining.store, &joining.keys, first, last).await?;
     rows.retain(|row| slices.binary_search_by_key(&(row.slice as usize), |&(slice, _)| slice).is_ok());
     let _ = events.send(Event::Serves { slices, rows, from }).await;
     Ok(())
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -6,4 +6,4 @@
 
 pub use life::{Event, From, Joining, Life, EARLY};
 pub use rows::{Keys, Member};
-pub use store::{record, snapshot, Snapshot};
+pub use store::{backward, record, snapshot, Snapshot};
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -2,56 +2,19 @@
 
 use ravenspar_host::Charged;
 use ravenspar_notes::kind;
-use ravenspar_sharing::useful::{dealt_nothing, Useful};
+use ravenspar_sharing::useful::dealt_nothing;
 use ravenspar_sharing::Step;
 use ravenspar_steward::{Time, SECOND};
 
-use crate::core::{Core, End};
 use crate::halt::{Halt, Point};
 use crate::recorder::Batch;
-use crate::serve::backward;
-use crate::shared::{Event, From, Life, EARLY};
+use crate::shared::{backward, Event, From, EARLY};
+use crate::state::{Core, End};
 
 /// Slices that come into charge within this time are told to forwarders in one message: a take-over is a row of
 /// transactions a few milliseconds apart.
 pub const GATHER: Time = SECOND / 10;
 
-/// What a steward among others has beside its host.
-pub struct Shared {
-    pub life: Life,
-    /// Cluster and revision of the store.
-    pub seen: Option<(u64, u64)>,
-    pub noted: Time,
-    /// A step that waits until lines up to a ticket are durable.
-    pub waits: Option<(Option<u64>, Step)>,
-    /// Slices that have come into charge and are to be told with others, and since when the first waits.
-    pub arrived: Vec<Charged>,
-    pub since: Time,
-    pub away: bool,
-    /// Whether this steward reaches the forwarders that others reach.
-    useful: Useful,
-    resting: bool,
-    /// How many members the store had at the last look.
-    members: usize,
-}
-
-impl Shared {
-    pub fn new(life: Life, seen: Option<(u64, u64)>) -> Shared {
-        Shared {
-            life,
-            seen,
-            noted: 0,
-            waits: None,
-            arrived: Vec::new(),
-            since: 0,
-            away: false,
-            members: 0,
-            useful: Useful::default(),
-            resting: false,
-        }
-    }
-}
-
 impl Core<'_> {
     /// Whether the process is to end at once: one that shares gives its slices away first.
     pub fn stop(&mut self) -> bool {
@@ -82,7 +45,7 @@
                 if std::mem::take(&mut shared.away) {
                     tracing::info!("the store answers again");
                 }
-                shared.seen = Some((said.cluster, said.revision as u64));
+                shared.seen = Some((said.cluster, said.revision));
                 said.charges.iter().for_each(|&(slice, life, term)| fleet.charge(slice, life, term));
                 let members = said.members.iter().map(|(life, m)| (*life, m.leaving, m.resting));
                 let members = dealt_nothing(&members.collect::<Vec<_>>());
--- /dev/null
+++ b/crates/standin/src/store/memory.rs
@@ -0,0 +1,110 @@
+//! The replicated log's state as a store of one process: one copy, no log, no disk. It shows that what is asked of a store
+//! is what `replicated` will keep, and it serves tests that need no sockets.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use futures_util::future::BoxFuture;
+use ravenspar_replica::state::{Did, Done, Not, Order};
+use ravenspar_replica::State;
+use ravenspar_store::{at, put, Committed, Fault, Guarded, Page, Range, Read, Step, Store};
+
+use crate::{Clock, Time, SECOND};
+
+#[derive(Clone, Default)]
+pub struct Memory {
+    inner: Arc<Mutex<(State, BTreeMap<u64, Time>)>>,
+    clock: Clock,
+}
+
+impl Memory {
+    fn order(&self, order: Order) -> (u64, Result<Done, Not>) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let (state, ends) = &mut *inner;
+        let over: Vec<u64> = ends.iter().filter(|(_, end)| now >= **end).map(|(lease, _)| *lease).collect();
+        for lease in over {
+            ends.remove(&lease);
+            state.apply(&Order::Revoke { lease }.write());
+        }
+        let outcome = state.apply(&order.write());
+        match (&order, &outcome.result) {
+            (Order::Grant { lease, .. } | Order::Renew { lease }, Ok(Done::Lease(seconds))) => {
+                ends.insert(*lease, now + Time::from(*seconds) * SECOND);
+            }
+            (Order::Revoke { lease }, _) => _ = ends.remove(lease),
+            _ => {}
+        }
+        (outcome.revision, outcome.result)
+    }
+
+    fn reads(&self, ranges: Vec<Range>) -> Read {
+        let then = ranges.into_iter().map(Step::Read).collect();
+        let (revision, result) = self.order(Order::Do { compare: Vec::new(), then, otherwise: Vec::new() });
+        let Ok(Done::Did { steps, .. }) = result else { return Read::default() };
+        let rows = |did| if let Did::Read(rows) = did { rows } else { Vec::new() };
+        Read { cluster: 1, revision, ranges: steps.into_iter().map(rows).collect() }
+    }
+
+    fn lease(&self, order: Order) -> Result<u32, Not> {
+        match self.order(order).1? {
+            Done::Lease(seconds) => Ok(seconds),
+            Done::Did { .. } => Err(Not::Unread),
+        }
+    }
+}
+
+impl Store for Memory {
+    fn read(&self, ranges: Vec<Range>) -> BoxFuture<'_, Result<Read, Fault>> {
+        Box::pin(async move { Ok(self.reads(ranges)) })
+    }
+
+    /// It keeps no earlier revisions: pages behind the first are as they are now.
+    fn page(&self, range: Range, limit: usize, revision: u64) -> BoxFuture<'_, Result<Page, Fault>> {
+        Box::pin(async move {
+            let read = self.reads(vec![range]);
+            let mut rows = read.ranges.into_iter().next().unwrap_or_default();
+            let more = limit > 0 && rows.len() > limit;
+            if more {
+                rows.truncate(limit);
+            }
+            Ok(Page { revision: if revision > 0 { revision } else { read.revision }, rows, more })
+        })
+    }
+
+    fn commit(&self, guarded: Guarded, _fences: u32) -> BoxFuture<'_, Result<Committed, Fault>> {
+        Box::pin(async move {
+            let mut compare = vec![at(guarded.witness.clone(), guarded.revision)];
+            compare.extend(guarded.compare);
+            let mut then = guarded.then;
+            then.push(put(guarded.witness.clone(), guarded.value, guarded.lease));
+            let read = Step::Read(Range { key: guarded.witness, end: Vec::new(), since: 0 });
+            let (revision, result) = self.order(Order::Do { compare, then, otherwise: vec![read] });
+            match result {
+                Ok(Done::Did { held: true, .. }) => Ok(Committed::Yes { witness: revision }),
+                Ok(Done::Did { steps, .. }) => {
+                    let row = |did| if let Did::Read(rows) = did { rows } else { Vec::new() };
+                    let found = steps.into_iter().flat_map(row).next();
+                    Ok(Committed::No { witness: found.map_or(0, |row| row.modified) })
+                }
+                Ok(Done::Lease(_)) => Err(Fault::Unknown("another answer than asked for".to_owned())),
+                Err(not) => Err(Fault::Refused(format!("{not:?}"))),
+            }
+        })
+    }
+
+    fn grant(&self, lease: u64, seconds: u32) -> BoxFuture<'_, Result<u32, Fault>> {
+        let made = self.lease(Order::Grant { lease, seconds });
+        Box::pin(async move { made.map_err(|not| Fault::Refused(format!("{not:?}"))) })
+    }
+
+    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<Option<u32>, Fault>> {
+        let renewed = self.lease(Order::Renew { lease });
+        Box::pin(async move { Ok(renewed.ok()) })
+    }
+
+    fn revoke(&self, lease: u64) -> BoxFuture<'_, Result<(), Fault>> {
+        let _ = self.order(Order::Revoke { lease });
+        Box::pin(async { Ok(()) })
+    }
+}
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,8 +1,10 @@
 //! A stand-in for etcd: keys with revisions, leases and transactions as its public API says, and faults to inject.
 
+mod memory;
 mod mvcc;
 mod server;
 mod watching;
 
+pub use memory::Memory;
 pub use mvcc::Mvcc;
 pub use server::{Faults, Store};
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -59,8 +59,8 @@
     assert_eq!(store.renew(3 * SECOND, 5), 0);
 }
 
-fn guarded(revision: i64, value: &str, key: &str) -> Guarded {
-    let then = vec![put(key, value, 0)];
+fn guarded(revision: u64, value: &str, key: &str) -> Guarded {
+    let then = vec![ravenspar_store::put(key.into(), value.into(), 0)];
     Guarded { witness: b"w".to_vec(), revision, value: value.into(), compare: Vec::new(), then, lease: 0 }
 }
 
@@ -97,7 +97,7 @@
         store.set_faults(Faults { lose_answers: 1, ..Faults::default() });
         let committed = client.commit(&guarded(witness, "two", "k"), 4).await;
         assert_eq!(committed, Ok(Committed::Yes { witness: witness + 1 }));
-        assert_eq!(store.get(b"k"), Some((b"two".to_vec(), witness + 1)));
+        assert_eq!(store.get(b"k"), Some((b"two".to_vec(), witness as i64 + 1)));
         // A witness that has moved: not carried out, and its revision is told.
         let committed = client.commit(&guarded(witness, "three", "k"), 4).await;
         assert_eq!(committed, Ok(Committed::No { witness: witness + 1 }));
