--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -141,11 +141,14 @@
         dealt
     }
 
-    /// The next step, if there is one to take now.
-    pub fn next(&mut self, now: Time) -> Option<Step> {
+    /// The next step, if there is one to take now. `leaving`: this steward ends, whether or not the store shows it yet.
+    pub fn next(&mut self, now: Time, leaving: bool) -> Option<Step> {
         if self.busy.is_some() || !self.is_member(self.me) {
             return None;
         }
+        if let Some(me) = self.members.iter_mut().find(|member| member.life == self.me) {
+            me.leaving |= leaving;
+        }
         let leaving = self.members.iter().any(|member| member.life == self.me && member.leaving);
         let dealt = self.dealt();
         for (duty, to) in dealt.into_iter().enumerate() {
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -7,10 +7,12 @@
 //! `docs/design/duties.md` has the reasoning.
 
 mod duties;
+mod pace;
 mod taker;
 mod warrant;
 
 pub use duties::{Claim, Duties, Member, Step};
+pub use pace::Pace;
 pub use ravenspar_sharing::{Life, Time};
 pub use taker::{Refused, Taken, Taker};
 pub use warrant::{Tenure, Warrant};
--- a/crates/duty/tests/owners.rs
+++ b/crates/duty/tests/owners.rs
@@ -47,7 +47,7 @@
 
     fn begin(&mut self, at: usize) {
         if self.parts[at].2.is_none() {
-            self.parts[at].2 = self.parts[at].1.next(self.now);
+            self.parts[at].2 = self.parts[at].1.next(self.now, false);
         }
     }
 
--- a/crates/jobs/src/giver.rs
+++ b/crates/jobs/src/giver.rs
@@ -42,6 +42,8 @@
     /// The site's key has to be there (given out) or gone (ended).
     pub there: Option<Life>,
     pub gone: Option<Life>,
+    /// Nothing is kept of the job: whoever handed it in has deleted it, and it is over.
+    pub delete: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -62,6 +64,10 @@
 #[derive(Clone, Debug)]
 struct Entry {
     job: Option<Job>,
+    /// What is wrong with it, where it can't be read.
+    bad: Option<String>,
+    /// All jobs were looked through, and it was not there.
+    swept: bool,
     /// The revision at which it was handed in: its age.
     created: u64,
     line: Option<(Line, u64)>,
@@ -95,8 +101,8 @@
     in_hand: BTreeMap<String, usize>,
     /// Held by sites that are gone.
     orphans: BTreeSet<String>,
-    /// Cancelled, and not yet written so.
-    cancelled: BTreeSet<String>,
+    /// Cancelled, deleted or not to be read, and not yet written so.
+    unwanted: BTreeSet<String>,
     /// Each user's debt by the ranking in use; one that is not in it owes nothing.
     debts: BTreeMap<String, u64>,
     /// What a job in hand counts as, until its use is known: the mean use of a job.
@@ -122,7 +128,7 @@
             oldest: BTreeSet::new(),
             in_hand: BTreeMap::new(),
             orphans: BTreeSet::new(),
-            cancelled: BTreeSet::new(),
+            unwanted: BTreeSet::new(),
             debts: BTreeMap::new(),
             mean: 0,
             went: Vec::new(),
@@ -183,17 +189,29 @@
         }
     }
 
-    /// A job as it was handed in, or as it is now.
-    pub fn job(&mut self, now: Time, id: &str, created: u64, job: Job) {
+    /// A job as it was handed in, or as it is now; or what is wrong with it: then it is parked.
+    pub fn job(&mut self, now: Time, id: &str, created: u64, job: Result<Job, String>) {
         if !self.known(now, id) {
             return;
         }
         self.change(now, id, |entry| {
-            entry.job = Some(job);
-            entry.created = created;
+            (entry.job, entry.bad) = match job {
+                Ok(job) => (Some(job), None),
+                Err(why) => (None, Some(why)),
+            };
+            (entry.created, entry.swept) = (created, false);
         });
     }
 
+    /// All jobs that there are: those that were deleted are cancelled where they are not over, and forgotten where they are.
+    pub fn all_jobs(&mut self, now: Time, there: &BTreeSet<&str>) {
+        let gone: Vec<String> =
+            self.entries.keys().filter(|id| !there.contains(id.as_str())).cloned().collect();
+        for id in gone {
+            self.change(now, &id, |entry| (entry.job, entry.bad, entry.swept) = (None, None, true));
+        }
+    }
+
     /// A line as the store has it at a revision.
     pub fn line(&mut self, now: Time, id: &str, line: Line, modified: u64) {
         if !self.known(now, id) {
@@ -215,7 +233,8 @@
 
     /// A line or a job was deleted by its owner: nothing is kept of it.
     pub fn forget(&mut self, now: Time, id: &str) {
-        self.change(now, id, |entry| entry.job = None);
+        self.change(now, id, |entry| (entry.job, entry.bad, entry.line) = (None, None, None));
+        self.unwanted.remove(id);
         self.entries.remove(id);
     }
 
@@ -227,7 +246,8 @@
             self.figures.left_out += 1;
             return false;
         }
-        let entry = Entry { job: None, created: 0, line: None, since: now, not_before: now };
+        let entry =
+            Entry { job: None, bad: None, swept: false, created: 0, line: None, since: now, not_before: now };
         self.entries.insert(id.to_owned(), entry);
         true
     }
@@ -278,15 +298,10 @@
                 self.orphans.remove(id);
             }
         }
-        let unwanted = entry.job.as_ref().is_some_and(|job| job.cancel);
-        let open = entry
-            .line
-            .as_ref()
-            .is_none_or(|(line, _)| matches!(line.state, State::Waiting | State::Leased(_)));
-        if into && unwanted && open {
-            self.cancelled.insert(id.to_owned());
+        if into && unwanted(entry).is_some() {
+            self.unwanted.insert(id.to_owned());
         } else {
-            self.cancelled.remove(id);
+            self.unwanted.remove(id);
         }
         waits
     }
@@ -316,13 +331,23 @@
         let last = line.token(seen);
         let attempts = line.attempts + u32::from(matches!(state, State::Leased(_)));
         let line = Line { state, last, attempts, term: self.term, why: why.to_owned() };
-        Some(Write { job: id.to_owned(), seen, line, there: None, gone: None })
+        Some(Write { job: id.to_owned(), seen, line, there: None, gone: None, delete: false })
     }
 
     fn cancel(&self) -> Vec<Write> {
-        let writes = self.cancelled.iter().take(self.limits.writes).filter_map(|id| {
-            let held = self.entries.get(id)?.line.as_ref().and_then(|(line, _)| line.site());
-            self.write(id, held.map_or(State::Cancelled, State::Ending), "cancelled")
+        let writes = self.unwanted.iter().take(self.limits.writes).filter_map(|id| {
+            let entry = self.entries.get(id)?;
+            let (state, why) = match unwanted(entry)? {
+                Unwanted::Cancel => {
+                    let held = entry.line.as_ref().and_then(|(line, _)| line.site());
+                    (held.map_or(State::Cancelled, State::Ending), "cancelled")
+                }
+                Unwanted::Park(why) => (State::Parked, why),
+                Unwanted::Delete => {
+                    return Some(Write { delete: true, ..self.write(id, State::Cancelled, "")? })
+                }
+            };
+            self.write(id, state, why)
         });
         writes.collect()
     }
@@ -427,6 +452,10 @@
         self.busy = false;
         let Some(revision) = revision else { return };
         for write in writes {
+            if write.delete {
+                self.forget(now, &write.job);
+                continue;
+            }
             match write.line.state {
                 State::Leased(site) => {
                     self.figures.given += 1;
@@ -458,3 +487,27 @@
     entry.job.as_ref().is_some_and(|job| !job.cancel)
         && entry.line.as_ref().is_none_or(|(line, _)| line.state == State::Waiting)
 }
+
+/// What is to be done with a job that is not wanted as it is.
+enum Unwanted<'a> {
+    Cancel,
+    /// It can't be run, with the reason.
+    Park(&'a str),
+    Delete,
+}
+
+fn unwanted(entry: &Entry) -> Option<Unwanted<'_>> {
+    let state = entry.line.as_ref().map(|(line, _)| line.state);
+    let open = matches!(state, None | Some(State::Waiting | State::Leased(_)));
+    match (&entry.job, &entry.bad) {
+        (_, Some(why)) if open => Some(Unwanted::Park(why)),
+        (Some(job), _) if job.cancel && open => Some(Unwanted::Cancel),
+        (None, None) => match state {
+            // A line that is read before its job is no reason: jobs that there are not are told of by `all_jobs`.
+            Some(State::Waiting | State::Leased(_)) if entry.swept => Some(Unwanted::Cancel),
+            Some(State::Done | State::Parked | State::Cancelled) if entry.swept => Some(Unwanted::Delete),
+            _ => None,
+        },
+        _ => None,
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,10 +8,12 @@
 //! [`Line`] is that line; [`Giver`] decides for the owner of the duty; [`judge`] decides on an outcome at any steward;
 //! [`Holder`] is the agent's side. `docs/design/jobs.md` has the reasoning.
 
+mod desk;
 mod giver;
 mod holder;
 mod line;
 
+pub use desk::{Act, Desk, Figures as DeskFigures, Hello};
 pub use giver::{Figures, Giver, Limits, Site, Write};
 pub use holder::{Held, Holder, Told};
 pub use line::{judge, Ended, Job, Line, State, Verdict};
--- a/crates/jobs/tests/giver.rs
+++ b/crates/jobs/tests/giver.rs
@@ -18,8 +18,8 @@
     }
 }
 
-fn job(user: &str) -> Job {
-    Job { user: user.to_owned(), group: String::new(), cancel: false }
+fn job(user: &str) -> Result<Job, String> {
+    Ok(Job { user: user.to_owned(), group: String::new(), cancel: false })
 }
 
 fn site(life: u64, room: usize) -> Site {
@@ -168,7 +168,7 @@
     giver.job(0, "a", 10, job("u"));
     giver.job(0, "b", 11, job("u"));
     rest(&mut giver, 0, &mut revision);
-    let cancelled = Job { cancel: true, ..job("u") };
+    let cancelled = job("u").map(|job| Job { cancel: true, ..job });
     giver.job(0, "a", 10, cancelled.clone());
     giver.job(0, "b", 11, cancelled);
     let said = rest(&mut giver, 0, &mut revision);
@@ -187,3 +187,33 @@
     giver.job(0, "j2", 12, job("u"));
     assert_eq!((giver.figures().jobs, giver.figures().waiting), (2, 2));
 }
+
+#[test]
+fn a_job_that_cant_be_read_is_parked_and_one_that_was_deleted_is_ended_and_forgotten() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    giver.sites(0, vec![site(1, 9)]);
+    giver.job(0, "a", 10, Err("expected a user".to_owned()));
+    giver.job(0, "b", 11, job("u"));
+    let writes = giver.next(0);
+    assert_eq!((writes[0].line.state, writes[0].line.why.as_str()), (State::Parked, "expected a user"));
+    giver.done(0, &writes, Some(101));
+    revision += 1;
+    assert_eq!(states(&rest(&mut giver, 0, &mut revision)), [("b", State::Leased(1))]);
+    giver.all_jobs(0, &["a", "b"].into());
+    assert!(giver.next(0).is_empty());
+    giver.all_jobs(0, &[].into());
+    let writes = giver.next(0);
+    let said: Vec<_> =
+        writes.iter().map(|write| (write.job.as_str(), write.line.state, write.delete)).collect();
+    assert_eq!(said, [("a", State::Cancelled, true), ("b", State::Ending(1), false)]);
+    revision += 1;
+    giver.done(0, &writes, Some(revision));
+    assert_eq!(giver.figures().jobs, 1);
+    revision += 1;
+    let stopped = Line { last: 102, ..Line::new(State::Cancelled) };
+    giver.line(0, "b", stopped, revision);
+    let writes = giver.next(0);
+    assert!(writes[0].delete);
+    giver.done(0, &writes, Some(revision + 1));
+    assert_eq!((giver.figures().jobs, giver.next(0).len()), (0, 0));
+}
--- a/crates/lab/src/fleet/judge.rs
+++ b/crates/lab/src/fleet/judge.rs
@@ -37,6 +37,11 @@
 }
 
 impl Verdict {
+    /// For each rule what it comes to, and its breaks.
+    pub fn of(rules: Vec<(&'static str, String, Vec<String>)>) -> Verdict {
+        Verdict { rules }
+    }
+
     /// Of a fleet that did not find together at the start.
     pub fn never_one(looks: &[Look]) -> Verdict {
         let last: BTreeMap<usize, &Look> = looks.iter().map(|look| (look.of, look)).collect();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,5 +7,6 @@
 mod play;
 
 pub use day::FleetDay;
+pub use judge::Verdict;
 pub use measure::measure;
 pub use play::play;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 mod troubles;
 mod vex;
 mod ways;
+mod work;
 
 use ravenspar::say;
 use std::ffi::OsString;
@@ -100,11 +101,38 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         args: Vec<OsString>,
     },
+    /// A stand-in for a site's agent, which days start.
+    #[command(hide = true)]
+    Agent(AgentArgs),
     /// A stand-in forwarder, which days start.
     #[command(hide = true)]
     Forwarder(ForwarderArgs),
 }
 
+#[derive(clap::Args)]
+struct AgentArgs {
+    #[arg(long)]
+    name: String,
+    #[arg(long)]
+    dir: PathBuf,
+    #[arg(long)]
+    effects: SocketAddr,
+    #[arg(long)]
+    room: usize,
+    #[arg(long)]
+    lease_ms: i64,
+    #[arg(long)]
+    seed: u64,
+    #[arg(long, required = true)]
+    steward: Vec<SocketAddr>,
+    #[arg(long)]
+    ignores_lease: bool,
+    #[arg(long)]
+    forgets: bool,
+    #[arg(long, default_value_t = 1)]
+    lies: u64,
+}
+
 #[derive(clap::Args)]
 struct ForwarderArgs {
     #[arg(long)]
@@ -168,6 +196,7 @@
         Command::Steward { args } => {
             return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
         }
+        Command::Agent(args) => run_agent(args),
         Command::Forwarder(args) => run_forwarder(args),
     };
     match result {
@@ -201,6 +230,16 @@
             Ok(verdict.kept())
         });
     }
+    if work::WorkDay::is_one(file) {
+        let mut day = work::WorkDay::load(file).map_err(Fault::Input)?;
+        day.seed = seed.unwrap_or(day.seed);
+        return in_folder(keep, |dir| {
+            let verdict = block_on(work::play(day, dir))??;
+            std::fs::write(dir.join("verdict.txt"), verdict.report())?;
+            say(verdict.report());
+            Ok(verdict.kept())
+        });
+    }
     let mut day = Day::load(file).map_err(Fault::Input)?;
     day.seed = seed.unwrap_or(day.seed);
     in_folder(keep, |dir| {
@@ -252,9 +291,10 @@
     if !plays {
         return Err(Fault::Input("soak: expected more than 0 minutes, and 1 to 64 days at once".to_owned()));
     }
-    match fleet::FleetDay::is_one(file) {
-        true => _ = fleet::FleetDay::load(file).map_err(Fault::Input)?,
-        false => _ = Day::load(file).map_err(Fault::Input)?,
+    match (fleet::FleetDay::is_one(file), work::WorkDay::is_one(file)) {
+        (true, _) => _ = fleet::FleetDay::load(file).map_err(Fault::Input)?,
+        (_, true) => _ = work::WorkDay::load(file).map_err(Fault::Input)?,
+        _ => _ = Day::load(file).map_err(Fault::Input)?,
     }
     block_on(soak::soak(file, minutes, seed, at_once, keep))?
 }
@@ -269,6 +309,25 @@
     Ok(verdict.kept())
 }
 
+fn run_agent(args: AgentArgs) -> Result<bool, Fault> {
+    let options = ravenspar_standin::agent::Options {
+        name: args.name,
+        stewards: args.steward,
+        effects: args.effects,
+        dir: args.dir,
+        room: args.room,
+        lease: args.lease_ms * 10,
+        seed: args.seed,
+        ignores_lease: args.ignores_lease,
+        forgets: args.forgets,
+        lies: args.lies,
+    };
+    // It listens nowhere: it says so that whoever starts it knows that it runs.
+    say("listening on 127.0.0.1:0");
+    block_on(ravenspar_standin::agent::run(options))??;
+    Ok(true)
+}
+
 fn run_forwarder(args: ForwarderArgs) -> Result<bool, Fault> {
     let options = forwarder::Options {
         number: args.number,
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -12,6 +12,7 @@
 pub struct Process {
     child: Child,
     pub address: SocketAddr,
+    out: BufReader<tokio::process::ChildStdout>,
 }
 
 impl Process {
@@ -23,13 +24,22 @@
         let mut child = command.spawn()?;
         let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
         let mut line = String::new();
-        BufReader::new(out).read_line(&mut line).await?;
+        let mut out = BufReader::new(out);
+        out.read_line(&mut line).await?;
         let address = line.trim().strip_prefix("listening on ").and_then(|address| address.parse().ok());
         let address = address.ok_or_else(|| {
             let first = args.first().map(|arg| arg.to_string_lossy().into_owned()).unwrap_or_default();
             io::Error::other(format!("the {first} did not start, see its log"))
         })?;
-        Ok(Process { child, address })
+        Ok(Process { child, address, out })
+    }
+
+    /// Where a steward that has the duty of jobs takes agents of sites: the line behind the first.
+    pub async fn agents(&mut self) -> io::Result<SocketAddr> {
+        let mut line = String::new();
+        self.out.read_line(&mut line).await?;
+        let address = line.trim().strip_prefix("agents at ").and_then(|address| address.parse().ok());
+        address.ok_or_else(|| io::Error::other("it does not say where agents come"))
     }
 
     pub async fn kill(&mut self) {
@@ -71,8 +81,12 @@
 
     /// Asks it to end in order and returns its exit code.
     pub async fn end(&mut self) -> Option<i32> {
+        self.end_within(std::time::Duration::from_secs(5)).await
+    }
+
+    pub async fn end_within(&mut self, span: std::time::Duration) -> Option<i32> {
         self.signal("TERM").await;
-        let waited = tokio::time::timeout(std::time::Duration::from_secs(5), self.child.wait()).await;
+        let waited = tokio::time::timeout(span, self.child.wait()).await;
         match waited {
             Ok(status) => status.ok().and_then(|status| status.code()),
             Err(_) => {
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -12,6 +12,7 @@
 use crate::fleet::FleetDay;
 use crate::judge;
 use crate::stage::{self, Fault};
+use crate::work::WorkDay;
 
 #[derive(Default)]
 struct Sums {
@@ -31,7 +32,7 @@
     std::fs::create_dir_all(keep)?;
     let mut playing: VecDeque<(u64, PathBuf, Instant, Child)> = VecDeque::new();
     let (mut next, mut sums) = (seed, Sums::default());
-    let view = FleetDay::is_one(file);
+    let view = FleetDay::is_one(file) || WorkDay::is_one(file);
     say(if view { "| seed | s | verdict |" } else { "| seed | s | faults | writes | moves | verdict |" });
     say(if view { "| ---: | ---: | --- |" } else { "| ---: | ---: | ---: | ---: | ---: | --- |" });
     loop {
--- a/crates/lab/src/ways/mod.rs
+++ b/crates/lab/src/ways/mod.rs
@@ -22,6 +22,10 @@
     Steward(usize),
     Forwarder(usize),
     Store,
+    /// A site's agent.
+    Agent(usize),
+    /// Where effects of jobs land.
+    Effects,
 }
 
 /// One direction between two ends.
--- /dev/null
+++ b/crates/lab/src/work/day.rs
@@ -0,0 +1,245 @@
+//! A day of work for the whole fleet, as its file says it.
+
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::day::Span;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkDay {
+    /// What the day is to show.
+    pub about: String,
+    pub seed: u64,
+    pub work: Work,
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+    pub judge: Bounds,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Work {
+    pub stewards: usize,
+    pub sites: usize,
+    /// Jobs that a site takes at a time.
+    #[serde(default = "Work::room")]
+    pub room: usize,
+    /// Of stewards and of sites at the store.
+    #[serde(default = "Work::lease")]
+    pub member_lease: Span,
+    #[serde(default = "Work::lease")]
+    pub site_lease: Span,
+    /// For so long a new site is cold.
+    #[serde(default = "Work::cold")]
+    pub cold: Span,
+    #[serde(default = "Work::again")]
+    pub again: Span,
+    #[serde(default = "Work::most_gone")]
+    pub most_gone: Span,
+    #[serde(default = "Work::attempts")]
+    pub attempts: u32,
+    pub jobs: Vec<Jobs>,
+    /// A steward that stops itself at a point, as `ravenspar serve --halt` and `--pause` have it.
+    #[serde(default)]
+    pub halt: Option<(usize, String)>,
+    #[serde(default)]
+    pub pause: Option<(usize, String)>,
+    /// Agents that are ill.
+    #[serde(default)]
+    pub ignores_lease: Vec<usize>,
+    #[serde(default)]
+    pub forgets: Vec<usize>,
+    /// Where effects land has no memory: a taker that is none.
+    #[serde(default)]
+    pub effects_forget: bool,
+}
+
+impl Work {
+    fn room() -> usize {
+        4
+    }
+
+    fn lease() -> Span {
+        Span(30_000)
+    }
+
+    fn cold() -> Span {
+        Span(2_000)
+    }
+
+    fn again() -> Span {
+        Span(2_000)
+    }
+
+    fn most_gone() -> Span {
+        Span(50_000)
+    }
+
+    fn attempts() -> u32 {
+        8
+    }
+}
+
+/// Jobs that are handed in alike.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Jobs {
+    pub count: usize,
+    pub user: String,
+    /// From when on, and between two.
+    #[serde(default)]
+    pub from: Span,
+    #[serde(default)]
+    pub every: Span,
+    pub steps: u64,
+    pub step: Span,
+    #[serde(default)]
+    pub fails: bool,
+    #[serde(default)]
+    pub poison: bool,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// J2: all jobs are over this long after the last trouble, or the last that was handed in.
+    pub over_within: Span,
+    /// D3: the longest time without an owner, or with one that something befell.
+    pub without_owner_most: Span,
+    /// D4: changes of owner at most.
+    pub changes_most: usize,
+    /// J4: from when a site's key is gone until each of its jobs is given out again; not looked at where it is none.
+    #[serde(default)]
+    pub again_within: Span,
+    /// J2: jobs that have to be parked, no more and no fewer.
+    #[serde(default)]
+    pub parked: usize,
+    /// Refusals that there have to be where effects land: the day is to bring them about.
+    #[serde(default)]
+    pub refused_least: usize,
+    /// J3 leaves this site out: it is stopped, or ill, and what it sends late is refused.
+    #[serde(default)]
+    pub late: Vec<usize>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Trouble {
+    /// After all sites are there.
+    pub at: Span,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// Names: `steward-N`, `site-N`, `stewards`, `sites`, `owner` and `others` (as the store says at that moment), `holder`
+/// (the site that holds the first job), `store`, `effects`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case", deny_unknown_fields)]
+pub enum What {
+    /// Killed outright, and started again after a while, or not.
+    Kill {
+        who: Vec<String>,
+        #[serde(default)]
+        back: Option<Span>,
+    },
+    /// Ended in order, and started again after a while, or not.
+    Leave {
+        who: Vec<String>,
+        #[serde(default)]
+        back: Option<Span>,
+    },
+    /// Stopped by a signal, and continued.
+    Stop {
+        who: Vec<String>,
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
+    /// Runs for `on` and stands still for `off`, again and again.
+    Crawl {
+        who: Vec<String>,
+        on: Span,
+        off: Span,
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
+    /// Nothing passes between these and those; only towards those where it says `one_way`.
+    Cut {
+        from: Vec<String>,
+        to: Vec<String>,
+        #[serde(default)]
+        one_way: bool,
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
+    /// The store is away.
+    Away {
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
+    /// So many transactions are carried out late, after their callers heard that nothing is known.
+    Late { count: u32, by: Span },
+    /// So many transactions are carried out and their answers lost.
+    LoseAnswers { count: u32 },
+    /// All stewards are ended in order and started again, one after the other.
+    Roll { every: Span },
+    /// The `user`'s jobs that wait or run are cancelled.
+    Cancel { user: String },
+    /// So many troubles of these kinds, one over the other, drawn from the seed.
+    Storm {
+        faults: usize,
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
+}
+
+impl WorkDay {
+    /// Whether a file is a day of this kind.
+    pub fn is_one(path: &Path) -> bool {
+        #[derive(Deserialize)]
+        struct Some {
+            work: Option<serde_json::Value>,
+        }
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        serde_saphyr::from_str::<Some>(&text).is_ok_and(|some| some.work.is_some())
+    }
+
+    /// Fails with what was expected and where.
+    pub fn load(path: &Path) -> Result<WorkDay, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+        let day: WorkDay = serde_saphyr::from_str(&text).map_err(|e| format!("{shown}: {e}"))?;
+        let (stewards, sites) = (day.work.stewards, day.work.sites);
+        if !(1..=9).contains(&stewards) || !(1..=200).contains(&sites) {
+            return Err(format!("{shown}: expected 1 to 9 stewards and 1 to 200 sites"));
+        }
+        let whole = |span: Span| span.0 > 0 && span.0 % 10_000 == 0;
+        if !whole(day.work.member_lease) || !whole(day.work.site_lease) {
+            return Err(format!("{shown}: expected leases of whole seconds"));
+        }
+        let numbered = |name: &str, kind: &str, most: usize| {
+            name.strip_prefix(kind).and_then(|n| n.parse::<usize>().ok()).is_some_and(|n| n < most)
+        };
+        let known = |name: &&String| {
+            ["stewards", "sites", "owner", "others", "holder", "store", "effects"].contains(&name.as_str())
+                || numbered(name, "steward-", stewards)
+                || numbered(name, "site-", sites)
+        };
+        for trouble in &day.troubles {
+            let names: Vec<&String> = match &trouble.what {
+                What::Kill { who, .. }
+                | What::Leave { who, .. }
+                | What::Stop { who, .. }
+                | What::Crawl { who, .. } => who.iter().collect(),
+                What::Cut { from, to, .. } => from.iter().chain(to).collect(),
+                _ => Vec::new(),
+            };
+            if let Some(other) = names.iter().find(|name| !known(name)) {
+                return Err(format!(
+                    "{shown}: {other}: expected steward-N, site-N, owner, others, holder and the like"
+                ));
+            }
+        }
+        Ok(day)
+    }
+}
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! The lab as a process.
+#![allow(dead_code)] // each test file uses a part of it
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -20,3 +21,15 @@
     println!("{said}");
     (output.status.code(), said)
 }
+
+pub fn keeps_the_rules(name: &str) {
+    let (code, said) = day(name);
+    assert!(said.contains("all rules kept"), "{said}");
+    assert_eq!(code, Some(0));
+}
+
+pub fn breaks(name: &str, rule: &str) {
+    let (code, said) = day(name);
+    assert!(said.contains(&format!("{rule}: BROKEN")), "{said}");
+    assert_eq!(code, Some(1));
+}
--- a/crates/lab/tests/view_days.rs
+++ b/crates/lab/tests/view_days.rs
@@ -3,19 +3,7 @@
 
 mod common;
 
-use common::day;
-
-fn keeps_the_rules(name: &str) {
-    let (code, said) = day(name);
-    assert!(said.contains("all rules kept"), "{said}");
-    assert_eq!(code, Some(0));
-}
-
-fn breaks(name: &str, rule: &str) {
-    let (code, said) = day(name);
-    assert!(said.contains(&format!("{rule}: BROKEN")), "{said}");
-    assert_eq!(code, Some(1));
-}
+use common::{breaks, keeps_the_rules};
 
 #[test]
 fn crash() {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -36,6 +36,17 @@
     pub const PING: u8 = 7;
     pub const ECHO: u8 = 8;
     pub const REPORT: u8 = 9;
+    pub const SITE: u8 = 10;
+    pub const KEEP: u8 = 11;
+    pub const KEPT: u8 = 12;
+    pub const OVER: u8 = 13;
+    pub const GIVE: u8 = 14;
+    pub const STOP: u8 = 15;
+    pub const OUTCOME: u8 = 16;
+    pub const VERDICT: u8 = 17;
+    pub const USED: u8 = 18;
+    pub const COUNTED: u8 = 19;
+    pub const HOLDS: u8 = 20;
 }
 
 /// Tags of fields. What the numbers of a row are stands in `docs/protocol.md`.
@@ -69,6 +80,12 @@
     pub const CHARGE: u8 = 27;
     pub const HELD: u8 = 28;
     pub const LEFT: u8 = 29;
+    pub const LIFE: u8 = 30;
+    pub const BEFORE: u8 = 31;
+    pub const JOB: u8 = 32;
+    pub const SPEC: u8 = 33;
+    pub const ENDED: u8 = 34;
+    pub const USE: u8 = 35;
 }
 
 /// Cuts a byte stream into bodies of at most `most` bytes; a longer one is an error before it is read.
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -162,7 +162,10 @@
             }
         }
     }
-    runtime()?.block_on(serve(cfg, halt, |address| say(format_args!("listening on {address}"))))
+    runtime()?.block_on(serve(cfg, halt, |address, agents| {
+        say(format_args!("listening on {address}"));
+        agents.into_iter().for_each(|at| say(format_args!("agents at {at}")));
+    }))
 }
 
 fn check(file: &Path) -> Result<(), Fault> {
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -147,7 +147,7 @@
         }
         let number = self.next;
         self.next += 1;
-        self.streams.insert(number, Stream::start(number, socket, &self.inputs));
+        self.streams.insert(number, Stream::start(number, socket, &self.inputs, streams::FRAMES));
         self.host.opened(self.clock.now(), number);
     }
 
--- a/crates/ravenspar/src/door.rs
+++ b/crates/ravenspar/src/door.rs
@@ -36,6 +36,8 @@
     /// Streams open at a time: each proxy's with one that replaces it, and some that have not said hello.
     pub most: usize,
     pub halt: Option<Halt>,
+    /// Where agents of sites come, if there is the duty of jobs.
+    pub agents: Option<std::sync::Arc<TcpListener>>,
     /// The view of the fleet, if there is one.
     pub fleet: Option<Fleet>,
     /// How many stewards the decisions go by, where the view says it.
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -32,11 +32,11 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT. `listening` is told the address.
+/// Serves until SIGTERM or SIGINT. `listening` is told the address, and where agents of sites come.
 pub async fn serve(
     mut cfg: Checked,
     halt: Option<Halt>,
-    listening: impl FnOnce(SocketAddr),
+    listening: impl FnOnce(SocketAddr, Option<SocketAddr>),
 ) -> Result<(), Fault> {
     let record = Record::open(&cfg.record).map_err(|fault| Fault::Input(fault.to_string()))?;
     let kept = record.contents().map_err(|fault| Fault::Failed(fault.to_string()))?;
@@ -74,6 +74,16 @@
             )
         }
     };
+    let agents = match &cfg.jobs {
+        None => None,
+        Some(jobs) => {
+            let name = format!("jobs.listen: {}", jobs.listen);
+            let listener = ravenspar_net::listen(jobs.listen).map_err(failed(&name))?;
+            let at = listener.local_addr().map_err(failed(&name))?;
+            tracing::info!(%at, "agents of sites come here");
+            Some(std::sync::Arc::new(listener))
+        }
+    };
     let counted = cfg.fleet.as_ref().and(cfg.share.as_ref()).map(|_| {
         let planned = cfg.map.number("balancers").unwrap_or(1.0);
         let live = Live::new(planned);
@@ -90,6 +100,7 @@
         interrupt: signal(SignalKind::interrupt()).map_err(failed("signals"))?,
         most: cfg.map.number("family_info.proxy_count").unwrap_or(0.0) as usize * 2 + 16,
         halt,
+        agents,
         fleet,
         counted,
         rows: kept.servers,
@@ -103,11 +114,11 @@
             let host = Host::new(door.clock.now(), cfg.seed, cfg.map.clone(), term, &last, &lines)
                 .map_err(unusable)?;
             tracing::info!(%address, term, slices = lines.len(), servers = last.len(), "serving");
-            listening(address);
+            listening(address, None);
             Core::new(&mut door, host, None).run().await.map(|_| ())
         }
         Some(_) => {
-            listening(address);
+            listening(address, door.agents.as_ref().and_then(|agents| agents.local_addr().ok()));
             share(&cfg, &mut door, address, seen).await
         }
     };
@@ -153,6 +164,7 @@
             cfg.map.time("family_info.update_window_s").unwrap_or(0),
             cfg.map.number("family_info.pushes_allowed").unwrap_or(0.0) as Time,
         ),
+        jobs: cfg.jobs.clone().zip(door.agents.clone()),
         share,
     };
     // The record speaks of starts of servers that the list has shown to others: it is read before any slice is.
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -72,6 +72,15 @@
     // `ravenspar_view::ROUND` and `FORGET` say why.
     own("fleet.round", Form::Time, Some("300ms")),
     own("fleet.forget", Form::Time, Some("10m")),
+    own("jobs.listen", Form::Text, Some("")),
+    own("jobs.lease", Form::Time, Some("10s")),
+    own("jobs.most", Form::Count(1.0, 1_000_000.0), Some("100000")),
+    own("jobs.sites", Form::Count(1.0, 10_000.0), Some("256")),
+    own("jobs.attempts", Form::Count(1.0, 1_000.0), Some("5")),
+    own("jobs.again", Form::Time, Some("2s")),
+    own("jobs.cold", Form::Time, Some("10s")),
+    own("jobs.most_gone", Form::Time, Some("30s")),
+    own("jobs.wait", Form::Time, Some("10m")),
     entry("lease", Form::Time, "family_info.write_lease_s", None),
     entry("settle", Form::Time, "family_info.settle_s", None),
     entry("hold", Form::Time, "family_info.hold_s", None),
@@ -127,9 +136,23 @@
     pub share: Option<Share>,
     /// The view that stewards keep among themselves, if there is to be one.
     pub fleet: Option<Fleet>,
+    /// The duty of jobs, if this fleet has it.
+    pub jobs: Option<Jobs>,
     pub map: Settings,
 }
 
+/// How jobs are held by sites.
+#[derive(Clone, Debug)]
+pub struct Jobs {
+    /// Where agents of sites come.
+    pub listen: std::net::SocketAddr,
+    /// Of a site's life at the store, in whole seconds.
+    pub lease: u32,
+    /// Sites whose agents may be connected.
+    pub sites: usize,
+    pub limits: ravenspar_jobs::Limits,
+}
+
 /// How a steward takes part in the view of the fleet.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -184,9 +207,11 @@
     let share = share(&own, &mut check_faults, &tree);
     let fleet = fleet(&own, &mut check_faults, &tree, folder);
     let list_store = list_store(&own, &mut check_faults, &tree);
+    let jobs = jobs(&own, &mut check_faults, &tree);
     let checked = Checked {
         share,
         fleet,
+        jobs,
         list_store,
         listen,
         record: folder.join(own("record").unwrap_or_default()),
@@ -299,6 +324,51 @@
     })
 }
 
+/// The settings of jobs, if there is to be that duty.
+fn jobs<'a>(
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+) -> Option<Jobs> {
+    let (line, column) = place(tree, "jobs");
+    let Node::Map(entries) = &tree.node else { return None };
+    if !entries.iter().any(|(key, _)| matches!(&key.node, Node::Text(text) if text == "jobs")) {
+        return None;
+    }
+    let text = |name: &str| own(name).unwrap_or_default();
+    if own("store") != Some("etcd") {
+        faults.push((line, column, "jobs: expected store: etcd, which says who owns a duty".to_owned()));
+    }
+    let listen = text("jobs.listen").parse();
+    if listen.is_err() {
+        let what = format!("jobs.listen: {}: expected an address and a port for agents", text("jobs.listen"));
+        faults.push((line, column, what));
+    }
+    let seconds = |name: &str| text(name).parse::<f64>().unwrap_or(0.0);
+    let count = |name: &str| text(name).parse::<f64>().unwrap_or(0.0) as usize;
+    let time = |name: &str| (seconds(name) * 10_000.0).round() as ravenspar_steward::Time;
+    let lease = seconds("jobs.lease");
+    // A fifth of it is between two renewals, and a margin is taken off for a job to stop.
+    if lease.fract() != 0.0 || lease < 2.0 {
+        faults.push((line, column, format!("jobs.lease: {lease}s: expected whole seconds, 2 or more")));
+    }
+    Some(Jobs {
+        listen: listen.ok()?,
+        lease: lease as u32,
+        sites: count("jobs.sites"),
+        limits: ravenspar_jobs::Limits {
+            jobs: count("jobs.most"),
+            attempts: count("jobs.attempts") as u32,
+            again: time("jobs.again"),
+            cold: time("jobs.cold"),
+            most_gone: time("jobs.most_gone"),
+            wait: time("jobs.wait"),
+            // A line, its outcome and its site's key each: 128 operations are what etcd takes of each sort.
+            writes: 60,
+        },
+    })
+}
+
 /// The settings of the shared store, if there is to be one.
 fn share<'a>(
     own: &impl Fn(&str) -> Option<&'a str>,
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -10,13 +10,14 @@
 use ravenspar_sharing::{Fleet, Step};
 use ravenspar_steward::{Time, SECOND};
 use ravenspar_store::Shared;
-use tokio::sync::{mpsc, Mutex, Notify};
+use tokio::sync::{mpsc, watch, Mutex, Notify};
 use tokio::task::AbortHandle;
 
 use super::rows::{Keys, Member};
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
 use crate::recorder::{Gathered, Keep, Recorder};
-use crate::settings::Share;
+use crate::settings::{Jobs, Share};
+use crate::work::{Standing, With, Work};
 use ravenspar_net::Clock;
 
 /// What the core is told.
@@ -73,6 +74,8 @@
     pub slices: usize,
     /// The shortest time between two rounds of giving.
     pub pace: Time,
+    /// The duty of jobs, with where its agents come.
+    pub jobs: Option<(Jobs, Arc<tokio::net::TcpListener>)>,
 }
 
 pub struct Life {
@@ -85,6 +88,10 @@
     look: Arc<Notify>,
     /// Until then it is looked at as often as may be.
     often: Arc<AtomicI64>,
+    /// What work for the fleet goes by: how long this life is a member, and whether it leaves.
+    standing: watch::Sender<Standing>,
+    /// Work for the fleet, if there is any.
+    work: Option<Work>,
     member: Member,
     joining: Joining,
     hand: Arc<Mutex<Hand>>,
@@ -135,6 +142,18 @@
         let fleet = Fleet::new(clock.now(), number, joining.slices, joining.pace, EARLY);
         let (events, queue) = mpsc::channel(EVENTS);
         let recorder = Rc::new(Recorder::in_task(Lines(hand.clone())));
+        let (standing, seen) = watch::channel(Standing { until: membership.until(), leaving: false });
+        let work = joining.jobs.clone().map(|(settings, listener)| {
+            Work::start(With {
+                store: joining.store.clone(),
+                keys: joining.keys.clone(),
+                clock: joining.clock,
+                life: number,
+                listener,
+                settings,
+                standing: seen,
+            })
+        });
         let mut life = Life {
             number,
             term,
@@ -143,6 +162,8 @@
             recorder,
             look: Arc::default(),
             often: Arc::new(AtomicI64::new(Time::MIN)),
+            standing,
+            work,
             member,
             joining: joining.clone(),
             hand,
@@ -156,8 +177,29 @@
     }
 
     pub async fn next(&mut self) -> Event {
-        // There is always a sender: this one's.
-        self.queue.recv().await.unwrap_or_else(|| Event::Over("its tasks have ended".to_owned()))
+        let ended = async {
+            match &mut self.work {
+                Some(work) => work.ended().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            // There is always a sender: this one's.
+            event = self.queue.recv() => event.unwrap_or_else(|| Event::Over("its tasks have ended".to_owned())),
+            why = ended => Event::Over(why),
+        }
+    }
+
+    /// A renewal that was sent then is answered.
+    pub fn renewed(&mut self, sent: Time) {
+        self.membership.renewed(sent);
+        let until = self.membership.until();
+        self.standing.send_modify(|standing| standing.until = until);
+    }
+
+    /// Whether it has no duty of the fleet's left to give away.
+    pub fn is_free(&self) -> bool {
+        self.work.as_ref().is_none_or(Work::is_free)
     }
 
     fn start_polls(&mut self) {
@@ -252,6 +294,7 @@
     /// Says that it is leaving.
     pub fn say_leaving(&mut self) {
         self.member.leaving = true;
+        self.standing.send_modify(|standing| standing.leaving = true);
         self.say();
     }
 
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -5,5 +5,5 @@
 mod store;
 
 pub use life::{Event, From, Joining, Life, EARLY};
-pub use rows::{Keys, Member};
+pub use rows::{read_life, write_life, Keys, Member};
 pub use store::{backward, record, snapshot, Snapshot};
--- a/crates/ravenspar/src/shared/rows.rs
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -42,6 +42,67 @@
         format!("{}slice/{slice:05}", self.0).into_bytes()
     }
 
+    /// The key that the writes of a life's work for the fleet compare and write anew; each of its hands has its own.
+    pub fn work_witness(&self, life: Life, hand: &str) -> Vec<u8> {
+        format!("{}witness/{life:016x}/{hand}", self.0).into_bytes()
+    }
+
+    pub fn duties(&self) -> Vec<u8> {
+        format!("{}duty/", self.0).into_bytes()
+    }
+
+    /// The claim of a duty: a life, bound to its membership.
+    pub fn duty(&self, name: &str) -> Vec<u8> {
+        format!("{}duty/{name}", self.0).into_bytes()
+    }
+
+    pub fn reaches(&self) -> Vec<u8> {
+        format!("{}reach/", self.0).into_bytes()
+    }
+
+    pub fn reach(&self, life: Life) -> Vec<u8> {
+        format!("{}reach/{life:016x}", self.0).into_bytes()
+    }
+
+    pub fn sites(&self) -> Vec<u8> {
+        format!("{}site/", self.0).into_bytes()
+    }
+
+    pub fn site(&self, life: Life) -> Vec<u8> {
+        format!("{}site/{life:016x}", self.0).into_bytes()
+    }
+
+    pub fn jobs(&self) -> Vec<u8> {
+        format!("{}job/", self.0).into_bytes()
+    }
+
+    pub fn job(&self, id: &str) -> Vec<u8> {
+        format!("{}job/{id}", self.0).into_bytes()
+    }
+
+    /// Where a job is; only stewards write here.
+    pub fn lines(&self) -> Vec<u8> {
+        format!("{}line/", self.0).into_bytes()
+    }
+
+    pub fn line(&self, id: &str) -> Vec<u8> {
+        format!("{}line/{id}", self.0).into_bytes()
+    }
+
+    pub fn outcome(&self, id: &str) -> Vec<u8> {
+        format!("{}outcome/{id}", self.0).into_bytes()
+    }
+
+    /// What the owner of the duty of debts publishes.
+    pub fn rankings(&self) -> Vec<u8> {
+        format!("{}ranking/", self.0).into_bytes()
+    }
+
+    /// The text behind a key's last slash.
+    pub fn last(key: &[u8]) -> Option<&str> {
+        std::str::from_utf8(key).ok()?.rsplit('/').next()
+    }
+
     /// The number behind a key's last slash.
     pub fn number(key: &[u8]) -> Option<usize> {
         std::str::from_utf8(key).ok()?.rsplit('/').next()?.parse().ok()
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -11,6 +11,9 @@
 use crate::shared::{backward, Event, From, EARLY};
 use crate::state::{Core, End};
 
+/// How long one that leaves waits for its duties to be given: some calls at the store.
+const GIVE: Time = 2 * SECOND;
+
 /// Slices that come into charge within this time are told to forwarders in one message: a take-over is a row of
 /// transactions a few milliseconds apart.
 pub const GATHER: Time = SECOND / 10;
@@ -59,7 +62,7 @@
                     tracing::warn!(%why, "the store does not answer");
                 }
             }
-            Event::Renewed(sent) => shared.life.membership.renewed(sent),
+            Event::Renewed(sent) => shared.life.renewed(sent),
             Event::Serves { slices, mut rows, from } => {
                 let echoed_until = match from {
                     From::Nobody => None,
@@ -192,6 +195,12 @@
         }
         let host = &self.host;
         match shared.life.fleet.next(now, |slice| host.is_at_rest(slice))? {
+            // A duty is given and not waited for; one that can't be is free once the membership ends.
+            Step::Left
+                if !shared.life.is_free() && now < shared.left.get_or_insert(now).saturating_add(GIVE) =>
+            {
+                None
+            }
             Step::Left => {
                 tracing::info!(slices = shared.life.fleet.count(), "left; what it still has is taken over");
                 Some(End::Stopped)
--- a/crates/ravenspar/src/state.rs
+++ b/crates/ravenspar/src/state.rs
@@ -94,6 +94,8 @@
     pub resting: bool,
     /// How many members the store had at the last look.
     pub members: usize,
+    /// Since when it is in charge of nothing, as one that leaves.
+    pub left: Option<Time>,
 }
 
 impl Shared {
@@ -107,6 +109,7 @@
             since: 0,
             away: false,
             members: 0,
+            left: None,
             useful: Useful::default(),
             resting: false,
         }
--- a/crates/ravenspar/src/streams.rs
+++ b/crates/ravenspar/src/streams.rs
@@ -21,7 +21,7 @@
 pub const INPUTS: usize = 256;
 
 /// A frame being written, a welcome's refusal behind it: the host hands out no more at a time.
-const FRAMES: usize = 4;
+pub const FRAMES: usize = 4;
 
 /// The core's end of a stream. Dropping it lets the writer write what it was handed, and ends the reader.
 pub struct Stream {
@@ -39,11 +39,12 @@
 }
 
 impl Stream {
-    pub fn start(number: u64, socket: TcpStream, inputs: &mpsc::Sender<Input>) -> Stream {
+    /// `most`: frames that may wait for the writer.
+    pub fn start(number: u64, socket: TcpStream, inputs: &mpsc::Sender<Input>, most: usize) -> Stream {
         let _ = socket.set_nodelay(true);
         let kept = duplicate(&socket);
         let (read, write) = socket.into_split();
-        let (frames, queue) = mpsc::channel(FRAMES);
+        let (frames, queue) = mpsc::channel(most);
         let writer = tokio::spawn(write_frames(number, write, queue, inputs.clone())).abort_handle();
         let reader = tokio::spawn(read_frames(number, read, inputs.clone())).abort_handle();
         Stream { frames, reader, writer, socket: kept }
@@ -58,7 +59,7 @@
         }
     }
 
-    /// Hands a frame to the writer; the host never has more than its queue holds under way.
+    /// Hands a frame to the writer, if its queue has room; the host never has more than that under way.
     pub fn write(&self, body: Bytes) -> bool {
         self.frames.try_send(body).is_ok()
     }
--- /dev/null
+++ b/crates/ravenspar/src/work/frames.rs
@@ -0,0 +1,153 @@
+//! The frames between stewards and agents of sites; `docs/protocol.md` has the table.
+
+use bytes::Bytes;
+use ravenspar_jobs::{Ended, Hello, Life, Token};
+use ravenspar_protocol::{kind, tag, Body, Fault, Frame, VERSION};
+
+/// What an agent says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// It is this site, in this life; lives of it that are over for good.
+    Site {
+        hello: Hello,
+        before: Vec<Life>,
+        version: u64,
+    },
+    /// It renews its life, and has these jobs in hand or outcomes of them.
+    Keep {
+        sent: u64,
+        hands: Vec<(String, Token)>,
+    },
+    Outcome {
+        job: String,
+        token: Token,
+        ended: Ended,
+    },
+    /// What it has used so far under tokens, and whether that is all.
+    Used(Vec<(Token, u64, bool)>),
+    /// It knows this term of the duty, which is higher than the one it was told.
+    Holds(u64),
+    /// It ends this life: nothing is in hand any more.
+    Over(Life),
+    /// Of a kind that is not an agent's.
+    Other,
+}
+
+/// Ids that jobs may have: they are parts of keys.
+pub fn is_id(id: &str) -> bool {
+    (1..=128).contains(&id.len())
+        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'))
+}
+
+pub fn read(body: &[u8]) -> Result<Said, Fault> {
+    let mut body = Body::new(body)?;
+    let kind = body.kind();
+    let (mut sent, mut version, mut term, mut life) = (0, 0, 0, 0);
+    let (mut hello, mut before, mut hands, mut uses) = (None, Vec::new(), Vec::new(), Vec::new());
+    let mut ended = None;
+    while let Some((tag, mut field)) = body.field()? {
+        match tag {
+            tag::VERSION => version = field.number()?,
+            tag::SENT => sent = field.number()?,
+            tag::TERM => term = field.number()?,
+            tag::LIFE => {
+                life = field.number()?;
+                if kind == kind::SITE {
+                    let (boot, room) = (field.number()?, field.index()?);
+                    hello = Some(Hello { life, boot, room, name: field.text()?.to_owned() });
+                }
+            }
+            tag::BEFORE => before.push(field.number()?),
+            tag::JOB => {
+                let token = field.number()?;
+                hands.push((field.text()?.to_owned(), token));
+            }
+            tag::ENDED => {
+                let how = field.number()?;
+                let why = field.text()?.to_owned();
+                ended = Some(match how {
+                    0 => Ended::Done,
+                    1 => Ended::Failed(why),
+                    _ => Ended::Stopped,
+                });
+            }
+            tag::USE => uses.push((field.number()?, field.number()?, field.number()? > 0)),
+            _ => {}
+        }
+    }
+    Ok(match kind {
+        kind::SITE => match hello {
+            Some(hello) => Said::Site { hello, before, version },
+            None => return Err(Fault::Missing(tag::LIFE)),
+        },
+        kind::KEEP => Said::Keep { sent, hands },
+        kind::OUTCOME => match (hands.pop(), ended) {
+            (Some((job, token)), Some(ended)) => Said::Outcome { job, token, ended },
+            _ => return Err(Fault::Missing(tag::JOB)),
+        },
+        kind::USED => Said::Used(uses),
+        kind::HOLDS => Said::Holds(term),
+        kind::OVER => Said::Over(life),
+        _ => Said::Other,
+    })
+}
+
+pub fn refusal(reason: &str) -> Bytes {
+    Frame::new(kind::REFUSAL).numbers(tag::VERSION, &[VERSION]).text(tag::REASON, &[], reason).finish()
+}
+
+pub fn kept(life: Life, sent: u64, lease: u64) -> Bytes {
+    let mut frame = Frame::new(kind::KEPT);
+    frame.numbers(tag::LIFE, &[life]).numbers(tag::SENT, &[sent]).numbers(tag::LEASE, &[lease]).finish()
+}
+
+pub fn over(life: Life) -> Bytes {
+    Frame::new(kind::OVER).numbers(tag::LIFE, &[life]).finish()
+}
+
+pub fn give(term: u64, life: Life, job: &str, token: Token, spec: &str) -> Bytes {
+    let mut frame = Frame::new(kind::GIVE);
+    frame.numbers(tag::TERM, &[term]).numbers(tag::LIFE, &[life]);
+    frame.text(tag::JOB, &[token], job).text(tag::SPEC, &[], spec).finish()
+}
+
+pub fn stop(term: u64, job: &str, token: Token) -> Bytes {
+    Frame::new(kind::STOP).numbers(tag::TERM, &[term]).text(tag::JOB, &[token], job).finish()
+}
+
+pub fn verdict(job: &str, token: Token, refused: Option<&str>) -> Bytes {
+    let how = u64::from(refused.is_some());
+    let mut frame = Frame::new(kind::VERDICT);
+    frame.text(tag::JOB, &[token], job).text(tag::ENDED, &[how], refused.unwrap_or("")).finish()
+}
+
+pub fn counted(tokens: &[(Token, u64)]) -> Bytes {
+    let mut frame = Frame::new(kind::COUNTED);
+    for &(token, used) in tokens {
+        frame.numbers(tag::USE, &[token, used, 0]);
+    }
+    frame.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_an_agent_says_is_read_and_what_it_can_not_mean_is_a_fault() {
+        let mut site = Frame::new(kind::SITE);
+        site.numbers(tag::VERSION, &[VERSION])
+            .text(tag::LIFE, &[9, 1, 4], "north")
+            .numbers(tag::BEFORE, &[8]);
+        let hello = Hello { life: 9, boot: 1, room: 4, name: "north".to_owned() };
+        assert_eq!(read(&site.finish()), Ok(Said::Site { hello, before: vec![8], version: VERSION }));
+        let mut outcome = Frame::new(kind::OUTCOME);
+        outcome.text(tag::JOB, &[70], "a").text(tag::ENDED, &[1], "why");
+        let ended = Ended::Failed("why".to_owned());
+        assert_eq!(read(&outcome.finish()), Ok(Said::Outcome { job: "a".to_owned(), token: 70, ended }));
+        assert!(read(&Frame::new(kind::SITE).finish()).is_err());
+        assert!(read(&Frame::new(kind::OUTCOME).finish()).is_err());
+        assert!(read(Frame::new(kind::KEEP).numbers(tag::JOB, &[]).finish().as_ref()).is_err());
+        assert!(is_id("a-1.b_C") && !is_id("") && !is_id("a/b") && !is_id(&"x".repeat(129)));
+    }
+}
--- /dev/null
+++ b/crates/ravenspar/src/work/hands.rs
@@ -0,0 +1,264 @@
+//! The tasks that write and read at the store for the work of one life. Each owns its hand, takes orders from a bounded
+//! queue, and says what came of each.
+
+use ravenspar_duty::{Duty, Step, Warrant};
+use ravenspar_jobs::{Ended, Line, State, Token, Write};
+use ravenspar_net::Clock;
+use ravenspar_store::{at, delete, put, there, Compare, Hand, Range, Shared, Stop};
+use tokio::sync::mpsc;
+
+use super::rows::{self, OutcomeRow, Reach};
+use super::Told;
+use crate::shared::{write_life, Keys};
+
+/// Orders that wait for a hand: each of its callers has one or a few under way.
+const ORDERS: usize = 64;
+
+/// What the life's own hand is asked for: claims, what is done by duties, and what it says of itself.
+pub enum Order {
+    Step {
+        step: Step,
+        name: &'static str,
+    },
+    /// Lines written by the owner of the duty of jobs.
+    Lines {
+        warrant: Warrant,
+        writes: Vec<Write>,
+    },
+    /// Keys written by the owner of a duty, whatever they are.
+    Keys {
+        warrant: Warrant,
+        keys: Vec<(Vec<u8>, Vec<u8>)>,
+        number: u64,
+    },
+    Reach(Reach),
+}
+
+pub struct Own {
+    pub hand: Hand,
+    pub keys: Keys,
+    pub life: u64,
+    pub clock: Clock,
+    /// The names of the duties.
+    pub names: &'static [&'static str],
+    pub told: mpsc::Sender<Told>,
+}
+
+impl Own {
+    pub fn start(mut self) -> (mpsc::Sender<Order>, tokio::task::AbortHandle) {
+        let (orders, mut queue) = mpsc::channel(ORDERS);
+        let task = tokio::spawn(async move {
+            while let Some(order) = queue.recv().await {
+                let told = self.carry_out(order).await;
+                if self.told.send(told).await.is_err() {
+                    return;
+                }
+            }
+        });
+        (orders, task.abort_handle())
+    }
+
+    async fn carry_out(&mut self, order: Order) -> Told {
+        match order {
+            Order::Step { step, name } => {
+                let key = self.keys.duty(name);
+                let done = match step {
+                    Step::Claim { .. } => {
+                        let then = vec![put(key.clone(), write_life(self.life), self.life)];
+                        self.hand.commit(vec![at(key, 0)], then).await
+                    }
+                    Step::Give { term, to, .. } => {
+                        let compare = vec![at(key.clone(), term), there(self.keys.member(to))];
+                        self.hand.commit(compare, vec![put(key, write_life(to), to)]).await
+                    }
+                };
+                ended(done, |term| Told::Stepped { step, term })
+            }
+            Order::Lines { warrant, writes } => {
+                let mut compare = Vec::new();
+                let mut sites: Vec<Compare> = writes
+                    .iter()
+                    .flat_map(|write| {
+                        let there = write.there.map(|site| there(self.keys.site(site)));
+                        let gone = write.gone.map(|site| at(self.keys.site(site), 0));
+                        there.into_iter().chain(gone)
+                    })
+                    .collect();
+                sites.sort_by(|a, b| a.key.cmp(&b.key));
+                sites.dedup();
+                compare.extend(sites);
+                let mut then = Vec::new();
+                for Write { job, seen, line, delete: gone, .. } in &writes {
+                    compare.push(at(self.keys.line(job), *seen));
+                    if *gone {
+                        then.extend([delete(self.keys.line(job)), delete(self.keys.outcome(job))]);
+                        continue;
+                    }
+                    then.push(put(self.keys.line(job), rows::write(line), 0));
+                    let ended = match line.state {
+                        State::Parked => "parked",
+                        State::Cancelled => "cancelled",
+                        _ => continue,
+                    };
+                    let row = OutcomeRow { ended: ended.to_owned(), token: line.last, why: line.why.clone() };
+                    then.push(put(self.keys.outcome(job), rows::write(&row), 0));
+                }
+                let done = self.by_duty(warrant, compare, then).await;
+                ended(done, |revision| Told::Wrote { writes, revision })
+            }
+            Order::Keys { warrant, keys, number } => {
+                let then = keys.into_iter().map(|(key, value)| put(key, value, 0)).collect();
+                let done = self.by_duty(warrant, Vec::new(), then).await;
+                ended(done, |revision| Told::Published { number, revision })
+            }
+            Order::Reach(reach) => {
+                let key = self.keys.reach(self.life);
+                let done = self.hand.commit(Vec::new(), vec![put(key, rows::write(&reach), self.life)]).await;
+                ended(done, |_| Told::Reached)
+            }
+        }
+    }
+
+    /// The one way by which anything is done at the store by a duty: the warrant is looked at right before it leaves, and
+    /// the transaction compares the claim with the warrant's term, and the life's witness.
+    async fn by_duty(
+        &mut self,
+        warrant: Warrant,
+        mut compare: Vec<Compare>,
+        then: Vec<ravenspar_store::Step>,
+    ) -> Result<u64, Stop> {
+        let Some((duty, term)) = warrant.leaves(self.clock.now()) else { return Err(Stop::Not) };
+        compare.push(at(self.keys.duty(self.name(duty)), term));
+        self.hand.commit(compare, then).await
+    }
+
+    fn name(&self, duty: Duty) -> &'static str {
+        self.names.get(duty).copied().unwrap_or_default()
+    }
+}
+
+/// What is told of a transaction: its revision where it was carried out; the end of this life where that is not known.
+fn ended(done: Result<u64, Stop>, told: impl FnOnce(Option<u64>) -> Told) -> Told {
+    match done {
+        Ok(revision) => told(Some(revision)),
+        Err(Stop::Not) => told(None),
+        Err(Stop::Over(why)) => Told::Over(why),
+    }
+}
+
+/// What the hand for agents is asked for.
+pub enum Ask {
+    /// Read a job's line, as an outcome of it has come.
+    Line(String),
+    /// Write an outcome with the line that it makes, compared with the line as it was read.
+    Settle { job: String, seen: u64, line: Line, token: Token, ended: Ended },
+    /// Read a job's text, to hand it to its site.
+    Spec { stream: u64, term: u64, life: u64, job: String, token: Token },
+}
+
+pub struct ForAgents {
+    pub hand: Hand,
+    pub store: Shared,
+    pub keys: Keys,
+    pub told: mpsc::Sender<Told>,
+}
+
+impl ForAgents {
+    pub fn start(mut self) -> (mpsc::Sender<Ask>, tokio::task::AbortHandle) {
+        let (asks, mut queue) = mpsc::channel(ravenspar_store::MOST * 4);
+        let task = tokio::spawn(async move {
+            let mut waiting = Vec::new();
+            // What waits is carried out together: three of a transaction's operations for each at most.
+            while queue.recv_many(&mut waiting, ravenspar_store::MOST / 3).await > 0 {
+                for told in self.carry_out(std::mem::take(&mut waiting)).await {
+                    if self.told.send(told).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        });
+        (asks, task.abort_handle())
+    }
+
+    async fn carry_out(&mut self, asks: Vec<Ask>) -> Vec<Told> {
+        let (mut reads, mut settles) = (Vec::new(), Vec::new());
+        for ask in asks {
+            match ask {
+                Ask::Settle { job, seen, line, token, ended } => {
+                    settles.push((job, seen, line, token, ended))
+                }
+                read => reads.push(read),
+            }
+        }
+        let mut told = self.read(reads).await;
+        match self.settle(&settles).await {
+            Ok(()) => told.extend(settles.into_iter().map(|(job, ..)| Told::Settled { job, done: true })),
+            Err(Stop::Over(why)) => told.push(Told::Over(why)),
+            // One of them is not as it was read: each by itself.
+            Err(Stop::Not) => {
+                for settle in settles {
+                    let done = self.settle(std::slice::from_ref(&settle)).await;
+                    match done {
+                        Err(Stop::Over(why)) => told.push(Told::Over(why)),
+                        done => told.push(Told::Settled { job: settle.0, done: done.is_ok() }),
+                    }
+                }
+            }
+        }
+        told
+    }
+
+    async fn read(&self, reads: Vec<Ask>) -> Vec<Told> {
+        if reads.is_empty() {
+            return Vec::new();
+        }
+        let key = |ask: &Ask| match ask {
+            Ask::Line(job) | Ask::Settle { job, .. } => self.keys.line(job),
+            Ask::Spec { job, .. } => self.keys.job(job),
+        };
+        let ranges = reads.iter().map(|ask| Range { key: key(ask), end: Vec::new(), since: 0 }).collect();
+        let found = self.store.read(ranges).await;
+        let mut rows = found.map(|read| read.ranges).unwrap_or_default().into_iter();
+        let mut told = Vec::new();
+        for ask in reads {
+            // Where the store does not answer, agents and stewards ask again.
+            let row = rows.next().map(|rows| rows.into_iter().next());
+            told.extend(match (ask, row) {
+                (Ask::Line(job) | Ask::Settle { job, .. }, Some(row)) => {
+                    let line = row.and_then(|row| Some((rows::line(&row)?.1, row.modified)));
+                    Some(Told::Line { job, line })
+                }
+                (Ask::Line(job) | Ask::Settle { job, .. }, None) => Some(Told::Settled { job, done: false }),
+                (Ask::Spec { stream, term, life, job, token }, Some(Some(row))) => {
+                    let spec = String::from_utf8_lossy(&row.value).into_owned();
+                    Some(Told::Spec { stream, term, life, job, token, spec })
+                }
+                (Ask::Spec { .. }, _) => None,
+            });
+        }
+        told
+    }
+
+    async fn settle(&mut self, settles: &[(String, u64, Line, Token, Ended)]) -> Result<(), Stop> {
+        if settles.is_empty() {
+            return Ok(());
+        }
+        let (mut compare, mut then) = (Vec::new(), Vec::new());
+        for (job, seen, line, token, ended) in settles {
+            compare.push(at(self.keys.line(job), *seen));
+            then.push(put(self.keys.line(job), rows::write(line), 0));
+            let word = match line.state {
+                State::Done => "done",
+                State::Cancelled => "cancelled",
+                _ => continue,
+            };
+            let why = match ended {
+                Ended::Failed(why) => why.clone(),
+                _ => String::new(),
+            };
+            let row = OutcomeRow { ended: word.to_owned(), token: *token, why };
+            then.push(put(self.keys.outcome(job), rows::write(&row), 0));
+        }
+        self.hand.commit(compare, then).await.map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/agent/disk.rs
@@ -0,0 +1,115 @@
+//! What an agent may not forget, a line each, written through before anything is done by it.
+
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
+
+use ravenspar_jobs::Ended;
+use serde::{Deserialize, Serialize};
+
+use crate::Time;
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Line {
+    Term(u64),
+    Life(u64),
+    /// Job, token, why it failed (none: it is done), whether it was stopped.
+    Outcome(String, u64, Option<String>, bool),
+    Delivered(String, u64),
+    /// Token, what it used in all.
+    Used(u64, Time),
+    Counted(u64),
+}
+
+/// What was on it.
+#[derive(Default)]
+pub struct Kept {
+    pub term: u64,
+    pub lives: Vec<u64>,
+    pub outcomes: Vec<(String, u64, Ended)>,
+    pub used: BTreeMap<u64, (Time, bool)>,
+}
+
+pub struct Disk {
+    file: File,
+    forgets: bool,
+}
+
+impl Disk {
+    pub fn open(dir: &Path, forgets: bool) -> io::Result<(Disk, Kept)> {
+        std::fs::create_dir_all(dir)?;
+        let path = dir.join("agent.jsonl");
+        let mut kept = Kept::default();
+        let mut outcomes = BTreeMap::new();
+        if path.exists() {
+            for line in BufReader::new(File::open(&path)?).lines() {
+                // A line that was being written as the process died promises nothing.
+                let Ok(line) = serde_json::from_str(&line?) else { continue };
+                match line {
+                    Line::Term(term) => kept.term = kept.term.max(term),
+                    Line::Life(life) => kept.lives.push(life),
+                    Line::Outcome(job, token, why, stopped) => {
+                        let ended = match (why, stopped) {
+                            (_, true) => Ended::Stopped,
+                            (Some(why), _) => Ended::Failed(why),
+                            (None, _) => Ended::Done,
+                        };
+                        outcomes.insert((job, token), ended);
+                    }
+                    Line::Delivered(job, token) => _ = outcomes.remove(&(job, token)),
+                    Line::Used(token, used) => _ = kept.used.insert(token, (used, true)),
+                    Line::Counted(token) => _ = kept.used.remove(&token),
+                }
+            }
+        }
+        let recent = kept.lives.len().saturating_sub(4);
+        kept.lives.drain(..recent);
+        kept.outcomes = outcomes.into_iter().map(|((job, token), ended)| (job, token, ended)).collect();
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        Ok((Disk { file, forgets }, kept))
+    }
+
+    fn write(&mut self, line: &Line) {
+        let mut bytes = serde_json::to_vec(line).unwrap_or_default();
+        bytes.push(b'\n');
+        // An agent that can't keep what it promised is worth nothing.
+        if self.file.write_all(&bytes).and_then(|()| self.file.sync_data()).is_err() {
+            std::process::abort();
+        }
+    }
+
+    pub fn term(&mut self, term: u64) {
+        self.write(&Line::Term(term));
+    }
+
+    pub fn life(&mut self, life: u64) {
+        self.write(&Line::Life(life));
+    }
+
+    pub fn outcome(&mut self, job: &str, token: u64, ended: &Ended) {
+        if self.forgets {
+            return;
+        }
+        let why = match ended {
+            Ended::Failed(why) => Some(why.clone()),
+            Ended::Done | Ended::Stopped => None,
+        };
+        self.write(&Line::Outcome(job.to_owned(), token, why, *ended == Ended::Stopped));
+    }
+
+    pub fn delivered(&mut self, job: &str, token: u64) {
+        if !self.forgets {
+            self.write(&Line::Delivered(job.to_owned(), token));
+        }
+    }
+
+    pub fn used(&mut self, token: u64, used: Time) {
+        self.write(&Line::Used(token, used));
+    }
+
+    pub fn counted(&mut self, token: u64) {
+        self.write(&Line::Counted(token));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/agent/runs.rs
@@ -0,0 +1,117 @@
+//! A job's run at its site: its steps, each looked at the lease for right before it leaves.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use ravenspar_jobs::Ended;
+use ravenspar_protocol::codec;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+use super::Agent;
+use crate::effects::{Answer, Call, MOST};
+
+/// What a job of these days is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Spec {
+    pub user: String,
+    #[serde(default)]
+    pub group: String,
+    pub steps: u64,
+    pub step_ms: u64,
+    /// It fails at its end, each time.
+    #[serde(default)]
+    pub fails: bool,
+    /// Its agent dies of it, each time.
+    #[serde(default)]
+    pub poison: bool,
+}
+
+enum Stopped {
+    /// Another holds it, or the lease is over: nothing is to be delivered.
+    NotMine,
+    /// Where effects land does not answer.
+    Away,
+}
+
+pub(super) async fn run(agent: Rc<Agent>, job: String, token: u64, spec: String) {
+    let began = agent.core.borrow().clock.now();
+    let ended = match serde_json::from_str::<Spec>(&spec) {
+        Err(why) => Ok(Ended::Failed(format!("it can't be read: {why}"))),
+        Ok(spec) => loop {
+            match steps(&agent, &job, token, &spec).await {
+                Err(Stopped::Away) if agent.holds(&job, token) => sleep(Duration::from_millis(100)).await,
+                Err(Stopped::Away) => break Err(Stopped::NotMine),
+                ended => break ended,
+            }
+        },
+    };
+    let mut core = agent.core.borrow_mut();
+    let used = (core.clock.now() - began) * core.options.lies as i64;
+    core.used.insert(token, (used, true));
+    core.disk.used(token, used);
+    match ended {
+        Ok(ended) => {
+            core.disk.outcome(&job, token, &ended);
+            core.holder.keep(&job, token, ended);
+        }
+        Err(_) => {
+            // Told to stop, or its life is over: it says so where the job was its own to the end.
+            if core.holder.stop(&job, token) {
+                core.holder.keep(&job, token, Ended::Stopped);
+            }
+        }
+    }
+    drop(core);
+    agent.news.notify_waiters();
+}
+
+impl Agent {
+    pub(super) fn holds(&self, job: &str, token: u64) -> bool {
+        let core = self.core.borrow();
+        if core.options.ignores_lease {
+            return true;
+        }
+        let mine = core.holder.held().any(|(held, hold)| held == job && hold.token == token);
+        mine && core.holder.may_work(core.clock.now())
+    }
+}
+
+async fn steps(agent: &Agent, job: &str, token: u64, spec: &Spec) -> Result<Ended, Stopped> {
+    let (effects, site) = {
+        let core = agent.core.borrow();
+        (core.options.effects, core.options.name.clone())
+    };
+    let connecting = timeout(Duration::from_secs(2), TcpStream::connect(effects)).await;
+    let socket = connecting.ok().and_then(Result::ok).ok_or(Stopped::Away)?;
+    let _ = socket.set_nodelay(true);
+    let mut frames = Framed::new(socket, codec(MOST));
+    let mut call = async |call: Call| -> Result<u64, Stopped> {
+        if !agent.holds(job, token) {
+            return Err(Stopped::NotMine);
+        }
+        let body = serde_json::to_vec(&call).unwrap_or_default();
+        frames.send(Bytes::from(body)).await.map_err(|_| Stopped::Away)?;
+        let answer = timeout(Duration::from_secs(2), frames.next()).await;
+        let body = answer.ok().flatten().and_then(Result::ok).ok_or(Stopped::Away)?;
+        match serde_json::from_slice(&body).map_err(|_| Stopped::Away)? {
+            Answer::Landed(steps) => Ok(steps),
+            Answer::Refused(_) => Err(Stopped::NotMine),
+        }
+    };
+    let open = Call::Open { site: site.clone(), job: job.to_owned(), token };
+    let mut landed = call(open).await?;
+    if spec.poison {
+        std::process::abort();
+    }
+    while landed < spec.steps {
+        sleep(Duration::from_millis(spec.step_ms)).await;
+        let step = Call::Step { site: site.clone(), job: job.to_owned(), token, step: landed };
+        landed = call(step).await?;
+    }
+    Ok(if spec.fails { Ended::Failed("it fails".to_owned()) } else { Ended::Done })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,8 +3,10 @@
 //! A req travels as a small frame, on the codec of the plain stream: client to forwarder to plan server, and the
 //! answer back. What the stand-ins meet goes into a [`Capture`], from which the lab judges.
 
+pub mod agent;
 pub mod capture;
 pub mod clients;
+pub mod effects;
 pub mod forwarder;
 pub mod platform;
 pub mod server;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -6,5 +6,5 @@
 mod watching;
 
 pub use memory::Memory;
-pub use mvcc::Mvcc;
+pub use mvcc::{Change, Mvcc};
 pub use server::{Faults, Store};
--- a/crates/standin/src/store/mvcc.rs
+++ b/crates/standin/src/store/mvcc.rs
@@ -26,6 +26,8 @@
     revision: i64,
     keys: BTreeMap<Vec<u8>, KeyValue>,
     leases: BTreeMap<i64, Lease>,
+    /// When it was last asked for anything.
+    now: Time,
     /// What was done to keys, in order, since the compaction.
     log: VecDeque<Done>,
     compacted: i64,
@@ -34,12 +36,22 @@
 /// A key as it was before and after a revision.
 #[derive(Clone, Debug)]
 struct Done {
+    at: Time,
     revision: i64,
     key: Vec<u8>,
     before: Option<KeyValue>,
     after: Option<KeyValue>,
 }
 
+/// A change of a key, as a judge sees it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Change {
+    pub at: Time,
+    pub revision: i64,
+    pub key: String,
+    pub value: Option<String>,
+}
+
 /// Changes kept at most; older ones are compacted.
 const KEPT: usize = 200_000;
 
@@ -71,6 +83,7 @@
         Mvcc {
             cluster,
             revision: 1,
+            now: 0,
             keys: BTreeMap::new(),
             leases: BTreeMap::new(),
             log: VecDeque::new(),
@@ -84,6 +97,7 @@
 
     /// Ends the leases that have run out: the keys of each go at one revision.
     pub fn expire(&mut self, now: Time) {
+        self.now = now;
         let over: Vec<i64> =
             self.leases.iter().filter(|(_, lease)| now >= lease.until).map(|(&id, _)| id).collect();
         over.into_iter().for_each(|id| _ = self.revoke(id));
@@ -121,7 +135,7 @@
     }
 
     fn note(&mut self, revision: i64, key: &[u8], before: Option<KeyValue>, after: Option<KeyValue>) {
-        self.log.push_back(Done { revision, key: key.to_vec(), before, after });
+        self.log.push_back(Done { at: self.now, revision, key: key.to_vec(), before, after });
         if self.log.len() > KEPT {
             self.compacted = self.log.pop_front().map_or(0, |done| done.revision);
         }
@@ -150,6 +164,17 @@
         self.compacted
     }
 
+    /// All changes that are kept, in order: when, at which revision, which key, what it is since (none: it is gone).
+    pub fn changes(&self) -> Vec<Change> {
+        let change = |done: &Done| Change {
+            at: done.at,
+            revision: done.revision,
+            key: String::from_utf8_lossy(&done.key).into_owned(),
+            value: done.after.as_ref().map(|kv| String::from_utf8_lossy(&kv.value).into_owned()),
+        };
+        self.log.iter().map(change).collect()
+    }
+
     /// What happened to keys in a range from a revision on, in order; none where that has been compacted.
     pub fn events(&self, key: &[u8], end: &[u8], from: i64) -> Option<Vec<(i64, Event)>> {
         if from <= self.compacted {
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -99,6 +99,15 @@
         found.kvs.into_iter().next().map(|kv| (kv.value, kv.mod_revision))
     }
 
+    /// All changes of keys so far.
+    pub fn changes(&self) -> Vec<super::Change> {
+        self.lock().mvcc.changes()
+    }
+
+    pub fn now(&self) -> crate::Time {
+        self.clock.now()
+    }
+
     /// The leases that there are.
     pub fn leases(&self) -> Vec<i64> {
         self.lock().mvcc.leases()
