--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -84,6 +84,7 @@
     /// The life is at the store.
     registered: bool,
     renewals: usize,
+    heard: Time,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -127,6 +128,9 @@
     /// again.
     const SETTLING: usize = 1_000;
 
+    /// An agent is reached that was heard of within this: three of its pings.
+    const HEARD: Time = 30_000;
+
     /// Renewals of one agent under way at most: a store that answers late costs no life.
     const RENEWALS: usize = 4;
 
@@ -138,10 +142,17 @@
         Figures { agents: self.agents.len(), settling: self.settling.len(), ..self.figures }
     }
 
-    /// Sites connected here.
-    pub fn reached(&self) -> usize {
-        let names: BTreeSet<&str> = self.agents.values().map(|agent| agent.hello.name.as_str()).collect();
-        names.len()
+    /// Sites heard of lately.
+    pub fn reached(&self, now: Time) -> usize {
+        let heard = self.agents.values().filter(|agent| now < agent.heard + Self::HEARD);
+        heard.map(|agent| agent.hello.name.as_str()).collect::<BTreeSet<_>>().len()
+    }
+
+    /// Something came from an agent.
+    pub fn heard(&mut self, now: Time, stream: u64) {
+        if let Some(agent) = self.agents.get_mut(&stream) {
+            agent.heard = now;
+        }
     }
 
     /// Under which term orders go out.
@@ -150,12 +161,12 @@
     }
 
     /// An agent says hello, or that it goes on under another life. `before`: lives of its that are surely over.
-    pub fn hello(&mut self, stream: u64, hello: Hello, before: Vec<Life>) {
+    pub fn hello(&mut self, now: Time, stream: u64, hello: Hello, before: Vec<Life>) {
         if !before.is_empty() {
             self.acts.push_back(Act::End { lives: before });
         }
         self.acts.push_back(Act::Register { stream, site: hello.clone() });
-        self.agents.insert(stream, Agent { hello, registered: false, renewals: 0 });
+        self.agents.insert(stream, Agent { hello, registered: false, renewals: 0, heard: now });
     }
 
     /// What came of a registration.
@@ -322,11 +333,6 @@
     pub fn outdated(&mut self) {
         self.figures.outdated += 1;
     }
-
-    /// Nothing here waits on time alone.
-    pub fn next_timeout(&self) -> Time {
-        Time::MAX
-    }
 }
 
 #[cfg(test)]
@@ -349,12 +355,12 @@
     fn an_agent_is_given_what_its_lines_say_again_until_it_has_it() {
         let mut desk = Desk::default();
         desk.term(3);
-        desk.hello(1, hello(9), vec![8]);
+        desk.hello(0, 1, hello(9), vec![8]);
         assert!(matches!(&acts(&mut desk)[..], [Act::End { .. }, Act::Register { .. }]));
         desk.registered(1, 9, true);
         desk.line("a", leased(9), 70);
         let give = Act::Give { stream: 1, term: 3, life: 9, job: "a".into(), token: 70 };
-        assert_eq!(acts(&mut desk), [give.clone()]);
+        assert_eq!(acts(&mut desk), std::slice::from_ref(&give));
         desk.keep(1, 5, &BTreeSet::new());
         assert_eq!(acts(&mut desk), [Act::Renew { stream: 1, life: 9, sent: 5 }, give]);
         desk.keep(1, 6, &BTreeSet::from([70]));
@@ -367,12 +373,12 @@
     #[test]
     fn it_is_told_to_stop_what_is_not_its_any_more() {
         let mut desk = Desk::default();
-        desk.hello(1, hello(9), Vec::new());
+        desk.hello(0, 1, hello(9), Vec::new());
         desk.line("a", leased(9), 70);
         acts(&mut desk);
         desk.line("a", Line { last: 70, ..Line::new(State::Waiting) }, 80);
         let stop = Act::Stop { stream: 1, term: 0, job: "a".into(), token: 70 };
-        assert_eq!(acts(&mut desk), [stop.clone()]);
+        assert_eq!(acts(&mut desk), std::slice::from_ref(&stop));
         desk.known(80);
         desk.in_hand(1, [("a", 70), ("new", 90)].into_iter());
         assert_eq!(acts(&mut desk), [stop], "what is newer than what is known here is left alone");
@@ -387,7 +393,7 @@
     #[test]
     fn an_outcome_is_settled_by_the_line_as_it_is_read_for_it() {
         let mut desk = Desk::default();
-        desk.hello(1, hello(9), Vec::new());
+        desk.hello(0, 1, hello(9), Vec::new());
         acts(&mut desk);
         assert!(desk.outcome(1, "a", 70, Ended::Done));
         assert!(!desk.outcome(1, "a", 70, Ended::Done), "one is under way");
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -129,6 +129,8 @@
     ignores_lease: bool,
     #[arg(long)]
     forgets: bool,
+    #[arg(long)]
+    pause_at: Option<u64>,
     #[arg(long, default_value_t = 1)]
     lies: u64,
 }
@@ -320,6 +322,7 @@
         seed: args.seed,
         ignores_lease: args.ignores_lease,
         forgets: args.forgets,
+        pause_at: args.pause_at,
         lies: args.lies,
     };
     // It listens nowhere: it says so that whoever starts it knows that it runs.
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -41,11 +41,18 @@
     #[serde(default = "Work::attempts")]
     pub attempts: u32,
     pub jobs: Vec<Jobs>,
-    /// A steward that stops itself at a point, as `ravenspar serve --halt` and `--pause` have it.
+    /// Each steward, in its first process, dies at this point, as `ravenspar serve --halt` has it, and is started again.
     #[serde(default)]
-    pub halt: Option<(usize, String)>,
+    pub halt: Option<String>,
+    /// Likewise it stops itself, as with `--pause`, and is continued after a while.
     #[serde(default)]
-    pub pause: Option<(usize, String)>,
+    pub pause: Option<String>,
+    #[serde(default = "Work::pause_for")]
+    pub pause_for: Span,
+    /// A site whose agent stops itself at its nth call to where effects land, the lease looked at and the call not sent;
+    /// it is continued after `pause_for`.
+    #[serde(default)]
+    pub pause_site: Option<(usize, u64)>,
     /// Agents that are ill.
     #[serde(default)]
     pub ignores_lease: Vec<usize>,
@@ -77,6 +84,10 @@
         Span(50_000)
     }
 
+    fn pause_for() -> Span {
+        Span(60_000)
+    }
+
     fn attempts() -> u32 {
         8
     }
--- a/crates/lab/src/work/judge.rs
+++ b/crates/lab/src/work/judge.rs
@@ -43,12 +43,25 @@
     claims: Vec<(Time, i64, Option<&'a str>)>,
     /// Names of members by their lives in hex.
     members: BTreeMap<&'a str, String>,
-    /// Sites by their lives: name, room, from and to which revision they were there, and when they went.
-    sites: BTreeMap<u64, (String, usize, i64, Option<(Time, i64)>)>,
+    /// Sites by their lives.
+    sites: BTreeMap<u64, Site>,
     jobs: BTreeMap<&'a str, Spec>,
     outcomes: BTreeMap<&'a str, String>,
 }
 
+struct Site {
+    name: String,
+    room: usize,
+    /// From which revision on it was there, and when and at which revision it went; lives of ill agents come again.
+    there: Vec<(i64, Option<(Time, i64)>)>,
+}
+
+impl Site {
+    fn is_there(&self, revision: i64) -> bool {
+        self.there.iter().any(|(from, gone)| *from <= revision && gone.is_none_or(|gone| gone.1 > revision))
+    }
+}
+
 fn story(changes: &[Change]) -> Story<'_> {
     let mut witness: BTreeMap<i64, (&str, &str)> = BTreeMap::new();
     for change in changes {
@@ -92,10 +105,12 @@
                     Some(row) => {
                         let name = row["name"].as_str().unwrap_or_default().to_owned();
                         let room = row["room"].as_u64().unwrap_or(0) as usize;
-                        story.sites.insert(life, (name, room, change.revision, None));
+                        let site = story.sites.entry(life).or_insert(Site { name, room, there: Vec::new() });
+                        site.there.push((change.revision, None));
                     }
                     None => {
-                        if let Some((.., gone)) = story.sites.get_mut(&life) {
+                        let site = story.sites.get_mut(&life);
+                        if let Some((_, gone)) = site.and_then(|site| site.there.last_mut()) {
                             *gone = Some((change.at, change.revision));
                         }
                     }
@@ -287,10 +302,7 @@
         let Some(line) = &change.line else { continue };
         let before = held.get(change.job).copied();
         if let Some((site, _)) = before.filter(|_| change.by.is_some_and(|(_, hand)| hand == "own")) {
-            let there = story
-                .sites
-                .get(&site)
-                .is_some_and(|(.., gone)| gone.is_none_or(|gone| gone.1 > change.revision));
+            let there = story.sites.get(&site).is_some_and(|site| site.is_there(change.revision));
             if there && !matches!(line.state, State::Ending(_) | State::Leased(_)) {
                 early.push(format!(
                     "{:.2} s: {} was ended while its site was there",
@@ -329,17 +341,20 @@
     // J4: from a site's loss until each of its jobs is given out again, or over.
     let within = day.judge.again_within.0;
     let (mut slow, mut slowest) = (Vec::new(), 0);
-    for (life, (name, _, _, gone)) in &story.sites {
-        let Some((at, revision)) = gone else { continue };
+    let went = |(life, site): (&u64, &Site)| {
+        let gone = site.there.iter().filter_map(|(_, gone)| *gone);
+        gone.map(|gone| (*life, site.name.clone(), gone)).collect::<Vec<_>>()
+    };
+    for (life, name, (at, revision)) in story.sites.iter().flat_map(went) {
         let mut last: BTreeMap<&str, &LineChange> = BTreeMap::new();
-        story.lines.iter().filter(|change| change.revision < *revision).for_each(|change| {
+        story.lines.iter().filter(|change| change.revision < revision).for_each(|change| {
             last.insert(change.job, change);
         });
         let of =
-            |change: &&&LineChange| matches!(&change.line, Some(line) if line.state == State::Leased(*life));
+            |change: &&&LineChange| matches!(&change.line, Some(line) if line.state == State::Leased(life));
         let jobs: BTreeSet<&str> = last.values().filter(of).map(|change| change.job).collect();
         for job in jobs {
-            let next = story.lines.iter().filter(|change| change.job == job && change.revision > *revision);
+            let next = story.lines.iter().filter(|change| change.job == job && change.revision > revision);
             let next = next
                 .filter(|change| change.line.as_ref().is_none_or(|line| line.state != State::Waiting))
                 .map(|change| change.at)
@@ -348,7 +363,7 @@
             let took = next - at;
             slowest = slowest.max(took);
             if within > 0 && took > within {
-                slow.push(format!("{job} of {name}, lost at {:.2} s: {:.2} s", since(*at), seconds(took)));
+                slow.push(format!("{job} of {name}, lost at {:.2} s: {:.2} s", since(at), seconds(took)));
             }
         }
     }
@@ -369,7 +384,7 @@
             let jobs = holds.entry(site).or_default();
             jobs.insert(change.job);
             fullest = fullest.max(jobs.len());
-            let room = story.sites.get(&site).map_or(0, |(_, room, ..)| *room);
+            let room = story.sites.get(&site).map_or(0, |site| site.room);
             if jobs.len() > room {
                 over.insert(format!(
                     "{:.2} s: {} jobs at {site:016x} with room for {room}",
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -68,6 +68,7 @@
     for n in 0..fleet.day.work.sites {
         fleet.start_site(n).await?;
     }
+    let tending = spawn_local(fleet.clone().tend());
     let began = std::time::Instant::now();
     while !fleet.is_there() {
         if began.elapsed() > PATIENCE {
@@ -84,6 +85,7 @@
     while !fleet.all_over() && fleet.store.now() < until {
         sleep(Duration::from_millis(20)).await;
     }
+    tending.abort();
     let ended = fleet.store.now();
     // What comes late is seen too.
     sleep(duration(SECOND)).await;
@@ -181,7 +183,7 @@
         args.push(path.into_os_string());
         let first = self.starts.borrow()[n] == 0;
         for (flag, point) in [("--halt", &work.halt), ("--pause", &work.pause)] {
-            if let Some((_, at)) = point.as_ref().filter(|(which, _)| *which == n && first) {
+            if let Some(at) = point.as_ref().filter(|_| first) {
                 args.extend([flag.into(), at.into()]);
             }
         }
@@ -206,6 +208,9 @@
         for relay in &self.relays[m] {
             add("--steward", relay.address.to_string().into());
         }
+        if let Some((_, call)) = work.pause_site.filter(|(site, _)| *site == m) {
+            args.extend(["--pause-at".into(), call.to_string().into()]);
+        }
         let ill = [("--ignores-lease", &work.ignores_lease), ("--forgets", &work.forgets)];
         ill.iter().filter(|(_, who)| who.contains(&m)).for_each(|(flag, _)| args.push((*flag).into()));
         let process = Process::start(args, &self.dir.join(format!("site-{m}.log"))).await?;
@@ -213,6 +218,65 @@
         Ok(())
     }
 
+    /// Starts stewards again that died at the day's point, and continues those that stopped themselves there.
+    async fn tend(self: Rc<Fleet>) {
+        /// Between death and start.
+        const BACK: Time = SECOND;
+        let halted = self.day.work.halt.is_some() || self.day.work.pause.is_some();
+        if let Some((m, _)) = self.day.work.pause_site {
+            spawn_local(self.clone().tend_site(m));
+        }
+        let mut met = vec![false; self.day.work.stewards];
+        while halted && met.iter().any(|met| !met) {
+            sleep(Duration::from_millis(5)).await;
+            for (n, met) in met.iter_mut().enumerate().filter(|(_, met)| !**met) {
+                let (ended, stopped) = {
+                    let mut stewards = self.stewards.borrow_mut();
+                    let Some(process) = &mut stewards[n] else { continue };
+                    (process.ended(), process.is_stopped())
+                };
+                let (what, lasts) = match (ended, stopped) {
+                    (true, _) => ("killed", BACK),
+                    (_, true) => ("stopped", self.day.work.pause_for.0),
+                    _ => continue,
+                };
+                *met = true;
+                let at = self.store.now();
+                let who = vec![format!("steward-{n}")];
+                self.befell.borrow_mut().push(Befell { at, until: at + lasts, what: what.to_owned(), who });
+                let fleet = self.clone();
+                spawn_local(async move {
+                    sleep(duration(lasts)).await;
+                    if ended {
+                        let _ = fleet.start_steward(n).await;
+                    } else {
+                        let id = fleet.stewards.borrow()[n].as_ref().and_then(Process::id);
+                        if let Some(id) = id {
+                            crate::processes::send(id, "CONT").await;
+                        }
+                    }
+                });
+            }
+        }
+    }
+
+    /// Continues a site's agent that has stopped itself.
+    async fn tend_site(self: Rc<Fleet>, m: usize) {
+        let stopped =
+            || self.sites.borrow()[m].as_ref().filter(|site| site.is_stopped()).and_then(Process::id);
+        let id = loop {
+            sleep(Duration::from_millis(5)).await;
+            if let Some(id) = stopped() {
+                break id;
+            }
+        };
+        let (at, lasts) = (self.store.now(), self.day.work.pause_for.0);
+        let who = vec![format!("site-{m}")];
+        self.befell.borrow_mut().push(Befell { at, until: at + lasts, what: "stopped".to_owned(), who });
+        sleep(duration(lasts)).await;
+        crate::processes::send(id, "CONT").await;
+    }
+
     /// All are members, there is an owner, and all sites are at the store.
     fn is_there(&self) -> bool {
         let changes = self.store.changes();
--- a/crates/lab/src/work/troubles.rs
+++ b/crates/lab/src/work/troubles.rs
@@ -131,14 +131,15 @@
             What::Kill { who, back } => {
                 let who = self.who(&who);
                 self.note("killed", &who, back.map_or(Time::MAX / 4, |back| back.0));
-                for who in &who {
-                    if let Some(mut process) = self.taken(*who) {
-                        process.kill().await;
-                    }
+                let who: Vec<_> = who.into_iter().filter_map(|who| Some((who, self.taken(who)?))).collect();
+                let mut gone = Vec::new();
+                for (who, mut process) in who {
+                    process.kill().await;
+                    gone.push(who);
                 }
                 if let Some(back) = back {
                     sleep(duration(back.0)).await;
-                    for who in who {
+                    for who in gone {
                         self.start(who).await?;
                     }
                 }
@@ -146,14 +147,15 @@
             What::Leave { who, back } => {
                 let who = self.who(&who);
                 self.note("ended in order", &who, back.map_or(Time::MAX / 4, |back| back.0));
-                for who in &who {
-                    if let Some(mut process) = self.taken(*who) {
-                        process.end_within(std::time::Duration::from_secs(20)).await;
-                    }
+                let who: Vec<_> = who.into_iter().filter_map(|who| Some((who, self.taken(who)?))).collect();
+                let mut gone = Vec::new();
+                for (who, mut process) in who {
+                    process.end_within(std::time::Duration::from_secs(20)).await;
+                    gone.push(who);
                 }
                 if let Some(back) = back {
                     sleep(duration(back.0)).await;
-                    for who in who {
+                    for who in gone {
                         self.start(who).await?;
                     }
                 }
--- a/crates/lab/tests/work_days.rs
+++ b/crates/lab/tests/work_days.rs
@@ -4,9 +4,130 @@
 
 mod common;
 
-use common::keeps_the_rules;
+use common::{breaks, keeps_the_rules};
 
 #[test]
 fn thin() {
     keeps_the_rules("jobs-thin");
 }
+
+#[test]
+fn an_owner_that_wakes_up_late_does_no_harm() {
+    keeps_the_rules("duty-paused");
+}
+
+#[test]
+fn stewards_that_die_before_their_claim_leaves() {
+    keeps_the_rules("duty-killed-claim");
+}
+
+#[test]
+fn stewards_that_die_once_their_claim_is_carried_out() {
+    keeps_the_rules("duty-killed-claimed");
+}
+
+#[test]
+fn owners_that_die_before_an_effect_leaves() {
+    keeps_the_rules("duty-killed-effect");
+}
+
+#[test]
+fn owners_that_die_once_an_effect_is_carried_out() {
+    keeps_the_rules("duty-killed-effected");
+}
+
+#[test]
+fn an_owner_cut_off_from_the_store() {
+    keeps_the_rules("duty-cut-store");
+}
+
+#[test]
+fn an_owner_that_reaches_the_store_alone() {
+    keeps_the_rules("duty-cut-all-but-store");
+}
+
+#[test]
+fn a_planned_restart_of_all() {
+    keeps_the_rules("duty-roll");
+}
+
+#[test]
+fn an_owner_that_crawls() {
+    keeps_the_rules("duty-crawl");
+}
+
+#[test]
+fn an_owner_cut_off_for_short_times_again_and_again() {
+    keeps_the_rules("duty-flap");
+}
+
+#[test]
+fn a_store_that_is_away() {
+    keeps_the_rules("duty-store-away");
+}
+
+#[test]
+fn a_store_that_is_late_and_loses_answers() {
+    keeps_the_rules("duty-store-late");
+}
+
+#[test]
+fn sites_cut_off() {
+    keeps_the_rules("jobs-site-cut");
+}
+
+#[test]
+fn an_agent_that_wakes_up_in_the_middle_of_an_effect() {
+    keeps_the_rules("jobs-site-paused");
+}
+
+#[test]
+fn sites_that_hear_or_are_heard_one_way() {
+    keeps_the_rules("jobs-site-one-way");
+}
+
+#[test]
+fn a_zone_that_is_lost() {
+    keeps_the_rules("jobs-zone-lost");
+}
+
+#[test]
+fn most_sites_cut_off_at_once() {
+    keeps_the_rules("jobs-all-cut");
+}
+
+#[test]
+fn outcomes_that_come_late() {
+    keeps_the_rules("jobs-late-outcome");
+}
+
+#[test]
+fn owners_killed_while_leases_end() {
+    keeps_the_rules("jobs-owner-killed");
+}
+
+#[test]
+fn owner_and_site_lost_in_the_same_second() {
+    keeps_the_rules("jobs-steward-and-site");
+}
+
+#[test]
+fn jobs_that_kill_and_jobs_that_fail() {
+    keeps_the_rules("jobs-poison");
+}
+
+#[test]
+fn agents_that_ignore_their_leases_and_forget_outcomes() {
+    keeps_the_rules("jobs-ill-agent");
+}
+
+#[test]
+fn jobs_that_are_cancelled() {
+    keeps_the_rules("jobs-cancelled");
+}
+
+/// What the guide asks of whoever takes effects is needed: without it the same faults make steps land twice.
+#[test]
+fn a_taker_without_a_memory_is_none() {
+    breaks("jobs-taker-without-memory", "J1 once");
+}
--- a/crates/ravenspar/src/halt.rs
+++ b/crates/ravenspar/src/halt.rs
@@ -13,6 +13,12 @@
     Take,
     /// A renewal of the membership is on its way, and counted from here.
     Renew,
+    /// A duty's claim is about to be asked for, and has been carried out.
+    Claim,
+    Claimed,
+    /// What is done by a duty is about to leave, its warrant looked at, and has been carried out.
+    Effect,
+    Effected,
 }
 
 /// The nth time at a point: the process dies as by a kill, or stands still until it is continued.
@@ -27,13 +33,19 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Halt, String> {
-        let expected = || format!("{text}: expected recorded:N, message:N, take:N or renew:N");
+        let expected = || {
+            format!("{text}: expected recorded:N, message:N, take:N, renew:N, claim:N, claimed:N, effect:N or effected:N")
+        };
         let (point, number) = text.split_once(':').ok_or_else(expected)?;
         let point = match point {
             "recorded" => Point::Recorded,
             "message" => Point::Message,
             "take" => Point::Take,
             "renew" => Point::Renew,
+            "claim" => Point::Claim,
+            "claimed" => Point::Claimed,
+            "effect" => Point::Effect,
+            "effected" => Point::Effected,
             _ => return Err(expected()),
         };
         let left = number.parse().ok().filter(|&number| number > 0).ok_or_else(expected)?;
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -177,12 +177,13 @@
         door.rows = rows;
     }
     let mut failures = 0;
+    let halt = door.halt;
     loop {
         let number = chance.u64(1..i64::MAX as u64);
         let address = address.to_string();
         let joined = tokio::select! {
             () = stopped(&mut door.terminate, &mut door.interrupt) => return Ok(()),
-            joined = join(&joining, number, &address, seen) => joined,
+            joined = join(&joining, number, &address, seen, halt.filter(|_| failures == 0)) => joined,
         };
         let why = match joined {
             Ok((life, snapshot)) => {
@@ -248,10 +249,11 @@
     number: u64,
     address: &str,
     seen: Option<(u64, u64)>,
+    halt: Option<Halt>,
 ) -> Result<(Life, Snapshot), Refused> {
     let said = crate::shared::snapshot(&*joining.store, &joining.keys, 0).await;
     let said = said.map_err(|fault| Refused::Not(fault.to_string()))?;
     backward(&said, seen).map_or(Ok(()), |why| Err(Refused::Backward(why)))?;
-    let life = Life::join(joining, number, address).await.map_err(Refused::Not)?;
+    let life = Life::join(joining, number, address, halt).await.map_err(Refused::Not)?;
     Ok((life, said))
 }
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -15,6 +15,7 @@
 
 use super::rows::{Keys, Member};
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
+use crate::halt::Halt;
 use crate::recorder::{Gathered, Keep, Recorder};
 use crate::settings::{Jobs, Share};
 use crate::work::{Standing, With, Work};
@@ -121,8 +122,14 @@
 }
 
 impl Life {
-    /// Becomes a member. `number`: of its lease, drawn at random, as no other life's.
-    pub async fn join(joining: &Joining, number: u64, address: &str) -> Result<Life, String> {
+    /// Becomes a member. `number`: of its lease, drawn at random, as no other life's. `halt`: where its work for the fleet
+    /// is met by tests.
+    pub async fn join(
+        joining: &Joining,
+        number: u64,
+        address: &str,
+        halt: Option<Halt>,
+    ) -> Result<Life, String> {
         let Joining { share, store, keys, clock, .. } = joining.clone();
         let lease = Time::from(share.member_lease) * SECOND;
         let mut membership = Membership::new(lease, MARGIN);
@@ -152,6 +159,7 @@
                 listener,
                 settings,
                 standing: seen,
+                halt,
             })
         });
         let mut life = Life {
--- a/crates/ravenspar/src/work/frames.rs
+++ b/crates/ravenspar/src/work/frames.rs
@@ -29,6 +29,8 @@
     Holds(u64),
     /// It ends this life: nothing is in hand any more.
     Over(Life),
+    /// It is there.
+    Ping(u64),
     /// Of a kind that is not an agent's.
     Other,
 }
@@ -85,6 +87,7 @@
             (Some((job, token)), Some(ended)) => Said::Outcome { job, token, ended },
             _ => return Err(Fault::Missing(tag::JOB)),
         },
+        kind::PING => Said::Ping(sent),
         kind::USED => Said::Used(uses),
         kind::HOLDS => Said::Holds(term),
         kind::OVER => Said::Over(life),
@@ -101,6 +104,10 @@
     frame.numbers(tag::LIFE, &[life]).numbers(tag::SENT, &[sent]).numbers(tag::LEASE, &[lease]).finish()
 }
 
+pub fn echo(sent: u64) -> Bytes {
+    Frame::new(kind::ECHO).numbers(tag::SENT, &[sent]).finish()
+}
+
 pub fn over(life: Life) -> Bytes {
     Frame::new(kind::OVER).numbers(tag::LIFE, &[life]).finish()
 }
--- a/crates/ravenspar/src/work/hands.rs
+++ b/crates/ravenspar/src/work/hands.rs
@@ -9,6 +9,7 @@
 
 use super::rows::{self, OutcomeRow, Reach};
 use super::Told;
+use crate::halt::{Halt, Point};
 use crate::shared::{write_life, Keys};
 
 /// Orders that wait for a hand: each of its callers has one or a few under way.
@@ -39,6 +40,7 @@
     pub keys: Keys,
     pub life: u64,
     pub clock: Clock,
+    pub halt: Option<Halt>,
     /// The names of the duties.
     pub names: &'static [&'static str],
     pub told: mpsc::Sender<Told>,
@@ -62,6 +64,7 @@
         match order {
             Order::Step { step, name } => {
                 let key = self.keys.duty(name);
+                Halt::meet(&mut self.halt, Point::Claim);
                 let done = match step {
                     Step::Claim { .. } => {
                         let then = vec![put(key.clone(), write_life(self.life), self.life)];
@@ -72,6 +75,7 @@
                         self.hand.commit(compare, vec![put(key, write_life(to), to)]).await
                     }
                 };
+                Halt::meet(&mut self.halt, Point::Claimed);
                 ended(done, |term| Told::Stepped { step, term })
             }
             Order::Lines { warrant, writes } => {
@@ -129,7 +133,10 @@
     ) -> Result<u64, Stop> {
         let Some((duty, term)) = warrant.leaves(self.clock.now()) else { return Err(Stop::Not) };
         compare.push(at(self.keys.duty(self.name(duty)), term));
-        self.hand.commit(compare, then).await
+        Halt::meet(&mut self.halt, Point::Effect);
+        let done = self.hand.commit(compare, then).await;
+        Halt::meet(&mut self.halt, Point::Effected);
+        done
     }
 
     fn name(&self, duty: Duty) -> &'static str {
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -25,6 +25,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::halt::Halt;
 use crate::settings;
 use crate::shared::Keys;
 use crate::streams::{self, Input, Stream};
@@ -83,6 +84,8 @@
     pub listener: Arc<TcpListener>,
     pub settings: settings::Jobs,
     pub standing: watch::Receiver<Standing>,
+    /// Where tests meet it.
+    pub halt: Option<Halt>,
 }
 
 /// The core's end of the task: dropping it ends the task and all that it began.
@@ -166,8 +169,16 @@
         let (tell, told) = mpsc::channel(TOLD);
         let (store, keys, life, clock) = (with.store.clone(), with.keys.clone(), with.life, with.clock);
         let hand = |name: &str| Hand::new(store.clone(), life, keys.work_witness(life, name));
-        let own =
-            Own { hand: hand("own"), keys: keys.clone(), life, clock, names: DUTIES, told: tell.clone() };
+        let halt = with.halt;
+        let own = Own {
+            hand: hand("own"),
+            keys: keys.clone(),
+            life,
+            clock,
+            halt,
+            names: DUTIES,
+            told: tell.clone(),
+        };
         let (own, first) = own.start();
         let agents =
             ForAgents { hand: hand("agents"), store: store.clone(), keys: keys.clone(), told: tell.clone() };
@@ -276,10 +287,12 @@
     }
 
     fn said(&mut self, stream: u64, said: Said) {
+        self.desk.heard(self.with.clock.now(), stream);
         match said {
+            Said::Ping(sent) => self.write(stream, frames::echo(sent)),
             Said::Site { version, .. } if version != VERSION => self.close(stream, "another version"),
             Said::Site { hello, before, .. } if hello.life > 0 && hello.life <= i64::MAX as u64 => {
-                self.desk.hello(stream, hello, before);
+                self.desk.hello(self.with.clock.now(), stream, hello, before);
             }
             Said::Site { .. } => self.close(stream, "a life from 1 to 2^63 - 1 is expected"),
             Said::Keep { sent, hands } => {
@@ -404,7 +417,7 @@
     fn be_of_use(&mut self) {
         let now = self.with.clock.now();
         let slow = self.pace.runs(now);
-        let sites = self.desk.reached();
+        let sites = self.desk.reached(now);
         let others = self.reaches.iter().filter(|(life, _)| **life != self.with.life);
         let others: Vec<u32> = others.map(|(_, reach)| reach.sites as u32).collect();
         let few = self.useful.look(now, sites as u32, Some(&others));
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -34,6 +34,8 @@
     pub ignores_lease: bool,
     /// It keeps no outcome on disk, and says each but once.
     pub forgets: bool,
+    /// It stops itself at its nth call, its lease looked at and the call not sent.
+    pub pause_at: Option<u64>,
     /// It says it used so many times as much.
     pub lies: u64,
 }
@@ -47,10 +49,14 @@
     pub chance: fastrand::Rng,
     pub holder: Holder,
     pub disk: disk::Disk,
+    /// Calls to where effects land.
+    pub calls: u64,
     /// The steward through which it renews.
     pub current: usize,
     /// Whether this life has been renewed once.
     pub alive: bool,
+    /// When this life was drawn.
+    pub began: Time,
     /// When the last renewal was answered, or the life began.
     pub heard: Time,
     /// Lives of this site that are over for good.
@@ -73,11 +79,13 @@
     /// Ends this life where its time is over, and begins another.
     pub fn look(&mut self) -> bool {
         let now = self.clock.now();
-        if !self.alive || self.holder.may_work(now) || self.options.ignores_lease {
-            return false;
+        // One that nobody has said to be held for a whole lease may have been, and be over: it is not used again.
+        let over =
+            if self.alive { !self.holder.may_work(now) } else { now >= self.began + self.options.lease };
+        if over && !self.options.ignores_lease {
+            self.over();
         }
-        self.over();
-        true
+        over && !self.options.ignores_lease
     }
 
     /// The life is over, by the clock or by a steward's word.
@@ -91,7 +99,7 @@
         self.disk.life(next);
         // Its runs see that they hold nothing any more, and end.
         self.holder.over(next, self.options.lease, MARGIN);
-        (self.alive, self.heard) = (false, self.clock.now());
+        (self.alive, self.began, self.heard) = (false, self.clock.now(), self.clock.now());
     }
 }
 
@@ -109,8 +117,10 @@
         chance,
         holder,
         disk,
+        calls: 0,
         current: 0,
         alive: false,
+        began: clock.now(),
         heard: clock.now(),
         before: kept.lives,
         used: kept.used,
--- a/crates/standin/src/agent/runs.rs
+++ b/crates/standin/src/agent/runs.rs
@@ -94,6 +94,15 @@
         if !agent.holds(job, token) {
             return Err(Stopped::NotMine);
         }
+        let pause = {
+            let mut core = agent.core.borrow_mut();
+            core.calls += 1;
+            core.options.pause_at == Some(core.calls)
+        };
+        if pause {
+            let own = std::process::id().to_string();
+            let _ = std::process::Command::new("kill").args(["-STOP", &own]).status();
+        }
         let body = serde_json::to_vec(&call).unwrap_or_default();
         frames.send(Bytes::from(body)).await.map_err(|_| Stopped::Away)?;
         let answer = timeout(Duration::from_secs(2), frames.next()).await;
--- a/crates/standin/src/agent/streams.rs
+++ b/crates/standin/src/agent/streams.rs
@@ -13,11 +13,15 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::{runs, Agent};
-use crate::Time;
+use crate::{Time, SECOND};
 
 /// Between two looks at what is to be said: renewals that are due, outcomes that nobody took.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Between two pings, by which each steward knows that it reaches this site. One that answers none of some is broken off.
+const PING: Time = SECOND;
+const SILENT: Time = 4 * SECOND;
+
 /// Outcomes and uses said at a time.
 const AT_ONCE: usize = 32;
 
@@ -40,12 +44,22 @@
         (FramedRead::new(read, codec(MOST_DOWN)), FramedWrite::new(write, codec(MOST_UP)));
     let mut look = interval(LOOK);
     let (mut life, mut kept_at) = (0, 0);
+    let (mut ping_at, mut heard) = (0, agent.core.borrow().clock.now());
     loop {
+        let now = agent.core.borrow().clock.now();
+        if now >= heard + SILENT {
+            return Ok(());
+        }
+        if now >= ping_at && life != 0 {
+            ping_at = now + PING;
+            write.send(Frame::new(kind::PING).numbers(tag::SENT, &[now as u64]).finish()).await?;
+        }
         tokio::select! {
             biased;
             body = read.next() => {
                 let Some(body) = body else { return Ok(()) };
                 let body = body?;
+                heard = agent.core.borrow().clock.now();
                 for answer in take(agent, number, &body).map_err(broken)? {
                     write.send(answer).await?;
                 }
@@ -171,11 +185,9 @@
             }
             Told::Known | Told::Old => {}
         },
-        (kind::STOP, Some((job, token))) => {
-            if core.holder.stop(job, token) {
-                core.holder.keep(job, token, Ended::Stopped);
-                agent.news.notify_waiters();
-            }
+        (kind::STOP, Some((job, token))) if core.holder.stop(job, token) => {
+            core.holder.keep(job, token, Ended::Stopped);
+            agent.news.notify_waiters();
         }
         (kind::VERDICT, Some((job, token))) => {
             core.holder.delivered(job, token);
