--- a/crates/debt/src/facts.rs
+++ b/crates/debt/src/facts.rs
@@ -6,8 +6,8 @@
 
 use crate::{digest, Digest, Use};
 
-/// What a fact is about: a job's lease, by its token, which no other lease has.
-pub type Key = u64;
+/// What a fact is about: a job's lease, by its token and the job. Jobs that were given out together have one token.
+pub type Key = (u64, String);
 
 /// What was used under a lease so far, on whose behalf.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,38 +66,43 @@
     /// Takes in all that another knows.
     pub fn merge(&mut self, other: &Facts) {
         for key in &other.folded {
-            self.fold(*key);
+            self.fold(key);
         }
         for (key, fact) in &other.facts {
-            self.take(*key, fact.clone());
+            self.take(key.clone(), fact.clone());
         }
     }
 
     /// The lease has been folded into the sums: what is said of it from here on is not news.
-    pub fn fold(&mut self, key: Key) -> Option<Fact> {
-        self.folded.insert(key);
+    pub fn fold(&mut self, key: &Key) -> Option<Fact> {
+        self.folded.insert(key.clone());
         if self.folded.len() > self.most {
             // The oldest tokens go: their sources stopped saying them when they were told that all was counted.
             self.folded.pop_first();
         }
-        self.facts.remove(&key)
+        self.facts.remove(key)
     }
 
-    pub fn get(&self, key: Key) -> Option<&Fact> {
-        self.facts.get(&key)
+    /// Somebody else sees to it from here on.
+    pub fn remove(&mut self, key: &Key) -> Option<Fact> {
+        self.facts.remove(key)
     }
 
-    pub fn is_folded(&self, key: Key) -> bool {
-        self.folded.contains(&key)
+    pub fn get(&self, key: &Key) -> Option<&Fact> {
+        self.facts.get(key)
+    }
+
+    pub fn is_folded(&self, key: &Key) -> bool {
+        self.folded.contains(key)
     }
 
     /// Facts from a lease on, in order.
-    pub fn iter(&self) -> impl Iterator<Item = (Key, &Fact)> {
-        self.facts.iter().map(|(key, fact)| (*key, fact))
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Fact)> {
+        self.facts.iter()
     }
 
     /// Leases whose whole use is known, the oldest first.
-    pub fn ended(&self) -> impl Iterator<Item = (Key, &Fact)> {
+    pub fn ended(&self) -> impl Iterator<Item = (&Key, &Fact)> {
         self.iter().filter(|(_, fact)| fact.last)
     }
 
@@ -111,12 +116,14 @@
 
     pub fn digest(&self) -> Digest {
         let rows = self.facts.iter().map(|(key, fact)| {
-            let mut row = key.to_be_bytes().to_vec();
+            let mut row = key.0.to_be_bytes().to_vec();
             row.extend(fact.used.to_be_bytes());
             row.push(u8::from(fact.last));
             row.extend(fact.user.as_bytes());
             row.push(0);
             row.extend(fact.group.as_bytes());
+            row.push(0);
+            row.extend(key.1.as_bytes());
             row
         });
         let rows: Vec<Vec<u8>> = rows.collect();
--- a/crates/debt/src/lib.rs
+++ b/crates/debt/src/lib.rs
@@ -6,11 +6,13 @@
 //! each user owes. An epoch is counted by the owner's published folds, never by a wall clock. `docs/design/debt.md` has the
 //! reasoning.
 
+mod books;
 mod facts;
 mod ledger;
 
+pub use books::{Books, EpochRow, Fold, Sums, UseRow};
 pub use facts::{Fact, Facts, Key};
-pub use ledger::{Ledger, Owed, Shares};
+pub use ledger::{Ledger, Owed, Shares, Sum};
 
 /// Server time, in whole tenths of a millisecond.
 pub type Use = u64;
--- a/crates/debt/tests/debt.rs
+++ b/crates/debt/tests/debt.rs
@@ -13,8 +13,9 @@
     Fact { user: format!("u{user}"), group: format!("g{}", user % 2), used, last }
 }
 
-fn names(ledger: &Ledger, shares: &Shares) -> Vec<String> {
-    ledger.rank(shares).into_iter().map(|owed| owed.user).collect()
+/// Two jobs to a token.
+fn lease(number: u64) -> (u64, String) {
+    (number / 2, format!("job-{number}"))
 }
 
 fn any_facts() -> impl Strategy<Value = Vec<(u64, Fact)>> {
@@ -26,7 +27,7 @@
 
 fn of(facts: &[(u64, Fact)]) -> Facts {
     let mut all = Facts::new(100);
-    facts.iter().for_each(|(key, fact)| _ = all.take(*key, fact.clone()));
+    facts.iter().for_each(|(key, fact)| _ = all.take(lease(*key), fact.clone()));
     all
 }
 
@@ -49,9 +50,9 @@
     #[test]
     fn the_same_leases_give_the_same_ranking_in_any_order(mut leases in prop::collection::vec((0..6u8, 0..100_000u64), 1..40), seed in any::<u64>()) {
         let ranked = |leases: &[(u8, u64)]| {
-            let mut ledger = Ledger::default();
-            leases.iter().for_each(|(user, used)| ledger.add(&format!("u{user}"), "g", *used, 10));
-            (ledger.digest(), ledger.rank(&shares()))
+            let mut ledger = Ledger::new(shares());
+            leases.iter().for_each(|(user, used)| ledger.add(&format!("u{user}"), "g", *used)) ;
+            (ledger.digest(), ledger.rank())
         };
         let before = ranked(&leases);
         fastrand::Rng::with_seed(seed).shuffle(&mut leases);
@@ -62,10 +63,10 @@
     #[test]
     fn more_use_is_no_less_debt(used in any::<u64>(), more in any::<u64>(), other in 1..u64::MAX) {
         let debt = |used: u64| {
-            let mut ledger = Ledger::default();
-            ledger.add("a", "g", used, 10);
-            ledger.add("b", "g", other, 10);
-            ledger.rank(&shares()).into_iter().find(|owed| owed.user == "a").map(|owed| owed.debt)
+            let mut ledger = Ledger::new(shares());
+            ledger.add("a", "g", used);
+            ledger.add("b", "g", other);
+            ledger.rank().into_iter().find(|owed| owed.user == "a").map(|owed| owed.debt)
         };
         prop_assert!(debt(used.min(more)) <= debt(used.max(more)));
     }
@@ -74,63 +75,62 @@
 #[test]
 fn a_fact_counts_once_whoever_says_it_and_nothing_of_a_folded_lease_is_news() {
     let mut facts = Facts::new(10);
-    assert_eq!(facts.take(7, fact(1, 50, false)), Some(true));
-    assert_eq!(facts.take(7, fact(1, 40, false)), Some(false), "late");
-    assert_eq!(facts.take(7, fact(1, 60, true)), Some(true));
+    assert_eq!(facts.take(lease(7), fact(1, 50, false)), Some(true));
+    assert_eq!(facts.take(lease(7), fact(1, 40, false)), Some(false), "late");
+    assert_eq!(facts.take(lease(7), fact(1, 60, true)), Some(true));
     assert_eq!(facts.ended().count(), 1);
-    assert_eq!(facts.fold(7), Some(fact(1, 60, true)));
-    assert_eq!(facts.take(7, fact(1, 60, true)), Some(false));
-    assert_eq!((facts.len(), facts.is_folded(7)), (0, true));
+    assert_eq!(facts.fold(&lease(7)), Some(fact(1, 60, true)));
+    assert_eq!(facts.take(lease(7), fact(1, 60, true)), Some(false));
+    assert_eq!((facts.len(), facts.is_folded(&lease(7))), (0, true));
 }
 
 #[test]
 fn facts_past_the_bound_are_left_out_and_counted() {
     let mut facts = Facts::new(2);
-    (0..3).for_each(|key| _ = facts.take(key, fact(1, 1, false)));
+    (0..3).for_each(|key| _ = facts.take(lease(key), fact(1, 1, false)));
     assert_eq!((facts.len(), facts.left_out), (2, 1));
 }
 
 #[test]
 fn use_loses_half_its_weight_in_a_half_life() {
-    let mut ledger = Ledger::default();
-    ledger.add("old", "g", 1_000_000, 10);
+    let mut ledger = Ledger::new(shares());
+    ledger.add("old", "g", 1_000_000);
     for _ in 0..10 {
-        ledger.next_epoch(10);
+        ledger.epoch += 1;
     }
-    ledger.add("new", "g", 500_000, 10);
-    let owed = ledger.rank(&shares());
+    ledger.add("new", "g", 500_000);
+    let owed = ledger.rank();
     let (a, b) = (owed[0].debt as f64, owed[1].debt as f64);
     assert!((a / b - 1.0).abs() < 1e-6, "{owed:?}");
-    // One that comes back after months is as new.
-    for _ in 0..2_000 {
-        ledger.next_epoch(10);
-    }
-    assert_eq!(ledger.users(), 0);
-    assert!(ledger.rank(&shares()).is_empty());
+    // One that comes back after months owes nothing, whatever it used.
+    ledger.epoch += 2_000;
+    assert_eq!((ledger.owes("old"), ledger.owes("never seen")), (0, 0));
 }
 
 #[test]
 fn each_level_is_normalised_by_itself() {
-    let mut ledger = Ledger::default();
     // Two lenders that used the same; one has a branch that used nearly all of it.
-    ledger.add("a1", "a", 900, 10);
-    ledger.add("a2", "a", 100, 10);
-    ledger.add("b1", "b", 500, 10);
-    ledger.add("b2", "b", 500, 10);
-    assert_eq!(names(&ledger, &shares()), ["a2", "b1", "b2", "a1"]);
-    // With three times the share, a's branches come first but for the one that used what is due to two.
+    let ranked = |shares: Shares| {
+        let mut ledger = Ledger::new(shares);
+        [("a1", "a", 900), ("a2", "a", 100), ("b1", "b", 500), ("b2", "b", 500)]
+            .into_iter()
+            .for_each(|(user, group, used)| ledger.add(user, group, used));
+        ledger.rank().into_iter().map(|owed| owed.user).collect::<Vec<_>>()
+    };
+    assert_eq!(ranked(shares()), ["a2", "b1", "b2", "a1"]);
+    // With three times the share, a's branches come first.
     let more = Shares { groups: BTreeMap::from([("a".to_owned(), 3)]), ..shares() };
-    assert_eq!(names(&ledger, &more), ["a2", "a1", "b1", "b2"]);
+    assert_eq!(ranked(more), ["a2", "a1", "b1", "b2"]);
     // One with no share comes after all.
     let none = Shares { users: BTreeMap::from([("a2".to_owned(), 0)]), ..shares() };
-    assert_eq!(names(&ledger, &none).last().map(String::as_str), Some("a2"));
+    assert_eq!(ranked(none).last().map(String::as_str), Some("a2"));
 }
 
 #[test]
 fn a_user_that_used_what_was_due_to_it_owes_one() {
-    let mut ledger = Ledger::default();
-    (0..4).for_each(|user| ledger.add(&format!("u{user}"), "g", 12_345, 10));
-    for owed in ledger.rank(&shares()) {
+    let mut ledger = Ledger::new(shares());
+    (0..4).for_each(|user| ledger.add(&format!("u{user}"), "g", 12_345));
+    for owed in ledger.rank() {
         assert!((owed.debt as i64 - (1i64 << 32)).abs() < 16, "{owed:?}");
     }
 }
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -185,9 +185,9 @@
         self.agents.remove(&stream);
     }
 
-    /// The agent renews its life, and says which tokens it has in hand or outcomes of. What it lacks it is given, and what
-    /// is not its any more it is told to stop.
-    pub fn keep(&mut self, stream: u64, sent: u64, has: &BTreeSet<Token>) {
+    /// The agent renews its life, and says which jobs it has in hand or outcomes of, under which tokens. What it lacks it is
+    /// given, and what is not its any more it is told to stop; what this steward can't know yet is left alone.
+    pub fn keep(&mut self, stream: u64, sent: u64, hands: &BTreeSet<(String, Token)>) {
         let Some(agent) = self.agents.get_mut(&stream) else {
             self.acts.push_back(Act::Close { stream, why: "a renewal before a hello" });
             return;
@@ -199,28 +199,21 @@
         } else {
             self.figures.renewals_left_out += 1;
         }
-        let held = self.held.get(&life).into_iter().flatten();
-        let lacks: Vec<(String, Token)> = held
-            .filter(|(_, token)| !has.contains(token))
-            .map(|(job, token)| (job.clone(), *token))
-            .collect();
+        let held = self.held.get(&life).into_iter().flatten().map(|(job, token)| (job.clone(), *token));
+        let lacks: Vec<(String, Token)> = held.filter(|lease| !hands.contains(lease)).collect();
         for (job, token) in lacks {
             self.acts.push_back(Act::Give { stream, term: self.term, life, job, token });
         }
-    }
-
-    /// Jobs in hand whose lines say otherwise. `hands`: job and token. What this steward can't know yet is left alone.
-    pub fn in_hand<'a>(&mut self, stream: u64, hands: impl Iterator<Item = (&'a str, Token)>) {
-        for (job, token) in hands {
+        for (job, token) in hands.iter().filter(|(_, token)| *token <= self.known) {
             let over = match self.lines.get(job) {
                 Some((line, modified)) => {
-                    line.token(*modified) != token || !matches!(line.state, State::Leased(_))
+                    line.token(*modified) != *token || !matches!(line.state, State::Leased(_))
                 }
                 // A line that is not there any more was deleted when the job was over.
-                None => token < self.known,
+                None => true,
             };
-            if over && token <= self.known {
-                self.acts.push_back(Act::Stop { stream, term: self.term, job: job.to_owned(), token });
+            if over {
+                self.acts.push_back(Act::Stop { stream, term: self.term, job: job.clone(), token: *token });
             }
         }
     }
@@ -347,6 +340,10 @@
         std::iter::from_fn(|| desk.poll()).collect()
     }
 
+    fn hands(of: &[(&str, Token)]) -> BTreeSet<(String, Token)> {
+        of.iter().map(|(job, token)| ((*job).to_owned(), *token)).collect()
+    }
+
     fn leased(life: Life) -> Line {
         Line::new(State::Leased(life))
     }
@@ -361,9 +358,9 @@
         desk.line("a", leased(9), 70);
         let give = Act::Give { stream: 1, term: 3, life: 9, job: "a".into(), token: 70 };
         assert_eq!(acts(&mut desk), std::slice::from_ref(&give));
-        desk.keep(1, 5, &BTreeSet::new());
+        desk.keep(1, 5, &hands(&[("b", 70)]));
         assert_eq!(acts(&mut desk), [Act::Renew { stream: 1, life: 9, sent: 5 }, give]);
-        desk.keep(1, 6, &BTreeSet::from([70]));
+        desk.keep(1, 6, &hands(&[("a", 70)]));
         assert_eq!(acts(&mut desk), [Act::Renew { stream: 1, life: 9, sent: 6 }]);
         desk.renewed(1, 9, 5, Some(true));
         desk.renewed(1, 9, 6, None);
@@ -380,8 +377,8 @@
         let stop = Act::Stop { stream: 1, term: 0, job: "a".into(), token: 70 };
         assert_eq!(acts(&mut desk), std::slice::from_ref(&stop));
         desk.known(80);
-        desk.in_hand(1, [("a", 70), ("new", 90)].into_iter());
-        assert_eq!(acts(&mut desk), [stop], "what is newer than what is known here is left alone");
+        desk.keep(1, 7, &hands(&[("a", 70), ("new", 90)]));
+        assert!(acts(&mut desk).contains(&stop), "and nothing of what is newer than what is known here");
         desk.line("a", leased(9), 60);
         assert_eq!(acts(&mut desk), [], "older news");
         // Cancelled in hand.
--- a/crates/jobs/src/giver.rs
+++ b/crates/jobs/src/giver.rs
@@ -1,6 +1,7 @@
 //! What the owner of the duty decides: which leases have ended, which job goes to which site next, what is given up.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use crate::{Job, Life, Line, State, Time};
 
@@ -103,8 +104,12 @@
     orphans: BTreeSet<String>,
     /// Cancelled, deleted or not to be read, and not yet written so.
     unwanted: BTreeSet<String>,
-    /// Each user's debt by the ranking in use; one that is not in it owes nothing.
+    /// What each user with waiting jobs owes, by the ranking in use.
     debts: BTreeMap<String, u64>,
+    /// Those users by what they owe, with what they have in hand counted as the mean.
+    order: BTreeSet<(u64, String)>,
+    /// Users with waiting jobs whose debts were not asked for yet.
+    unranked: BTreeSet<String>,
     /// What a job in hand counts as, until its use is known: the mean use of a job.
     mean: u64,
     /// Sites that went and when, while that is recent.
@@ -130,7 +135,9 @@
             orphans: BTreeSet::new(),
             unwanted: BTreeSet::new(),
             debts: BTreeMap::new(),
-            mean: 0,
+            order: BTreeSet::new(),
+            unranked: BTreeSet::new(),
+            mean: 1,
             went: Vec::new(),
             held_back_until: Time::MIN,
             busy: false,
@@ -149,9 +156,25 @@
         }
     }
 
-    /// The ranking that is in use: debts, and the mean use of a job.
-    pub fn rank(&mut self, debts: BTreeMap<String, u64>, mean: u64) {
-        (self.debts, self.mean) = (debts, mean);
+    /// Another ranking is in use from here on. `mean`: what a job in hand counts as, until its use is known.
+    pub fn rank(&mut self, mean: u64) {
+        self.mean = mean.max(1);
+        self.order.clear();
+        self.debts.clear();
+        self.unranked = self.waiting.keys().cloned().collect();
+    }
+
+    /// What a user owes with what it has in hand.
+    fn owes(&self, user: &str) -> Option<u64> {
+        let held = self.in_hand.get(user).copied().unwrap_or(0) as u64;
+        Some(self.debts.get(user)?.saturating_add(held.saturating_mul(self.mean)))
+    }
+
+    fn order(&mut self, user: &str, into: bool) {
+        if let Some(owes) = self.owes(user) {
+            let place = (owes, user.to_owned());
+            let _ = if into { self.order.insert(place) } else { self.order.remove(&place) };
+        }
     }
 
     /// The sites whose keys are at the store, all of them.
@@ -269,7 +292,11 @@
         let user = entry.job.as_ref().map_or("", |job| job.user.as_str());
         let (at, age) = ((entry.created, id.to_owned()), (entry.since, entry.created, id.to_owned()));
         let waits = waits(entry);
+        self.order(user, false);
         if waits && into {
+            if !self.waiting.contains_key(user) {
+                self.unranked.insert(user.to_owned());
+            }
             self.waiting.entry(user.to_owned()).or_default().insert(at);
             self.oldest.insert(age);
         } else if waits {
@@ -277,6 +304,8 @@
                 queue.remove(&at);
                 if queue.is_empty() {
                     self.waiting.remove(user);
+                    self.debts.remove(user);
+                    self.unranked.remove(user);
                 }
             }
             self.oldest.remove(&age);
@@ -298,6 +327,7 @@
                 self.orphans.remove(id);
             }
         }
+        self.order(user, true);
         if into && unwanted(entry).is_some() {
             self.unwanted.insert(id.to_owned());
         } else {
@@ -306,11 +336,17 @@
         waits
     }
 
-    /// The next lines to write, in one transaction; none while one is under way.
-    pub fn next(&mut self, now: Time) -> Vec<Write> {
+    /// The next lines to write, in one transaction; none while one is under way. `owes`: what a user owes by the ranking in
+    /// use.
+    pub fn next(&mut self, now: Time, owes: impl Fn(&str) -> u64) -> Vec<Write> {
         if self.busy {
             return Vec::new();
         }
+        for user in std::mem::take(&mut self.unranked) {
+            let debt = owes(&user);
+            self.debts.insert(user.clone(), debt);
+            self.order(&user, true);
+        }
         let mut writes = self.cancel();
         if writes.is_empty() {
             writes = self.end(now);
@@ -384,10 +420,11 @@
     fn give(&mut self, now: Time) -> Vec<Write> {
         let mut rooms: Vec<(usize, Life)> =
             self.sites.values().map(|known| (self.room(now, known), known.site.life)).collect();
-        let mut in_hand = self.in_hand.clone();
         let mut writes: Vec<Write> = Vec::new();
         let mut chosen: BTreeSet<String> = BTreeSet::new();
-        let mut at: BTreeMap<&str, Option<(u64, &str)>> = BTreeMap::new();
+        // Users that were chosen from already: what they owe with that, and the last of their jobs.
+        let mut again: BTreeSet<(u64, &str)> = BTreeSet::new();
+        let mut at: BTreeMap<&str, &(u64, String)> = BTreeMap::new();
         let due = |id: &str| self.entries.get(id).is_some_and(|entry| now >= entry.not_before);
         // Those that have waited too long, by age alone.
         let mut late = self
@@ -397,16 +434,7 @@
             .map(|(.., id)| id.as_str())
             .filter(|id| due(id))
             .peekable();
-        // Users by what they owe, with what they have in hand counted as the mean.
-        let owed = |user: &str, held: usize| {
-            let debt = self.debts.get(user).copied().unwrap_or(0);
-            debt.saturating_add((held as u64).saturating_mul(self.mean.max(1)))
-        };
-        let mut order: BTreeSet<(u64, &str)> = self
-            .waiting
-            .keys()
-            .map(|user| (owed(user, in_hand.get(user).copied().unwrap_or(0)), user.as_str()))
-            .collect();
+        let mut order = self.order.iter().map(|(owes, user)| (*owes, user.as_str())).peekable();
         while writes.len() < self.limits.writes {
             // The site with the most room; the first among equals.
             rooms.sort_by_key(|&(room, life)| (std::cmp::Reverse(room), life));
@@ -414,17 +442,18 @@
             let id = match late.next() {
                 Some(id) => id,
                 None => {
-                    let Some((owes, user)) = order.pop_first() else { break };
-                    let queue = &self.waiting[user];
-                    let from = at.get(user).copied().flatten();
-                    let after = queue
-                        .iter()
-                        .skip_while(|(created, id)| from.is_some_and(|from| (*created, id.as_str()) <= from));
-                    let next = after.map(|(created, id)| (*created, id.as_str())).find(|(_, id)| due(id));
-                    let Some(next) = next else { continue };
-                    at.insert(user, Some(next));
-                    order.insert((owes.saturating_add(self.mean.max(1)), user));
-                    next.1
+                    let first = match (order.peek(), again.first()) {
+                        (Some(next), Some(old)) if old < next => again.pop_first(),
+                        (Some(_), _) => order.next(),
+                        (None, _) => again.pop_first(),
+                    };
+                    let Some((owes, user)) = first else { break };
+                    let from = at.get(user).map_or(Bound::Unbounded, |last| Bound::Excluded(*last));
+                    let mut after = self.waiting[user].range((from, Bound::Unbounded));
+                    let Some(next) = after.find(|(_, id)| due(id)) else { continue };
+                    at.insert(user, next);
+                    again.insert((owes.saturating_add(self.mean), user));
+                    next.1.as_str()
                 }
             };
             if !chosen.insert(id.to_owned()) {
@@ -437,8 +466,6 @@
                 writes.extend(self.write(id, State::Parked, &why));
                 continue;
             }
-            let user = self.entries[id].job.as_ref().map_or("", |job| job.user.as_str());
-            *in_hand.entry(user.to_owned()).or_default() += 1;
             *room -= 1;
             let site = *site;
             writes.extend(self.write(id, State::Leased(site), "").map(|w| Write { there: Some(site), ..w }));
--- a/crates/jobs/tests/giver.rs
+++ b/crates/jobs/tests/giver.rs
@@ -1,7 +1,5 @@
 //! The owner's decisions, on a store of lines that is told and asked by hand.
 
-use std::collections::BTreeMap;
-
 use ravenspar_jobs::{Giver, Job, Limits, Line, Site, State, Time, Write};
 
 const SECOND: Time = 10_000;
@@ -28,13 +26,21 @@
 
 /// Carries everything out until there is nothing left; returns what was written, job and state.
 fn rest(giver: &mut Giver, now: Time, revision: &mut u64) -> Vec<(String, State)> {
+    rest_by(giver, now, revision, nothing)
+}
+
+fn nothing(_: &str) -> u64 {
+    0
+}
+
+fn rest_by(giver: &mut Giver, now: Time, revision: &mut u64, owes: fn(&str) -> u64) -> Vec<(String, State)> {
     let mut said = Vec::new();
     loop {
-        let writes = giver.next(now);
+        let writes = giver.next(now, owes);
         if writes.is_empty() {
             return said;
         }
-        assert!(giver.next(now).is_empty(), "one transaction at a time");
+        assert!(giver.next(now, owes).is_empty(), "one transaction at a time");
         *revision += 1;
         giver.done(now, &writes, Some(*revision));
         said.extend(writes.into_iter().map(|write| (write.job, write.line.state)));
@@ -53,7 +59,7 @@
     assert_eq!(states(&rest(&mut giver, 0, &mut revision)), [("a", State::Leased(1))]);
     assert!(rest(&mut giver, SECOND, &mut revision).is_empty());
     giver.sites(5 * SECOND, vec![site(2, 2), site(3, 1)]);
-    let writes = giver.next(5 * SECOND);
+    let writes = giver.next(5 * SECOND, nothing);
     assert_eq!(writes.len(), 1);
     assert_eq!((writes[0].gone, writes[0].seen, writes[0].line.last), (Some(1), 101, 101));
     assert_eq!((writes[0].line.term, writes[0].line.attempts), (7, 1));
@@ -69,14 +75,14 @@
     let mut giver = Giver::new(7, limits());
     giver.sites(0, vec![site(1, 4)]);
     giver.job(0, "a", 10, job("u"));
-    let writes: Vec<Write> = giver.next(0);
+    let writes: Vec<Write> = giver.next(0, nothing);
     giver.done(0, &writes, None);
     // An outcome came first.
     giver.line(0, "a", Line { last: 9, ..Line::new(State::Done) }, 50);
-    assert!(giver.next(0).is_empty());
+    assert!(giver.next(0, nothing).is_empty());
     // What is older than what is known changes nothing.
     giver.line(0, "a", Line::new(State::Waiting), 40);
-    assert!(giver.next(0).is_empty());
+    assert!(giver.next(0, nothing).is_empty());
 }
 
 #[test]
@@ -144,20 +150,21 @@
     (0..50).for_each(|n| giver.job(0, &format!("flood-{n:02}"), 10 + n, job("flood")));
     giver.job(0, "small-1", 90, job("small"));
     giver.job(0, "small-2", 91, job("small"));
-    giver.rank(BTreeMap::from([("flood".to_owned(), 1_000), ("small".to_owned(), 0)]), 100);
+    giver.rank(100);
     giver.sites(0, vec![site(1, 2)]);
-    let said = rest(&mut giver, 2 * SECOND, &mut revision);
+    let owes = |user: &str| if user == "flood" { 1_000 } else { 0 };
+    let said = rest_by(&mut giver, 2 * SECOND, &mut revision, owes);
     assert_eq!(said.iter().map(|(job, _)| job.as_str()).collect::<Vec<_>>(), ["small-1", "small-2"]);
     // The other way round, until the wait is too long.
     let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
     giver.job(0, "small-1", 5, job("small"));
-    giver.rank(BTreeMap::from([("flood".to_owned(), 0), ("small".to_owned(), u64::MAX)]), 1);
+    let owes = |user: &str| if user == "flood" { 0 } else { u64::MAX };
     (0..50).for_each(|n| giver.job(SECOND, &format!("flood-{n:02}"), 10 + n, job("flood")));
     giver.sites(SECOND, vec![site(1, 2)]);
-    let said = rest(&mut giver, 3 * SECOND, &mut revision);
+    let said = rest_by(&mut giver, 3 * SECOND, &mut revision, owes);
     assert!(said.iter().all(|(job, _)| job.starts_with("flood")));
     giver.sites(60 * SECOND, vec![site(1, 2), site(2, 4)]);
-    let said = rest(&mut giver, 60 * SECOND, &mut revision);
+    let said = rest_by(&mut giver, 60 * SECOND, &mut revision, owes);
     assert_eq!(said[0].0, "small-1");
 }
 
@@ -194,15 +201,15 @@
     giver.sites(0, vec![site(1, 9)]);
     giver.job(0, "a", 10, Err("expected a user".to_owned()));
     giver.job(0, "b", 11, job("u"));
-    let writes = giver.next(0);
+    let writes = giver.next(0, nothing);
     assert_eq!((writes[0].line.state, writes[0].line.why.as_str()), (State::Parked, "expected a user"));
     giver.done(0, &writes, Some(101));
     revision += 1;
     assert_eq!(states(&rest(&mut giver, 0, &mut revision)), [("b", State::Leased(1))]);
     giver.all_jobs(0, &["a", "b"].into());
-    assert!(giver.next(0).is_empty());
+    assert!(giver.next(0, nothing).is_empty());
     giver.all_jobs(0, &[].into());
-    let writes = giver.next(0);
+    let writes = giver.next(0, nothing);
     let said: Vec<_> =
         writes.iter().map(|write| (write.job.as_str(), write.line.state, write.delete)).collect();
     assert_eq!(said, [("a", State::Cancelled, true), ("b", State::Ending(1), false)]);
@@ -212,8 +219,39 @@
     revision += 1;
     let stopped = Line { last: 102, ..Line::new(State::Cancelled) };
     giver.line(0, "b", stopped, revision);
-    let writes = giver.next(0);
+    let writes = giver.next(0, nothing);
     assert!(writes[0].delete);
     giver.done(0, &writes, Some(revision + 1));
-    assert_eq!((giver.figures().jobs, giver.next(0).len()), (0, 0));
+    assert_eq!((giver.figures().jobs, giver.next(0, nothing).len()), (0, 0));
+}
+
+/// What owes alike takes turns, whatever was handed in first.
+#[test]
+fn users_that_owe_alike_take_turns() {
+    let (mut giver, mut revision) = (Giver::new(7, limits()), 100);
+    (0..6).for_each(|n| giver.job(0, &format!("a{n}"), 10 + n, job("a")));
+    (0..6).for_each(|n| giver.job(0, &format!("b{n}"), 20 + n, job("b")));
+    giver.sites(0, vec![site(1, 24)]);
+    let said = rest(&mut giver, 0, &mut revision);
+    assert_eq!(
+        said.iter().map(|(job, _)| job.as_str()).collect::<Vec<_>>(),
+        ["a0", "b0", "a1", "b1", "a2", "b2"]
+    );
+}
+
+#[test]
+fn a_hundred_thousand_jobs_of_a_hundred_thousand_users_cost_by_what_changes() {
+    let mut giver = Giver::new(7, Limits { jobs: 100_000, ..limits() });
+    giver.sites(0, (1..=200).map(|life| site(life, 400)).collect());
+    (0..100_000).for_each(|n| giver.job(0, &format!("j{n:06}"), n, job(&format!("u{n:06}"))));
+    let mut revision = 200_000;
+    let mut rounds = 0;
+    while rounds < 500 {
+        let writes = giver.next(3 * SECOND, nothing);
+        assert_eq!(writes.len(), 40);
+        revision += 1;
+        giver.done(3 * SECOND, &writes, Some(revision));
+        rounds += 1;
+    }
+    assert_eq!((giver.figures().held, giver.figures().waiting), (20_000, 80_000));
 }
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -41,6 +41,9 @@
     #[serde(default = "Work::attempts")]
     pub attempts: u32,
     pub jobs: Vec<Jobs>,
+    /// How debts are reckoned, if there is to be that duty.
+    #[serde(default)]
+    pub debts: Option<Debts>,
     /// Each steward, in its first process, dies at this point, as `ravenspar serve --halt` has it, and is started again.
     #[serde(default)]
     pub halt: Option<String>,
@@ -93,12 +96,24 @@
     }
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Debts {
+    pub half_life: Span,
+    pub epoch: Span,
+    /// Weights of users, as the settings have them.
+    #[serde(default)]
+    pub users: Vec<String>,
+}
+
 /// Jobs that are handed in alike.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Jobs {
     pub count: usize,
     pub user: String,
+    #[serde(default)]
+    pub group: String,
     /// From when on, and between two.
     #[serde(default)]
     pub from: Span,
@@ -130,6 +145,17 @@
     /// Refusals that there have to be where effects land: the day is to bring them about.
     #[serde(default)]
     pub refused_least: usize,
+    /// S1: uses of leases whose site was lost before it said them all; no more may be missing.
+    #[serde(default)]
+    pub uses_lost_most: usize,
+    /// J6: a user's jobs may wait this long; not looked at where it is none.
+    #[serde(default)]
+    pub wait_most: Span,
+    /// J6: these users get the same share of what all used, give or take a part in so many.
+    #[serde(default)]
+    pub even: Vec<String>,
+    #[serde(default)]
+    pub even_within: f64,
     /// J3 leaves this site out: it is stopped, or ill, and what it sends late is refused.
     #[serde(default)]
     pub late: Vec<usize>,
--- a/crates/lab/src/work/judge.rs
+++ b/crates/lab/src/work/judge.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ravenspar_debt::{EpochRow, Ledger, Shares, UseRow};
 use ravenspar_jobs::{Line, State};
 use ravenspar_standin::agent::Spec;
 use ravenspar_standin::effects::{Answer, Call, Landing};
@@ -22,6 +23,8 @@
     /// When the last trouble was over and the last job handed in.
     pub last: Time,
     pub changes: Vec<Change>,
+    /// What sites have used under each token.
+    pub used: Vec<((u64, String), Time)>,
     pub landings: Vec<Landing>,
     pub befell: Vec<Befell>,
     pub handed_in: usize,
@@ -91,7 +94,7 @@
                 line: value.and_then(|text| serde_json::from_str(text).ok()),
                 by: witness.get(&change.revision).copied(),
             }),
-            "duty" => story.claims.push((change.at, change.revision, value)),
+            "duty" if id == "jobs" => story.claims.push((change.at, change.revision, value)),
             "member" => {
                 let name = value.and_then(|text| serde_json::from_str::<serde_json::Value>(text).ok());
                 if let Some(name) = name.and_then(|value| Some(value["name"].as_str()?.to_owned())) {
@@ -395,5 +398,191 @@
         }
     }
     rules.push(("J5 room", format!("{fullest} jobs at a site at most"), over.into_iter().collect()));
+    if let Some(debts) = &day.work.debts {
+        let shares = shares(debts);
+        rules.extend(debts_rules(day, seen, &story, &shares));
+    }
     Verdict::of(rules)
 }
+
+fn shares(debts: &super::day::Debts) -> Shares {
+    let weight = |entry: &String| {
+        let (user, weight) = entry.split_once('=')?;
+        Some((user.to_owned(), weight.parse().ok()?))
+    };
+    Shares {
+        groups: BTreeMap::new(),
+        users: debts.users.iter().filter_map(weight).collect(),
+        other: 1,
+        half_life: (debts.half_life.0 / debts.epoch.0.max(1)) as u32,
+    }
+}
+
+/// S1 to S3 and J6: a plain reckoning beside the stewards', from what the store saw and what the sites used.
+fn debts_rules(
+    day: &WorkDay,
+    seen: &Seen,
+    story: &Story<'_>,
+    shares: &Shares,
+) -> Vec<(&'static str, String, Vec<String>)> {
+    let mut rules = Vec::new();
+    // S1: each use is counted once, as it was.
+    let (mut folded, mut twice) = (BTreeMap::<(u64, String), UseRow>::new(), Vec::new());
+    // S3: the sums as a plain reckoning has them, at each version.
+    let (mut ledger, mut wrong, mut versions) = (Ledger::new(shares.clone()), Vec::new(), 0);
+    let mut epochs: Vec<(Time, u64)> = Vec::new();
+    let mut at = 0;
+    while at < seen.changes.len() {
+        let revision = seen.changes[at].revision;
+        let end = seen.changes[at..].iter().position(|change| change.revision != revision);
+        let end = end.map_or(seen.changes.len(), |n| at + n);
+        let mut published: Option<EpochRow> = None;
+        for change in &seen.changes[at..end] {
+            let Some(key) = change.key.strip_prefix(PREFIX) else { continue };
+            let Some(value) = change.value.as_deref() else { continue };
+            let lease = key.strip_prefix("use/").and_then(|key| key.split_once('/'));
+            let lease =
+                lease.and_then(|(token, job)| Some((u64::from_str_radix(token, 16).ok()?, job.to_owned())));
+            if let Some(lease) = lease {
+                let Ok(row) = serde_json::from_str::<UseRow>(value) else { continue };
+                if row.folded {
+                    ledger.add(&row.fact.user, &row.fact.group, row.fact.used);
+                    if folded.insert(lease.clone(), row).is_some() {
+                        twice.push(format!("{lease:?} is folded twice"));
+                    }
+                } else if folded.contains_key(&lease) {
+                    twice.push(format!("{lease:?} is written after it was folded"));
+                }
+            }
+            if key == "ranking" {
+                published = serde_json::from_str(value).ok();
+            }
+        }
+        if let Some(row) = published {
+            versions += 1;
+            if row.epoch != ledger.epoch && row.epoch != ledger.epoch + 1 {
+                wrong.push(format!("epoch {} follows {}", row.epoch, ledger.epoch));
+            }
+            if row.epoch > ledger.epoch {
+                epochs.push((seen.changes[at].at, row.epoch));
+            }
+            ledger.epoch = row.epoch;
+            let digest: String = ledger.digest().iter().map(|byte| format!("{byte:02x}")).collect();
+            if digest != row.digest {
+                wrong.push(format!("revision {revision}: {} where {digest} is reckoned", row.digest));
+            }
+        }
+        at = end;
+    }
+    let had: BTreeMap<(u64, String), Time> = seen.used.iter().cloned().collect();
+    let mut missing = 0;
+    for (token, used) in &had {
+        match folded.get(token) {
+            None => missing += 1,
+            Some(row) if row.fact.used != *used as u64 => {
+                twice.push(format!("{token:?}: {} counted where {used} was used", row.fact.used));
+            }
+            Some(_) => {}
+        }
+    }
+    if missing > day.judge.uses_lost_most {
+        twice.push(format!("{missing} uses are not counted, {} may be", day.judge.uses_lost_most));
+    }
+    let total: Time = had.values().sum();
+    rules.push((
+        "S1 use",
+        format!("{} leases, {:.1} s of use, {missing} not counted", had.len(), seconds(total)),
+        twice,
+    ));
+
+    // S2: at the end all members go by one ranking, and none ever went back to an older one.
+    let mut goes_by: BTreeMap<&str, (u64, u64, String)> = BTreeMap::new();
+    let mut apart = Vec::new();
+    for change in &seen.changes {
+        let Some(life) = change.key.strip_prefix(PREFIX).and_then(|key| key.strip_prefix("reach/")) else {
+            continue;
+        };
+        let row =
+            change.value.as_deref().and_then(|text| serde_json::from_str::<serde_json::Value>(text).ok());
+        let Some(row) = row else {
+            goes_by.remove(life);
+            continue;
+        };
+        let Ok(ranking) = serde_json::from_value::<(u64, u64, String)>(row["ranking"].clone()) else {
+            continue;
+        };
+        if let Some(before) = goes_by.insert(life, ranking.clone()) {
+            if before.0 > ranking.0 || before.1 > ranking.1 {
+                apart.push(format!("{life} went back from {before:?} to {ranking:?}"));
+            }
+        }
+    }
+    let newest = epochs.last().map_or(0, |(_, epoch)| *epoch);
+    // The newest may be on its way.
+    let behind = goes_by.values().filter(|(epoch, ..)| epoch + 2 < newest).count();
+    if behind > 0 {
+        apart.push(format!("{behind} members go by an old ranking, the newest is {newest}: {goes_by:?}"));
+    }
+    for (a, b) in goes_by.values().zip(goes_by.values().skip(1)) {
+        if a.1 == b.1 && a.2 != b.2 {
+            apart.push(format!("two digests at revision {}", a.1));
+        }
+    }
+    rules.push(("S2 one digest", format!("{newest} epochs, {} members", goes_by.len()), apart));
+    rules.push(("S3 as reckoned", format!("{versions} versions"), wrong));
+
+    // J6: who gets how much, and how long jobs wait.
+    let mut by_user: BTreeMap<&str, u64> = BTreeMap::new();
+    folded.values().for_each(|row| *by_user.entry(&row.fact.user).or_default() += row.fact.used);
+    let mut unfair = Vec::new();
+    let handed: BTreeMap<&str, Time> = seen
+        .changes
+        .iter()
+        .filter_map(|change| Some((change.key.strip_prefix(PREFIX)?.strip_prefix("job/")?, change.at)))
+        .collect();
+    let mut first: BTreeMap<&str, Time> = BTreeMap::new();
+    for change in &story.lines {
+        if matches!(&change.line, Some(line) if matches!(line.state, State::Leased(_))) {
+            first.entry(change.job).or_insert(change.at);
+        }
+    }
+    let mut waits: BTreeMap<&str, Time> = BTreeMap::new();
+    for (job, at) in &handed {
+        let wait = first.get(job).copied().unwrap_or(seen.ended) - at;
+        let user = story.jobs.get(job).map_or("", |spec| spec.user.as_str());
+        let longest = waits.entry(user).or_default();
+        *longest = wait.max(*longest);
+    }
+    if day.judge.wait_most.0 > 0 {
+        for (user, wait) in waits.iter().filter(|(_, wait)| **wait > day.judge.wait_most.0) {
+            unfair.push(format!("{user} waited {:.2} s", seconds(*wait)));
+        }
+    }
+    // While all of them had jobs that waited, each got its part: by when the first of them had none left.
+    let ends = day.judge.even.iter().filter_map(|user| {
+        let last =
+            first.iter().filter(|(job, _)| story.jobs.get(*job).is_some_and(|spec| spec.user == *user));
+        last.map(|(_, at)| *at).max()
+    });
+    if let Some(until) = ends.min() {
+        let count = |user: &String| {
+            let of = first.iter().filter(|(job, at)| {
+                **at <= until && story.jobs.get(*job).is_some_and(|spec| spec.user == *user)
+            });
+            of.map(|(job, _)| story.jobs.get(job).map_or(0, |spec| spec.steps * spec.step_ms)).sum::<u64>()
+        };
+        let counts: Vec<u64> = day.judge.even.iter().map(count).collect();
+        let mean = counts.iter().sum::<u64>() as f64 / counts.len().max(1) as f64;
+        for (user, count) in day.judge.even.iter().zip(&counts) {
+            if (*count as f64 / mean - 1.0).abs() > day.judge.even_within {
+                unfair.push(format!("{user} got {count} ms given out where the mean is {mean:.0}"));
+            }
+        }
+    }
+    let got: Vec<String> =
+        by_user.iter().map(|(user, used)| format!("{user} {:.1} s", seconds(*used as Time))).collect();
+    let longest: Vec<String> =
+        waits.iter().map(|(user, wait)| format!("{user} {:.1} s", seconds(*wait))).collect();
+    rules.push(("J6 by rank", format!("used {}; waited {}", got.join(", "), longest.join(", ")), unfair));
+    rules
+}
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -82,7 +82,7 @@
     handing.await.map_err(|e| Fault::Failed(e.to_string()))?;
     let last = last.max(fleet.store.now());
     let until = last + fleet.day.judge.over_within.0;
-    while !fleet.all_over() && fleet.store.now() < until {
+    while !(fleet.all_over() && fleet.all_counted()) && fleet.store.now() < until {
         sleep(Duration::from_millis(20)).await;
     }
     tending.abort();
@@ -94,6 +94,7 @@
         ended,
         last,
         changes: fleet.store.changes(),
+        used: fleet.used(),
         landings: fleet.effects.landings(),
         befell: fleet.befell.borrow().clone(),
         handed_in: fleet.handed_in.get(),
@@ -176,8 +177,15 @@
             seconds(work.most_gone),
             work.attempts,
         );
+        let debts = work.debts.as_ref().map_or(String::new(), |debts| {
+            let users: Vec<String> = debts.users.iter().map(|user| format!("\"{user}\"")).collect();
+            let users =
+                if users.is_empty() { String::new() } else { format!(", users: [{}]", users.join(", ")) };
+            let (half_life, epoch) = (seconds(debts.half_life), seconds(debts.epoch));
+            format!("debts: {{half_life: {half_life}, epoch: {epoch}{users}}}\n")
+        });
         let path = self.dir.join(format!("steward-{n}.yaml"));
-        std::fs::write(&path, settings)?;
+        std::fs::write(&path, settings + &debts)?;
         let mut args: Vec<OsString> =
             ["steward", "--log", "info", "serve"].into_iter().map(OsString::from).collect();
         args.push(path.into_os_string());
@@ -303,7 +311,7 @@
         for (k, jobs) in self.day.work.jobs.iter().enumerate() {
             let spec = Spec {
                 user: jobs.user.clone(),
-                group: String::new(),
+                group: jobs.group.clone(),
                 steps: jobs.steps,
                 step_ms: jobs.step.0 as u64 / 10,
                 fails: jobs.fails,
@@ -323,6 +331,22 @@
         }
     }
 
+    /// What sites have used under each token, by what they keep: they are where it was used.
+    fn used(&self) -> Vec<((u64, String), Time)> {
+        let mut used = Vec::new();
+        for m in 0..self.day.work.sites {
+            let text =
+                std::fs::read_to_string(self.dir.join(format!("site-{m}/agent.jsonl"))).unwrap_or_default();
+            let lines = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+            used.extend(lines.filter_map(|line| {
+                let used = &line["used"];
+                Some(((used[0].as_u64()?, used[2].as_str()?.to_owned()), used[1].as_i64()?))
+            }));
+        }
+        used.sort_unstable();
+        used
+    }
+
     fn all_over(&self) -> bool {
         let prefix = format!("{PREFIX}outcome/");
         let changes = self.store.changes();
@@ -334,6 +358,17 @@
         over.len() >= self.handed_in.get()
     }
 
+    /// All that sites keep of what they used is folded, where there is the duty of debts.
+    fn all_counted(&self) -> bool {
+        if self.day.work.debts.is_none() {
+            return true;
+        }
+        self.used().iter().all(|((token, job), _)| {
+            let row = self.store.get(format!("{PREFIX}use/{token:016x}/{job}").as_bytes());
+            row.is_some_and(|(row, _)| String::from_utf8_lossy(&row).contains("\"folded\":true"))
+        })
+    }
+
     /// The steward that the store says is owner.
     pub fn owner(&self) -> Option<usize> {
         let (life, _) = self.store.get(format!("{PREFIX}duty/jobs").as_bytes())?;
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -164,6 +164,7 @@
             cfg.map.time("family_info.update_window_s").unwrap_or(0),
             cfg.map.number("family_info.pushes_allowed").unwrap_or(0.0) as Time,
         ),
+        debts: cfg.debts.clone(),
         jobs: cfg.jobs.clone().zip(door.agents.clone()),
         share,
     };
--- a/crates/ravenspar/src/settings.rs
+++ b/crates/ravenspar/src/settings.rs
@@ -81,6 +81,11 @@
     own("jobs.cold", Form::Time, Some("10s")),
     own("jobs.most_gone", Form::Time, Some("30s")),
     own("jobs.wait", Form::Time, Some("10m")),
+    own("debts.half_life", Form::Time, Some("")),
+    own("debts.epoch", Form::Time, Some("10s")),
+    own("debts.users", Form::Texts, Some("")),
+    own("debts.groups", Form::Texts, Some("")),
+    own("debts.other", Form::Count(0.0, 1e6), Some("1")),
     entry("lease", Form::Time, "family_info.write_lease_s", None),
     entry("settle", Form::Time, "family_info.settle_s", None),
     entry("hold", Form::Time, "family_info.hold_s", None),
@@ -138,6 +143,8 @@
     pub fleet: Option<Fleet>,
     /// The duty of jobs, if this fleet has it.
     pub jobs: Option<Jobs>,
+    /// The duty of debts, if this fleet has it.
+    pub debts: Option<Debts>,
     pub map: Settings,
 }
 
@@ -168,6 +175,13 @@
     pub switches: ravenspar_view::Switches,
 }
 
+/// How debts are reckoned.
+#[derive(Clone, Debug)]
+pub struct Debts {
+    pub epoch: ravenspar_steward::Time,
+    pub shares: ravenspar_debt::Shares,
+}
+
 /// A list of servers in a store.
 #[derive(Clone, Debug)]
 pub struct ListStore {
@@ -208,10 +222,12 @@
     let fleet = fleet(&own, &mut check_faults, &tree, folder);
     let list_store = list_store(&own, &mut check_faults, &tree);
     let jobs = jobs(&own, &mut check_faults, &tree);
+    let debts = debts(&own, &mut check_faults, &tree);
     let checked = Checked {
         share,
         fleet,
         jobs,
+        debts,
         list_store,
         listen,
         record: folder.join(own("record").unwrap_or_default()),
@@ -369,6 +385,54 @@
     })
 }
 
+/// The settings of debts, if there is to be that duty.
+fn debts<'a>(
+    own: &impl Fn(&str) -> Option<&'a str>,
+    faults: &mut Vec<(u64, u64, String)>,
+    tree: &Placed,
+) -> Option<Debts> {
+    let text = |name: &str| own(name).unwrap_or_default();
+    if text("debts.half_life").is_empty() {
+        return None;
+    }
+    let (line, column) = place(tree, "debts");
+    if text("jobs.listen").is_empty() {
+        faults.push((line, column, "debts: expected jobs, whose use it is".to_owned()));
+    }
+    let seconds = |name: &str| text(name).parse::<f64>().unwrap_or(0.0);
+    let (half_life, epoch) = (seconds("debts.half_life"), seconds("debts.epoch"));
+    // Below it a fold or two would be an epoch; above it a half-life in epochs has no place in its number.
+    if !(0.1..=3_600.0).contains(&epoch) || !(1.0..=1e9).contains(&(half_life / epoch)) {
+        let what = "debts.epoch: expected 100ms to 1h, and a half-life of one epoch or more".to_owned();
+        faults.push((line, column, what));
+    }
+    let mut weights = |name: &str| {
+        let mut all = std::collections::BTreeMap::new();
+        for entry in text(name).lines() {
+            let weight =
+                entry.split_once('=').and_then(|(who, weight)| Some((who, weight.parse::<u32>().ok()?)));
+            match weight {
+                Some((who, weight)) if !who.is_empty() => _ = all.insert(who.to_owned(), u64::from(weight)),
+                _ => {
+                    let what = format!("{name}: {entry}: expected a name and its weight, as lender=3");
+                    faults.push((line, column, what));
+                }
+            }
+        }
+        all
+    };
+    let (users, groups) = (weights("debts.users"), weights("debts.groups"));
+    Some(Debts {
+        epoch: (epoch * 10_000.0).round() as ravenspar_steward::Time,
+        shares: ravenspar_debt::Shares {
+            groups,
+            users,
+            other: seconds("debts.other") as u64,
+            half_life: (half_life / epoch).round() as u32,
+        },
+    })
+}
+
 /// The settings of the shared store, if there is to be one.
 fn share<'a>(
     own: &impl Fn(&str) -> Option<&'a str>,
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -17,7 +17,7 @@
 use super::store::{record, snapshot, Hand, Snapshot, Stop};
 use crate::halt::Halt;
 use crate::recorder::{Gathered, Keep, Recorder};
-use crate::settings::{Jobs, Share};
+use crate::settings::{Debts, Jobs, Share};
 use crate::work::{Standing, With, Work};
 use ravenspar_net::Clock;
 
@@ -77,6 +77,7 @@
     pub pace: Time,
     /// The duty of jobs, with where its agents come.
     pub jobs: Option<(Jobs, Arc<tokio::net::TcpListener>)>,
+    pub debts: Option<Debts>,
 }
 
 pub struct Life {
@@ -158,6 +159,7 @@
                 life: number,
                 listener,
                 settings,
+                debts: joining.debts.clone(),
                 standing: seen,
                 halt,
             })
--- a/crates/ravenspar/src/shared/rows.rs
+++ b/crates/ravenspar/src/shared/rows.rs
@@ -93,9 +93,27 @@
         format!("{}outcome/{id}", self.0).into_bytes()
     }
 
-    /// What the owner of the duty of debts publishes.
-    pub fn rankings(&self) -> Vec<u8> {
-        format!("{}ranking/", self.0).into_bytes()
+    /// What the owner of the duty of debts publishes with each fold: the ranking's version.
+    pub fn ranking(&self) -> Vec<u8> {
+        format!("{}ranking", self.0).into_bytes()
+    }
+
+    /// What was used, by whom: `u` a user, `g` a group.
+    pub fn sums(&self) -> Vec<u8> {
+        format!("{}sum/", self.0).into_bytes()
+    }
+
+    pub fn sum(&self, kind: char, name: &str) -> Vec<u8> {
+        format!("{}sum/{kind}/{name}", self.0).into_bytes()
+    }
+
+    pub fn uses(&self) -> Vec<u8> {
+        format!("{}use/", self.0).into_bytes()
+    }
+
+    /// What was used for a job under a token; those that were given out together have one.
+    pub fn use_of(&self, token: u64, job: &str) -> Vec<u8> {
+        format!("{}use/{token:016x}/{job}", self.0).into_bytes()
     }
 
     /// The text behind a key's last slash.
--- a/crates/ravenspar/src/work/frames.rs
+++ b/crates/ravenspar/src/work/frames.rs
@@ -1,9 +1,21 @@
 //! The frames between stewards and agents of sites; `docs/protocol.md` has the table.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
+use ravenspar_debt::Key;
 use ravenspar_jobs::{Ended, Hello, Life, Token};
 use ravenspar_protocol::{kind, tag, Body, Fault, Frame, VERSION};
 
+/// What was used under a token so far, for a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Used {
+    pub token: Token,
+    pub used: u64,
+    pub last: bool,
+    pub job: String,
+}
+
 /// What an agent says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Said {
@@ -16,7 +28,7 @@
     /// It renews its life, and has these jobs in hand or outcomes of them.
     Keep {
         sent: u64,
-        hands: Vec<(String, Token)>,
+        hands: BTreeSet<(String, Token)>,
     },
     Outcome {
         job: String,
@@ -24,7 +36,7 @@
         ended: Ended,
     },
     /// What it has used so far under tokens, and whether that is all.
-    Used(Vec<(Token, u64, bool)>),
+    Used(Vec<Used>),
     /// It knows this term of the duty, which is higher than the one it was told.
     Holds(u64),
     /// It ends this life: nothing is in hand any more.
@@ -35,12 +47,6 @@
     Other,
 }
 
-/// Ids that jobs may have: they are parts of keys.
-pub fn is_id(id: &str) -> bool {
-    (1..=128).contains(&id.len())
-        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'))
-}
-
 pub fn read(body: &[u8]) -> Result<Said, Fault> {
     let mut body = Body::new(body)?;
     let kind = body.kind();
@@ -73,7 +79,10 @@
                     _ => Ended::Stopped,
                 });
             }
-            tag::USE => uses.push((field.number()?, field.number()?, field.number()? > 0)),
+            tag::USE => {
+                let (token, used, last) = (field.number()?, field.number()?, field.number()? > 0);
+                uses.push(Used { token, used, last, job: field.text()?.to_owned() });
+            }
             _ => {}
         }
     }
@@ -82,7 +91,7 @@
             Some(hello) => Said::Site { hello, before, version },
             None => return Err(Fault::Missing(tag::LIFE)),
         },
-        kind::KEEP => Said::Keep { sent, hands },
+        kind::KEEP => Said::Keep { sent, hands: hands.into_iter().collect() },
         kind::OUTCOME => match (hands.pop(), ended) {
             (Some((job, token)), Some(ended)) => Said::Outcome { job, token, ended },
             _ => return Err(Fault::Missing(tag::JOB)),
@@ -128,10 +137,10 @@
     frame.text(tag::JOB, &[token], job).text(tag::ENDED, &[how], refused.unwrap_or("")).finish()
 }
 
-pub fn counted(tokens: &[(Token, u64)]) -> Bytes {
+pub fn counted(uses: &[(Key, u64)]) -> Bytes {
     let mut frame = Frame::new(kind::COUNTED);
-    for &(token, used) in tokens {
-        frame.numbers(tag::USE, &[token, used, 0]);
+    for ((token, job), used) in uses {
+        frame.text(tag::USE, &[*token, *used, 0], job);
     }
     frame.finish()
 }
@@ -155,6 +164,12 @@
         assert!(read(&Frame::new(kind::SITE).finish()).is_err());
         assert!(read(&Frame::new(kind::OUTCOME).finish()).is_err());
         assert!(read(Frame::new(kind::KEEP).numbers(tag::JOB, &[]).finish().as_ref()).is_err());
-        assert!(is_id("a-1.b_C") && !is_id("") && !is_id("a/b") && !is_id(&"x".repeat(129)));
+        use super::super::rows;
+        assert!(
+            rows::is_name("a-1.b_C")
+                && !rows::is_name("")
+                && !rows::is_name("a/b")
+                && !rows::is_name(&"x".repeat(129))
+        );
     }
 }
--- a/crates/ravenspar/src/work/hands.rs
+++ b/crates/ravenspar/src/work/hands.rs
@@ -1,6 +1,7 @@
 //! The tasks that write and read at the store for the work of one life. Each owns its hand, takes orders from a bounded
 //! queue, and says what came of each.
 
+use ravenspar_debt::{Fact, Fold, Key, UseRow};
 use ravenspar_duty::{Duty, Step, Warrant};
 use ravenspar_jobs::{Ended, Line, State, Token, Write};
 use ravenspar_net::Clock;
@@ -26,11 +27,10 @@
         warrant: Warrant,
         writes: Vec<Write>,
     },
-    /// Keys written by the owner of a duty, whatever they are.
-    Keys {
+    /// A fold by the owner of the duty of debts.
+    Fold {
         warrant: Warrant,
-        keys: Vec<(Vec<u8>, Vec<u8>)>,
-        number: u64,
+        fold: Fold,
     },
     Reach(Reach),
 }
@@ -110,10 +110,22 @@
                 let done = self.by_duty(warrant, compare, then).await;
                 ended(done, |revision| Told::Wrote { writes, revision })
             }
-            Order::Keys { warrant, keys, number } => {
-                let then = keys.into_iter().map(|(key, value)| put(key, value, 0)).collect();
-                let done = self.by_duty(warrant, Vec::new(), then).await;
-                ended(done, |revision| Told::Published { number, revision })
+            Order::Fold { warrant, fold } => {
+                // The row's revision says that no other fold came between, so that the sums are as they were known.
+                let mut compare = vec![at(self.keys.ranking(), fold.seen)];
+                let mut then = vec![put(self.keys.ranking(), rows::write(&fold.epoch), 0)];
+                for ((token, job), seen, row) in &fold.uses {
+                    compare.push(at(self.keys.use_of(*token, job), *seen));
+                    then.push(put(self.keys.use_of(*token, job), rows::write(row), 0));
+                }
+                then.extend(fold.gone.iter().map(|(token, job)| delete(self.keys.use_of(*token, job))));
+                for (kind, sums) in [('u', &fold.sums.users), ('g', &fold.sums.groups)] {
+                    then.extend(
+                        sums.iter().map(|(name, sum)| put(self.keys.sum(kind, name), rows::write(sum), 0)),
+                    );
+                }
+                let done = self.by_duty(warrant, compare, then).await;
+                ended(done, |revision| Told::Folded { fold, revision })
             }
             Order::Reach(reach) => {
                 let key = self.keys.reach(self.life);
@@ -159,10 +171,21 @@
     Line(String),
     /// Write an outcome with the line that it makes, compared with the line as it was read.
     Settle { job: String, seen: u64, line: Line, token: Token, ended: Ended },
+    /// Write what agents have said that was used, each merged with what is at the store.
+    Uses(Vec<Heard>),
     /// Read a job's text, to hand it to its site.
     Spec { stream: u64, term: u64, life: u64, job: String, token: Token },
 }
 
+/// A use that was heard of.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    pub token: Token,
+    pub used: u64,
+    pub last: bool,
+    pub job: String,
+}
+
 pub struct ForAgents {
     pub hand: Hand,
     pub store: Shared,
@@ -188,9 +211,10 @@
     }
 
     async fn carry_out(&mut self, asks: Vec<Ask>) -> Vec<Told> {
-        let (mut reads, mut settles) = (Vec::new(), Vec::new());
+        let (mut reads, mut settles, mut uses) = (Vec::new(), Vec::new(), Vec::new());
         for ask in asks {
             match ask {
+                Ask::Uses(heard) => uses.extend(heard),
                 Ask::Settle { job, seen, line, token, ended } => {
                     settles.push((job, seen, line, token, ended))
                 }
@@ -198,6 +222,14 @@
             }
         }
         let mut told = self.read(reads).await;
+        for some in uses.chunks(ravenspar_store::MOST / 3) {
+            match self.uses(some).await {
+                Ok(counted) => told.push(Told::Counted(counted)),
+                Err(Stop::Over(why)) => told.push(Told::Over(why)),
+                // Somebody else has written one of them: agents say it again.
+                Err(Stop::Not) => {}
+            }
+        }
         match self.settle(&settles).await {
             Ok(()) => told.extend(settles.into_iter().map(|(job, ..)| Told::Settled { job, done: true })),
             Err(Stop::Over(why)) => told.push(Told::Over(why)),
@@ -222,6 +254,7 @@
         let key = |ask: &Ask| match ask {
             Ask::Line(job) | Ask::Settle { job, .. } => self.keys.line(job),
             Ask::Spec { job, .. } => self.keys.job(job),
+            Ask::Uses(_) => Vec::new(),
         };
         let ranges = reads.iter().map(|ask| Range { key: key(ask), end: Vec::new(), since: 0 }).collect();
         let found = self.store.read(ranges).await;
@@ -240,7 +273,7 @@
                     let spec = String::from_utf8_lossy(&row.value).into_owned();
                     Some(Told::Spec { stream, term, life, job, token, spec })
                 }
-                (Ask::Spec { .. }, _) => None,
+                (Ask::Spec { .. } | Ask::Uses(_), _) => None,
             });
         }
         told
@@ -268,4 +301,33 @@
         }
         self.hand.commit(compare, then).await.map(|_| ())
     }
+
+    /// Writes uses, each once and merged. Returns what is counted with it, or was before. A use of a job that was deleted
+    /// is nobody's.
+    async fn uses(&mut self, heard: &[Heard]) -> Result<Vec<(Key, u64)>, Stop> {
+        let range = |key: Vec<u8>| Range { key, end: Vec::new(), since: 0 };
+        let ranges = heard.iter().flat_map(|use_| {
+            [range(self.keys.use_of(use_.token, &use_.job)), range(self.keys.job(&use_.job))]
+        });
+        let Ok(read) = self.store.read(ranges.collect()).await else { return Err(Stop::Not) };
+        let (mut compare, mut then, mut counted) = (Vec::new(), Vec::new(), Vec::new());
+        let mut found = read.ranges.into_iter().map(|rows| rows.into_iter().next());
+        for use_ in heard {
+            let (row, job) = (found.next().flatten(), found.next().flatten());
+            let known: Option<UseRow> = row.as_ref().and_then(|row| Some(rows::use_of(row)?.1));
+            counted.push(((use_.token, use_.job.clone()), use_.used));
+            let job = job.as_ref().and_then(rows::job).and_then(|(_, job)| job.ok());
+            let Some(job) = job else { continue };
+            let fact = Fact { user: job.user, group: job.group, used: use_.used, last: use_.last };
+            if let Some(row_to) = UseRow::heard(known.as_ref(), &fact) {
+                let key = self.keys.use_of(use_.token, &use_.job);
+                compare.push(at(key.clone(), row.map_or(0, |row| row.modified)));
+                then.push(put(key, rows::write(&row_to), 0));
+            }
+        }
+        if !then.is_empty() {
+            self.hand.commit(compare, then).await?;
+        }
+        Ok(counted)
+    }
 }
--- a/crates/ravenspar/src/work/look.rs
+++ b/crates/ravenspar/src/work/look.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ravenspar_store::{under, Fault, Row, Shared};
+use ravenspar_store::{under, Fault, Range, Row, Shared};
 use tokio::sync::{mpsc, watch, Notify};
 
 use super::Told;
@@ -18,6 +18,13 @@
 /// Looks between two that read all jobs, where jobs are wanted: what was deleted is seen by its not being there.
 const WHOLE: u32 = 150;
 
+/// What else is to be read. 0: nothing; another number: all of it anew, and from then on what changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wanted {
+    pub jobs: u64,
+    pub uses: u64,
+}
+
 /// What was read at one revision.
 #[derive(Debug, Default)]
 pub struct Look {
@@ -32,17 +39,21 @@
     pub jobs: Vec<Row>,
     /// All jobs and lines that there are.
     pub whole: bool,
-    /// What the duty of debts publishes, where it changed.
-    pub ranking: Vec<Row>,
+    /// What the duty of debts published, where it is new, with the sums that changed since what was published before.
+    pub ranking: Option<(Row, Vec<Row>)>,
+    /// Uses that changed, where they are wanted, and whether these are all.
+    pub uses: Vec<Row>,
+    pub all_uses: bool,
     /// What was asked for when this was read.
-    pub wanted: u64,
+    pub wanted: Wanted,
 }
 
 pub struct Looker {
     pub store: Shared,
     pub keys: Keys,
-    /// 0: jobs are not wanted; another number: they are, all of them anew.
-    pub jobs: watch::Receiver<u64>,
+    pub wanted: watch::Receiver<Wanted>,
+    /// Whether there is the duty of debts.
+    pub debts: bool,
     pub sooner: Arc<Notify>,
     pub told: mpsc::Sender<Told>,
 }
@@ -50,15 +61,20 @@
 impl Looker {
     pub fn start(mut self) -> tokio::task::AbortHandle {
         tokio::spawn(async move {
-            let (mut since, mut wanted, mut looks) = (0, 0, 0);
+            let (mut since, mut wanted, mut looks) = (0, Wanted::default(), 0);
+            // The revision of the ranking that was told last.
+            let mut ranking = 0;
             loop {
-                let want = *self.jobs.borrow_and_update();
-                let whole = since == 0 || want != wanted && want > 0 || want > 0 && looks >= WHOLE;
-                let told = match self.look(since, want, whole).await {
+                let want = *self.wanted.borrow_and_update();
+                let new = want.jobs != wanted.jobs || looks >= WHOLE;
+                let whole = since == 0 || want.jobs > 0 && new;
+                let all_uses = want.uses > 0 && want.uses != wanted.uses;
+                let told = match self.look(since, ranking, want, whole, all_uses).await {
                     Ok(look) => {
                         looks = if whole { 0 } else { looks + 1 };
                         since = look.revision + 1;
                         wanted = want;
+                        ranking = look.ranking.as_ref().map_or(ranking, |(row, _)| row.modified);
                         Told::Looked(Box::new(look))
                     }
                     Err(fault) => Told::Away(fault.to_string()),
@@ -69,42 +85,61 @@
                 tokio::select! {
                     () = tokio::time::sleep(POLL) => {}
                     () = self.sooner.notified() => tokio::time::sleep(APART).await,
-                    changed = self.jobs.changed() => if changed.is_err() { return },
+                    changed = self.wanted.changed() => if changed.is_err() { return },
                 }
             }
         })
         .abort_handle()
     }
 
-    async fn look(&self, since: u64, want: u64, whole: bool) -> Result<Look, Fault> {
+    async fn look(
+        &self,
+        since: u64,
+        ranking: u64,
+        want: Wanted,
+        whole: bool,
+        all_uses: bool,
+    ) -> Result<Look, Fault> {
+        /// A revision that no store reaches: nothing changed since.
+        const NEVER: u64 = u64::MAX >> 1;
         let keys = &self.keys;
         // All of them by pages first: what changes meanwhile is in the read behind it.
         let (mut lines, mut jobs, mut from) = (Vec::new(), Vec::new(), since);
         if whole {
             (from, lines) = ravenspar_store::all(&*self.store, under(keys.lines(), 0)).await?;
-            if want > 0 {
+            if want.jobs > 0 {
                 let (at, all) = ravenspar_store::all(&*self.store, under(keys.jobs(), 0)).await?;
                 (from, jobs) = (from.min(at), all);
             }
             from += 1;
         }
+        let uses = match (want.uses, all_uses) {
+            (0, _) => NEVER,
+            (_, true) => 0,
+            _ => since,
+        };
         let ranges = vec![
             under(keys.members(), 0),
             under(keys.reaches(), 0),
             under(keys.duties(), 0),
             under(keys.sites(), 0),
-            under(keys.rankings(), since),
+            Range {
+                key: keys.ranking(),
+                end: Vec::new(),
+                since: if self.debts { ranking + 1 } else { NEVER },
+            },
+            under(keys.uses(), uses),
             under(keys.lines(), from),
-            under(keys.jobs(), if want > 0 { from } else { u64::MAX >> 1 }),
+            under(keys.jobs(), if want.jobs > 0 { from } else { NEVER }),
         ];
         let read = self.store.read(ranges).await?;
         let mut ranges = read.ranges.into_iter();
         let mut next = || ranges.next().unwrap_or_default();
         let (members, reaches, claims, sites) = (next(), next(), next(), next());
-        let ranking = next();
+        let (published, uses) = (next(), next());
         lines.extend(next());
         jobs.extend(next());
-        Ok(Look {
+        let mut look = Look {
             revision: read.revision,
             members,
             reaches,
@@ -112,9 +147,18 @@
             sites,
             lines,
             jobs,
-            whole: whole && want > 0,
-            ranking,
+            whole: whole && want.jobs > 0,
+            ranking: None,
+            uses,
+            all_uses,
             wanted: want,
-        })
+        };
+        if let Some(row) = published.into_iter().next() {
+            // As they were when it was published: folds that came behind it are not in its digest.
+            let changed = under(keys.sums(), ranking + 1);
+            let (_, sums) = ravenspar_store::all_at(&*self.store, changed, row.modified).await?;
+            look.ranking = Some((row, sums));
+        }
+        Ok(look)
     }
 }
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use ravenspar_debt::{Books, Fact, Facts, Fold, Key};
 use ravenspar_duty::{Claim, Duties, Duty, Member, Pace, Step, Tenure, Term};
 use ravenspar_jobs::{Act, Desk, Giver, Hello, Line, Token, Write};
 use ravenspar_net::Clock;
@@ -31,27 +32,61 @@
 use crate::streams::{self, Input, Stream};
 
 use frames::Said;
-use hands::{Ask, ForAgents, Order, Own};
-use look::{Look, Looker};
+use hands::{Ask, ForAgents, Heard, Order, Own};
+use look::{Look, Looker, Wanted};
 use rows::Reach;
 
 /// The duties that there are, by their names in the store.
-pub const DUTIES: &[&str] = &["jobs"];
+pub const DUTIES: &[&str] = &["jobs", "debts"];
 const JOBS: Duty = 0;
+const DEBTS: Duty = 1;
 
 /// What comes of what was asked for outside, and what is seen there.
 enum Told {
     Looked(Box<Look>),
     Away(String),
-    Stepped { step: Step, term: Option<Term> },
-    Wrote { writes: Vec<Write>, revision: Option<u64> },
-    Published { number: u64, revision: Option<u64> },
+    Stepped {
+        step: Step,
+        term: Option<Term>,
+    },
+    Wrote {
+        writes: Vec<Write>,
+        revision: Option<u64>,
+    },
+    Folded {
+        fold: Fold,
+        revision: Option<u64>,
+    },
+    /// Uses that are counted, by their tokens.
+    Counted(Vec<(Key, u64)>),
     Reached,
-    Registered { stream: u64, life: Life, done: bool },
-    Renewed { stream: u64, life: Life, sent: u64, held: Option<bool> },
-    Line { job: String, line: Option<(Line, u64)> },
-    Settled { job: String, done: bool },
-    Spec { stream: u64, term: u64, life: Life, job: String, token: Token, spec: String },
+    Registered {
+        stream: u64,
+        life: Life,
+        done: bool,
+    },
+    Renewed {
+        stream: u64,
+        life: Life,
+        sent: u64,
+        held: Option<bool>,
+    },
+    Line {
+        job: String,
+        line: Option<(Line, u64)>,
+    },
+    Settled {
+        job: String,
+        done: bool,
+    },
+    Spec {
+        stream: u64,
+        term: u64,
+        life: Life,
+        job: String,
+        token: Token,
+        spec: String,
+    },
     Over(String),
 }
 
@@ -64,6 +99,12 @@
 /// Frames that wait for an agent's stream: as many orders as a look at the store may bring for a large site.
 const FRAMES: usize = 256;
 
+/// Uses heard of that wait for the store at most; agents say again what is left out.
+const HEARD: usize = 4_096;
+
+/// Between two writes of uses: what comes meanwhile is written together.
+const USES: Time = SECOND / 2;
+
 /// Between two lines of the log on what work for the fleet does.
 const STATUS: Time = 10 * SECOND;
 
@@ -83,6 +124,7 @@
     pub life: Life,
     pub listener: Arc<TcpListener>,
     pub settings: settings::Jobs,
+    pub debts: Option<settings::Debts>,
     pub standing: watch::Receiver<Standing>,
     /// Where tests meet it.
     pub halt: Option<Halt>,
@@ -145,6 +187,13 @@
     desk: Desk,
     /// This steward's term as owner of the duty of jobs.
     owner: Option<(Tenure, Giver)>,
+    books: Books,
+    /// Its term as owner of the duty of debts, and when the next epoch begins.
+    folder: Option<(Tenure, Time)>,
+    /// What agents have said that was used and is not at the store yet, with who said so last.
+    heard: Facts,
+    said_by: BTreeMap<Key, u64>,
+    uses_at: Time,
     streams: BTreeMap<u64, Stream>,
     next_stream: u64,
     inputs: mpsc::Sender<Input>,
@@ -153,7 +202,7 @@
     told: mpsc::Receiver<Told>,
     own: mpsc::Sender<Order>,
     agents: mpsc::Sender<Ask>,
-    jobs: watch::Sender<u64>,
+    wanted: watch::Sender<Wanted>,
     sooner: Arc<Notify>,
     calls: Arc<tokio::sync::Semaphore>,
     has: watch::Sender<usize>,
@@ -183,12 +232,20 @@
         let agents =
             ForAgents { hand: hand("agents"), store: store.clone(), keys: keys.clone(), told: tell.clone() };
         let (agents, second) = agents.start();
-        let (jobs, wanted) = watch::channel(0);
+        let (wanted, seen) = watch::channel(Wanted::default());
         let sooner: Arc<Notify> = Arc::default();
-        let looker = Looker { store, keys, jobs: wanted, sooner: sooner.clone(), told: tell.clone() };
+        let looker = Looker {
+            store,
+            keys,
+            wanted: seen,
+            debts: with.debts.is_some(),
+            sooner: sooner.clone(),
+            told: tell.clone(),
+        };
         let now = clock.now();
         Task {
-            duties: Duties::new(life, DUTIES.len(), now + CLAIM),
+            // The duty of debts is there where it is asked for.
+            duties: Duties::new(life, if with.debts.is_some() { 2 } else { 1 }, now + CLAIM),
             pace: Pace::default(),
             useful: Useful::default(),
             reach: Reach::default(),
@@ -196,6 +253,11 @@
             reaches: BTreeMap::new(),
             desk: Desk::default(),
             owner: None,
+            books: Books::new(with.debts.as_ref().map(|debts| debts.shares.clone()).unwrap_or_default()),
+            folder: None,
+            heard: Facts::new(HEARD),
+            said_by: BTreeMap::new(),
+            uses_at: now,
             streams: BTreeMap::new(),
             next_stream: 0,
             inputs,
@@ -204,7 +266,7 @@
             told,
             own,
             agents,
-            jobs,
+            wanted,
             sooner,
             calls: Arc::new(tokio::sync::Semaphore::new(CALLS)),
             has,
@@ -248,6 +310,8 @@
             self.be_of_use();
             self.own();
             self.give();
+            self.fold();
+            self.write_uses();
             self.act();
             self.status();
         }
@@ -296,11 +360,9 @@
             }
             Said::Site { .. } => self.close(stream, "a life from 1 to 2^63 - 1 is expected"),
             Said::Keep { sent, hands } => {
-                let has: BTreeSet<Token> = hands.iter().map(|(_, token)| *token).collect();
-                self.desk.keep(stream, sent, &has);
-                self.desk.in_hand(stream, hands.iter().map(|(job, token)| (job.as_str(), *token)));
+                self.desk.keep(stream, sent, &hands);
             }
-            Said::Outcome { job, .. } if !frames::is_id(&job) => self.close(stream, "no job has such an id"),
+            Said::Outcome { job, .. } if !rows::is_name(&job) => self.close(stream, "no job has such an id"),
             Said::Outcome { job, token, ended } => {
                 if self.desk.outcome(stream, &job, token, ended)
                     && self.agents.try_send(Ask::Line(job.clone())).is_err()
@@ -308,7 +370,7 @@
                     self.desk.settled(&job, false);
                 }
             }
-            Said::Used(_) => {}
+            Said::Used(uses) => self.hear(stream, uses),
             Said::Holds(term) => {
                 tracing::warn!(term, "an agent has heard of a higher term");
                 self.desk.outdated();
@@ -346,7 +408,8 @@
                     self.sooner.notify_one();
                 }
             }
-            Told::Published { .. } => {}
+            Told::Folded { fold, revision } => self.folded(now, fold, revision),
+            Told::Counted(counted) => self.counted(&counted),
             Told::Reached => self.reach_busy = false,
             Told::Registered { stream, life, done } => self.desk.registered(stream, life, done),
             Told::Renewed { stream, life, sent, held } => self.desk.renewed(stream, life, sent, held),
@@ -378,6 +441,7 @@
         });
         let members = members.collect();
         let mut claims: Vec<Option<Claim>> = vec![None; DUTIES.len()];
+        self.ranked(&look);
         for (name, claim) in look.claims.iter().filter_map(rows::claim) {
             if let Some(duty) = DUTIES.iter().position(|duty| *duty == name) {
                 claims[duty] = Some(claim);
@@ -394,7 +458,7 @@
         self.desk.known(look.revision);
         let Some((tenure, giver)) = &mut self.owner else { return };
         // What was read for an earlier term lacks jobs.
-        if look.wanted != tenure.term() {
+        if look.wanted.jobs != tenure.term() {
             return;
         }
         giver.sites(now, look.sites.iter().filter_map(rows::site).collect());
@@ -403,7 +467,7 @@
         }
         for row in &look.jobs {
             let Some((id, job)) = rows::job(row) else { continue };
-            if frames::is_id(&id) {
+            if rows::is_name(&id) {
                 giver.job(now, &id, row.created, job);
             }
         }
@@ -421,14 +485,21 @@
         let others = self.reaches.iter().filter(|(life, _)| **life != self.with.life);
         let others: Vec<u32> = others.map(|(_, reach)| reach.sites as u32).collect();
         let few = self.useful.look(now, sites as u32, Some(&others));
-        let reach = Reach { sites, poor: slow || few };
-        if reach == self.reach || self.reach_busy {
+        let ranking = (self.books.revision() > 0).then(|| {
+            let digest = self.books.ledger().digest().iter().map(|byte| format!("{byte:02x}")).collect();
+            (self.books.epoch(), self.books.revision(), digest)
+        });
+        let reach = Reach { sites, poor: slow || few, ranking };
+        // What it ranks by is said with an epoch, not with each fold.
+        let epoch =
+            |reach: &Reach| (reach.sites, reach.poor, reach.ranking.as_ref().map(|(epoch, ..)| *epoch));
+        if epoch(&reach) == epoch(&self.reach) || self.reach_busy {
             return;
         }
         if reach.poor != self.reach.poor {
             tracing::warn!(poor = reach.poor, slow, sites, ?others, "of use for duties");
         }
-        if self.own.try_send(Order::Reach(reach)).is_ok() {
+        if self.own.try_send(Order::Reach(reach.clone())).is_ok() {
             (self.reach, self.reach_busy) = (reach, true);
         }
     }
@@ -454,7 +525,20 @@
             if term.is_none() {
                 tracing::info!("no more owner of the duty of jobs");
             }
-            let _ = self.jobs.send(term.unwrap_or(0));
+            self.wanted.send_modify(|wanted| wanted.jobs = term.unwrap_or(0));
+        }
+        let debts = self.duties.term(DEBTS);
+        if self.folder.as_ref().map(|(tenure, _)| tenure.term()) != debts {
+            match debts {
+                Some(term) => {
+                    tracing::info!(term, "owner of the duty of debts");
+                    self.books.begin(term);
+                }
+                None => self.books.end(),
+            }
+            let epoch = self.with.debts.as_ref().map_or(Time::MAX, |debts| debts.epoch);
+            self.folder = debts.map(|term| (Tenure::new(DEBTS, term), now + epoch));
+            self.uses_anew();
         }
         let has = (0..DUTIES.len()).filter(|duty| self.duties.term(*duty).is_some()).count();
         self.has.send_if_modified(|had| std::mem::replace(had, has) != has);
@@ -469,13 +553,140 @@
             return;
         }
         let Some(warrant) = tenure.warrant(now, until) else { return };
-        let writes = giver.next(now);
+        let ledger = self.books.ledger();
+        let writes = giver.next(now, |user| ledger.owes(user));
         if !writes.is_empty() {
             tracing::debug!(lines = writes.len(), first = ?writes[0], "lines of jobs");
             let _ = self.own.try_send(Order::Lines { warrant, writes });
         }
     }
 
+    /// All uses are to be read anew, if they are wanted.
+    fn uses_anew(&mut self) {
+        let wants = self.folder.is_some();
+        self.wanted.send_modify(|wanted| wanted.uses = if wants { wanted.uses + 1 } else { 0 });
+    }
+
+    /// What the duty of debts has published, and what its owner folds.
+    fn ranked(&mut self, look: &Look) {
+        if let Some((row, sums)) = &look.ranking {
+            let before = self.books.epoch();
+            match serde_json::from_slice(&row.value) {
+                Ok(epoch) => _ = self.books.published(row.modified, epoch, rows::sums(sums)),
+                Err(why) => tracing::error!(%why, "the ranking can't be read"),
+            }
+            if self.books.epoch() != before {
+                self.rank();
+            }
+        }
+        if self.folder.is_none() || look.wanted.uses != self.wanted.borrow().uses {
+            return;
+        }
+        if look.all_uses && self.books.is_stale() {
+            self.books.all_uses();
+        }
+        for (row, (key, use_)) in look.uses.iter().filter_map(|row| Some((row, rows::use_of(row)?))) {
+            self.books.used(key, use_, row.modified);
+        }
+    }
+
+    /// Another ranking is in use.
+    fn rank(&mut self) {
+        let ledger = self.books.ledger();
+        let digest = format!("{:032x}", u128::from_be_bytes(ledger.digest()));
+        tracing::debug!(epoch = ledger.epoch, users = ledger.users(), digest, "ranked");
+        if let Some((_, giver)) = &mut self.owner {
+            giver.rank(ledger.step());
+        }
+    }
+
+    fn folded(&mut self, now: Time, fold: Fold, revision: Option<u64>) {
+        let epoch = fold.epoch.epoch;
+        let before = self.books.epoch();
+        self.books.done(fold, revision);
+        let every = self.with.debts.as_ref().map_or(Time::MAX, |debts| debts.epoch);
+        if let Some((_, at)) = self.folder.as_mut().filter(|_| revision.is_some() && epoch > before) {
+            *at = now + every;
+        }
+        if self.books.epoch() != before {
+            self.rank();
+        }
+        if self.books.is_stale() {
+            self.uses_anew();
+        }
+    }
+
+    /// What the owner of the duty of debts does, each under a warrant of its own.
+    fn fold(&mut self) {
+        let now = self.with.clock.now();
+        let until = self.with.standing.borrow().until;
+        let Some((tenure, epoch_at)) = &self.folder else { return };
+        if self.own.capacity() == 0 {
+            return;
+        }
+        let Some(warrant) = tenure.warrant(now, until) else { return };
+        if let Some(fold) = self.books.next(now >= *epoch_at) {
+            let _ = self.own.try_send(Order::Fold { warrant, fold });
+        }
+    }
+
+    /// An agent says what it used.
+    fn hear(&mut self, stream: u64, uses: Vec<frames::Used>) {
+        let nobody_counts = self.with.debts.is_none();
+        let floor = self.books.floor();
+        let mut past = Vec::new();
+        for frames::Used { token, used, last, job } in
+            uses.into_iter().filter(|use_| rows::is_name(&use_.job))
+        {
+            // Below the floor it is so old that it was folded, or came too late to be.
+            if nobody_counts || token < floor {
+                past.push(((token, job), used));
+                continue;
+            }
+            let fact = Fact { user: String::new(), group: String::new(), used, last };
+            if self.heard.take((token, job.clone()), fact).is_some() {
+                self.said_by.insert((token, job), stream);
+            }
+        }
+        if !past.is_empty() {
+            self.write(stream, frames::counted(&past));
+        }
+    }
+
+    /// Hands what was heard to the store, some at a time.
+    fn write_uses(&mut self) {
+        let now = self.with.clock.now();
+        if self.heard.is_empty() || now < self.uses_at {
+            return;
+        }
+        self.uses_at = now + USES;
+        let heard = self.heard.iter().take(ravenspar_store::MOST).map(|((token, job), fact)| Heard {
+            token: *token,
+            used: fact.used,
+            last: fact.last,
+            job: job.clone(),
+        });
+        let heard = heard.collect();
+        // Where the store does not take them, they stay here, and agents say them again as well.
+        let _ = self.agents.try_send(Ask::Uses(heard));
+    }
+
+    /// These are at the store: they are not lost with this steward any more.
+    fn counted(&mut self, counted: &[(Key, u64)]) {
+        let mut by: BTreeMap<u64, Vec<(Key, u64)>> = BTreeMap::new();
+        for (key, used) in counted {
+            if self.heard.get(key).is_some_and(|fact| fact.used <= *used) {
+                self.heard.remove(key);
+                if let Some(stream) = self.said_by.remove(key) {
+                    by.entry(stream).or_default().push((key.clone(), *used));
+                }
+            }
+        }
+        for (stream, counted) in by {
+            self.write(stream, frames::counted(&counted));
+        }
+    }
+
     fn write(&mut self, stream: u64, body: bytes::Bytes) {
         let Some(to) = self.streams.get(&stream) else { return };
         // An agent that takes nothing in is broken off; what its lines say is told on its next stream.
@@ -563,6 +774,12 @@
             calls = CALLS - self.calls.available_permits(),
             changes = self.duties.changes,
             poor = self.reach.poor,
+            epoch = self.books.epoch(),
+            users = self.books.ledger().users(),
+            uses = ?self.books.open(),
+            heard = self.heard.len(),
+            heard_left_out = self.heard.left_out,
+            differs = self.books.differs,
             "work for the fleet"
         );
     }
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -61,8 +61,9 @@
     pub heard: Time,
     /// Lives of this site that are over for good.
     pub before: Vec<u64>,
-    /// What each run has used, in tenths of a millisecond, and whether that is all; kept until a steward has counted it.
-    pub used: std::collections::BTreeMap<u64, (Time, bool)>,
+    /// What each run has used, in tenths of a millisecond, by token and job, and whether that is all; kept until a steward
+    /// has counted it.
+    pub used: std::collections::BTreeMap<(u64, String), (Time, bool)>,
 }
 
 pub(crate) struct Agent {
--- a/crates/standin/src/agent/disk.rs
+++ b/crates/standin/src/agent/disk.rs
@@ -18,9 +18,9 @@
     /// Job, token, why it failed (none: it is done), whether it was stopped.
     Outcome(String, u64, Option<String>, bool),
     Delivered(String, u64),
-    /// Token, what it used in all.
-    Used(u64, Time),
-    Counted(u64),
+    /// Token, what it used in all, the job.
+    Used(u64, Time, String),
+    Counted(u64, String),
 }
 
 /// What was on it.
@@ -29,7 +29,7 @@
     pub term: u64,
     pub lives: Vec<u64>,
     pub outcomes: Vec<(String, u64, Ended)>,
-    pub used: BTreeMap<u64, (Time, bool)>,
+    pub used: BTreeMap<(u64, String), (Time, bool)>,
 }
 
 pub struct Disk {
@@ -59,8 +59,8 @@
                         outcomes.insert((job, token), ended);
                     }
                     Line::Delivered(job, token) => _ = outcomes.remove(&(job, token)),
-                    Line::Used(token, used) => _ = kept.used.insert(token, (used, true)),
-                    Line::Counted(token) => _ = kept.used.remove(&token),
+                    Line::Used(token, used, job) => _ = kept.used.insert((token, job), (used, true)),
+                    Line::Counted(token, job) => _ = kept.used.remove(&(token, job)),
                 }
             }
         }
@@ -105,11 +105,11 @@
         }
     }
 
-    pub fn used(&mut self, token: u64, used: Time) {
-        self.write(&Line::Used(token, used));
+    pub fn used(&mut self, token: u64, used: Time, job: &str) {
+        self.write(&Line::Used(token, used, job.to_owned()));
     }
 
-    pub fn counted(&mut self, token: u64) {
-        self.write(&Line::Counted(token));
+    pub fn counted(&mut self, token: u64, job: &str) {
+        self.write(&Line::Counted(token, job.to_owned()));
     }
 }
--- a/crates/standin/src/agent/runs.rs
+++ b/crates/standin/src/agent/runs.rs
@@ -43,7 +43,7 @@
     let ended = match serde_json::from_str::<Spec>(&spec) {
         Err(why) => Ok(Ended::Failed(format!("it can't be read: {why}"))),
         Ok(spec) => loop {
-            match steps(&agent, &job, token, &spec).await {
+            match steps(&agent, &job, token, &spec, began).await {
                 Err(Stopped::Away) if agent.holds(&job, token) => sleep(Duration::from_millis(100)).await,
                 Err(Stopped::Away) => break Err(Stopped::NotMine),
                 ended => break ended,
@@ -52,8 +52,8 @@
     };
     let mut core = agent.core.borrow_mut();
     let used = (core.clock.now() - began) * core.options.lies as i64;
-    core.used.insert(token, (used, true));
-    core.disk.used(token, used);
+    core.used.insert((token, job.clone()), (used, true));
+    core.disk.used(token, used, &job);
     match ended {
         Ok(ended) => {
             core.disk.outcome(&job, token, &ended);
@@ -81,7 +81,20 @@
     }
 }
 
-async fn steps(agent: &Agent, job: &str, token: u64, spec: &Spec) -> Result<Ended, Stopped> {
+/// What a run has used so far.
+fn uses(agent: &Agent, job: &str, token: u64, began: crate::Time) {
+    let core = &mut *agent.core.borrow_mut();
+    let used = (core.clock.now() - began) * core.options.lies as i64;
+    core.used.insert((token, job.to_owned()), (used, false));
+}
+
+async fn steps(
+    agent: &Agent,
+    job: &str,
+    token: u64,
+    spec: &Spec,
+    began: crate::Time,
+) -> Result<Ended, Stopped> {
     let (effects, site) = {
         let core = agent.core.borrow();
         (core.options.effects, core.options.name.clone())
@@ -119,6 +132,7 @@
     }
     while landed < spec.steps {
         sleep(Duration::from_millis(spec.step_ms)).await;
+        uses(agent, job, token, began);
         let step = Call::Step { site: site.clone(), job: job.to_owned(), token, step: landed };
         landed = call(step).await?;
     }
--- a/crates/standin/src/agent/streams.rs
+++ b/crates/standin/src/agent/streams.rs
@@ -128,11 +128,15 @@
             core.holder.delivered(&job, token);
         }
     }
-    if !core.used.is_empty() {
-        let mut used = Frame::new(kind::USED);
-        for (token, (use_, last)) in core.used.iter().take(AT_ONCE) {
-            used.numbers(tag::USE, &[*token, *use_ as u64, u64::from(*last)]);
-        }
+    // What has ended is said until it is counted, the rest with each renewal.
+    let kept = *kept_at == now;
+    let uses = core.used.iter().filter(|(_, (_, last))| kept || *last).take(AT_ONCE);
+    let mut used = Frame::new(kind::USED);
+    let empty = used.len();
+    for ((token, job), (amount, last)) in uses {
+        used.text(tag::USE, &[*token, *amount as u64, u64::from(*last)], job);
+    }
+    if used.len() > empty {
         said.push(used.finish());
     }
     said
@@ -154,7 +158,10 @@
                 job = Some((field.text()?, token));
             }
             tag::SPEC => spec = field.text()?,
-            tag::USE => counted.push((field.number()?, field.time()?)),
+            tag::USE => {
+                let (token, used, _) = (field.number()?, field.time()?, field.number()?);
+                counted.push((token, used, field.text()?));
+            }
             _ => {}
         }
     }
@@ -194,10 +201,11 @@
             core.disk.delivered(job, token);
         }
         (kind::COUNTED, _) => {
-            for (token, used) in counted {
-                if core.used.get(&token).is_some_and(|(own, last)| *last && *own <= used) {
-                    core.used.remove(&token);
-                    core.disk.counted(token);
+            for (token, used, job) in counted {
+                let key = (token, job.to_owned());
+                if core.used.get(&key).is_some_and(|(own, last)| *last && *own <= used) {
+                    core.used.remove(&key);
+                    core.disk.counted(token, job);
                 }
             }
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -145,9 +145,14 @@
 
 /// All rows of a range, read by pages at one revision, which is returned.
 pub async fn all(store: &dyn Store, range: Range) -> Result<(u64, Vec<Row>), Fault> {
+    all_at(store, range, 0).await
+}
+
+/// Likewise, as they were at a revision; 0: the latest.
+pub async fn all_at(store: &dyn Store, range: Range, revision: u64) -> Result<(u64, Vec<Row>), Fault> {
     /// Rows a page: some hundred kilobytes.
     const PAGE: usize = 2_000;
-    let (mut next, mut revision, mut rows) = (range.clone(), 0, Vec::new());
+    let (mut next, mut revision, mut rows) = (range.clone(), revision, Vec::new());
     loop {
         let page = store.page(next.clone(), PAGE, revision).await?;
         revision = page.revision;
