--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -130,6 +130,8 @@
     #[arg(long)]
     forgets: bool,
     #[arg(long)]
+    doubles: bool,
+    #[arg(long)]
     pause_at: Option<u64>,
     #[arg(long, default_value_t = 1)]
     lies: u64,
@@ -322,6 +324,7 @@
         seed: args.seed,
         ignores_lease: args.ignores_lease,
         forgets: args.forgets,
+        doubles: args.doubles,
         pause_at: args.pause_at,
         lies: args.lies,
     };
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -56,6 +56,12 @@
     /// it is continued after `pause_for`.
     #[serde(default)]
     pub pause_site: Option<(usize, u64)>,
+    /// By how many seconds each steward's wall clock is off; at its second start by as much more.
+    #[serde(default)]
+    pub clocks: Vec<i64>,
+    /// Agents that say what they used to every steward, again and again.
+    #[serde(default)]
+    pub doubles: Vec<usize>,
     /// Agents that are ill.
     #[serde(default)]
     pub ignores_lease: Vec<usize>,
@@ -200,6 +206,14 @@
         #[serde(rename = "for")]
         lasts: Span,
     },
+    /// What passes between these and those is up to so much later, either way, and out of order where it can be.
+    Slow {
+        from: Vec<String>,
+        to: Vec<String>,
+        late: Span,
+        #[serde(rename = "for")]
+        lasts: Span,
+    },
     /// Nothing passes between these and those; only towards those where it says `one_way`.
     Cut {
         from: Vec<String>,
@@ -268,7 +282,7 @@
                 | What::Leave { who, .. }
                 | What::Stop { who, .. }
                 | What::Crawl { who, .. } => who.iter().collect(),
-                What::Cut { from, to, .. } => from.iter().chain(to).collect(),
+                What::Cut { from, to, .. } | What::Slow { from, to, .. } => from.iter().chain(to).collect(),
                 _ => Vec::new(),
             };
             if let Some(other) = names.iter().find(|name| !known(name)) {
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -195,6 +195,10 @@
                 args.extend([flag.into(), at.into()]);
             }
         }
+        let start = self.starts.borrow()[n] as i64 + 1;
+        if let Some(off) = work.clocks.get(n) {
+            args.extend(["--clock-off".into(), (off * start).to_string().into()]);
+        }
         self.starts.borrow_mut()[n] += 1;
         let mut process = Process::start(args, &self.dir.join(format!("steward-{n}.log"))).await?;
         self.targets[n].set(Some(process.agents().await?));
@@ -219,7 +223,11 @@
         if let Some((_, call)) = work.pause_site.filter(|(site, _)| *site == m) {
             args.extend(["--pause-at".into(), call.to_string().into()]);
         }
-        let ill = [("--ignores-lease", &work.ignores_lease), ("--forgets", &work.forgets)];
+        let ill = [
+            ("--ignores-lease", &work.ignores_lease),
+            ("--forgets", &work.forgets),
+            ("--doubles", &work.doubles),
+        ];
         ill.iter().filter(|(_, who)| who.contains(&m)).for_each(|(flag, _)| args.push((*flag).into()));
         let process = Process::start(args, &self.dir.join(format!("site-{m}.log"))).await?;
         self.sites.borrow_mut()[m] = Some(process);
--- a/crates/lab/src/work/troubles.rs
+++ b/crates/lab/src/work/troubles.rs
@@ -195,6 +195,13 @@
                 sleep(duration(lasts.0)).await;
                 self.ways.change(pairs.iter().copied(), |way| way.cut -= 1);
             }
+            What::Slow { from, to, late, lasts } => {
+                let (a, b) = (self.ends(&from), self.ends(&to));
+                let pairs: Vec<_> = a.iter().flat_map(|a| b.iter().map(|b| (*a, *b))).collect();
+                self.ways.change_between(pairs.iter().copied(), |way| way.late = duration(late.0));
+                sleep(duration(lasts.0)).await;
+                self.ways.change_between(pairs.iter().copied(), |way| way.late = Default::default());
+            }
             What::Away { lasts } => {
                 self.note("store away", &self.who(&["stewards".to_owned(), "sites".to_owned()]), lasts.0);
                 self.store.set_faults(Faults { away: true, ..Faults::default() });
--- a/crates/lab/tests/work_days.rs
+++ b/crates/lab/tests/work_days.rs
@@ -126,6 +126,36 @@
     keeps_the_rules("jobs-cancelled");
 }
 
+#[test]
+fn uses_on_both_sides_of_a_split() {
+    keeps_the_rules("debt-split");
+}
+
+#[test]
+fn owners_that_die_in_the_middle_of_folding() {
+    keeps_the_rules("debt-fold-killed");
+}
+
+#[test]
+fn uses_said_often_late_and_out_of_order() {
+    keeps_the_rules("debt-double");
+}
+
+#[test]
+fn a_steward_that_returns_after_long() {
+    keeps_the_rules("debt-returns");
+}
+
+#[test]
+fn wall_clocks_that_are_off_and_jump() {
+    keeps_the_rules("debt-clocks");
+}
+
+#[test]
+fn a_user_that_floods() {
+    keeps_the_rules("debt-flood");
+}
+
 /// What the guide asks of whoever takes effects is needed: without it the same faults make steps land twice.
 #[test]
 fn a_taker_without_a_memory_is_none() {
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -25,6 +25,11 @@
         Clock { began: Instant::now(), wall: (wall.as_micros() / UNIT) as Time }
     }
 
+    /// The same clock, but that its wall is off by so much: how a test shows that nothing rests on wall clocks.
+    pub fn off_by(self, span: Time) -> Clock {
+        Clock { wall: self.wall + span, ..self }
+    }
+
     pub fn now(&self) -> Time {
         self.wall + (self.began.elapsed().as_micros() / UNIT) as Time
     }
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -36,12 +36,15 @@
     /// Runs a steward until SIGTERM; prints `listening on ADDRESS` when it does.
     Serve {
         file: PathBuf,
-        /// Die at a point, for tests: recorded:N, message:N, take:N or renew:N.
+        /// Die at a point, for tests: as `halt.rs` names them, as recorded:N.
         #[arg(long, hide = true)]
         halt: Option<Halt>,
         /// Stand still at a point, for tests.
         #[arg(long, hide = true, conflicts_with = "halt")]
         pause: Option<Halt>,
+        /// Have a wall clock that is off by so many seconds, for tests.
+        #[arg(long, hide = true, default_value_t = 0, allow_hyphen_values = true)]
+        clock_off: i64,
         /// Leave a part of the view of the fleet out, for tests of what judges it.
         #[arg(long, hide = true)]
         without: Vec<Without>,
@@ -108,8 +111,8 @@
         return end(Err(Fault::Input(why)));
     }
     end(match cli.command {
-        Command::Serve { file, halt, pause, without } => {
-            start(&file, halt.or(pause.map(Halt::that_stands_still)), &without)
+        Command::Serve { file, halt, pause, clock_off, without } => {
+            start(&file, halt.or(pause.map(Halt::that_stands_still)), clock_off, &without)
         }
         Command::Platform { config } => platform(&config),
         Command::Check { file } => check(&file),
@@ -151,7 +154,7 @@
     })
 }
 
-fn start(file: &Path, halt: Option<Halt>, without: &[Without]) -> Result<(), Fault> {
+fn start(file: &Path, halt: Option<Halt>, clock_off: i64, without: &[Without]) -> Result<(), Fault> {
     let mut cfg = load(file)?;
     if let Some(fleet) = &mut cfg.fleet {
         for part in without {
@@ -162,7 +165,7 @@
             }
         }
     }
-    runtime()?.block_on(serve(cfg, halt, |address, agents| {
+    runtime()?.block_on(serve(cfg, halt, clock_off * ravenspar_steward::SECOND, |address, agents| {
         say(format_args!("listening on {address}"));
         agents.into_iter().for_each(|at| say(format_args!("agents at {at}")));
     }))
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -32,10 +32,11 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT. `listening` is told the address, and where agents of sites come.
+/// Serves until SIGTERM or SIGINT. `clock_off`: by how much its wall clock is off, for tests. `listening` is told the address, and where agents of sites come.
 pub async fn serve(
     mut cfg: Checked,
     halt: Option<Halt>,
+    clock_off: Time,
     listening: impl FnOnce(SocketAddr, Option<SocketAddr>),
 ) -> Result<(), Fault> {
     let record = Record::open(&cfg.record).map_err(|fault| Fault::Input(fault.to_string()))?;
@@ -62,7 +63,7 @@
             Stored { client, prefix, kept, look: look.clone(), seed }.follow(news);
         }
     }
-    let clock = Clock::new();
+    let clock = Clock::new().off_by(clock_off);
     let fleet = match &cfg.fleet {
         None => None,
         Some(with) => {
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -34,6 +34,8 @@
     pub ignores_lease: bool,
     /// It keeps no outcome on disk, and says each but once.
     pub forgets: bool,
+    /// It says what it used to every steward, again and again.
+    pub doubles: bool,
     /// It stops itself at its nth call, its lease looked at and the call not sent.
     pub pause_at: Option<u64>,
     /// It says it used so many times as much.
--- a/crates/standin/src/agent/streams.rs
+++ b/crates/standin/src/agent/streams.rs
@@ -12,7 +12,7 @@
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::{runs, Agent};
+use super::{runs, Agent, Core};
 use crate::{Time, SECOND};
 
 /// Between two looks at what is to be said: renewals that are due, outcomes that nobody took.
@@ -98,6 +98,9 @@
         core.heard = now;
     }
     if number != core.current {
+        if core.options.doubles {
+            said.extend(uses(core, true));
+        }
         return said;
     }
     let every = if core.alive { core.options.lease / 5 } else { 2_000 };
@@ -130,16 +133,19 @@
     }
     // What has ended is said until it is counted, the rest with each renewal.
     let kept = *kept_at == now;
-    let uses = core.used.iter().filter(|(_, (_, last))| kept || *last).take(AT_ONCE);
+    said.extend(uses(core, kept));
+    said
+}
+
+/// What was used; with `all`, that of what goes on as well.
+fn uses(core: &Core, all: bool) -> Option<Bytes> {
+    let uses = core.used.iter().filter(|(_, (_, last))| all || *last).take(AT_ONCE);
     let mut used = Frame::new(kind::USED);
     let empty = used.len();
     for ((token, job), (amount, last)) in uses {
         used.text(tag::USE, &[*token, *amount as u64, u64::from(*last)], job);
     }
-    if used.len() > empty {
-        said.push(used.finish());
-    }
-    said
+    (used.len() > empty).then(|| used.finish())
 }
 
 /// Takes a frame in; returns what is answered.
