--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -5,7 +5,7 @@
 use crate::{Duty, Life, Term, Time};
 
 /// A member as the store has it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     pub life: Life,
     pub leaving: bool,
@@ -14,14 +14,14 @@
 }
 
 /// Who has a duty, and under which term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Claim {
     pub owner: Life,
     pub term: Term,
 }
 
 /// One step at the store. The next comes once its outcome has been told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Step {
     /// Write the claim for this life, bound to its membership, on condition that there is none.
     Claim { duty: Duty },
@@ -31,7 +31,7 @@
 }
 
 /// One steward's part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Duties {
     me: Life,
     claims: Vec<Option<Claim>>,
--- a/crates/duty/src/taker.rs
+++ b/crates/duty/src/taker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 /// The highest term that was seen of each duty. `D`: however the taker names duties.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Taker<D: Ord> {
     highest: BTreeMap<D, u64>,
     most: usize,
--- a/crates/jobs/src/giver.rs
+++ b/crates/jobs/src/giver.rs
@@ -6,7 +6,7 @@
 use crate::{Job, Life, Line, State, Time};
 
 /// A site as the store has it: its key is there as long as its life's lease is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Site {
     pub life: Life,
     pub name: String,
@@ -15,7 +15,7 @@
 }
 
 /// Bounds, each of the settings.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
     /// Jobs known at most; those past it wait unseen until others are gone.
     pub jobs: usize,
@@ -34,7 +34,7 @@
 }
 
 /// A line to be written, compared with what it is, and with the site's key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Write {
     pub job: String,
     /// The line's revision; 0: there is none.
@@ -47,7 +47,7 @@
     pub delete: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Figures {
     /// Jobs known, and of them waiting, held, parked.
     pub jobs: usize,
@@ -62,7 +62,7 @@
     pub ended: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     job: Option<Job>,
     /// What is wrong with it, where it can't be read.
@@ -77,7 +77,7 @@
     not_before: Time,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Known {
     site: Site,
     /// Since when it is seen, and how many jobs it holds by the lines.
@@ -88,7 +88,7 @@
 }
 
 /// One term of the duty. Whoever comes after begins with what the store says, and gives every wait its whole time anew.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Giver {
     limits: Limits,
     term: u64,
--- a/crates/jobs/src/line.rs
+++ b/crates/jobs/src/line.rs
@@ -5,7 +5,7 @@
 use crate::{Life, Token};
 
 /// A job as it is handed in. Unknown fields are its owner's and the agent's affair.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Job {
     /// On whose behalf it runs: a lender or a branch.
     pub user: String,
@@ -69,7 +69,7 @@
 }
 
 /// How a job ended at its site.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Ended {
     Done,
     /// With the reason.
