--- a/crates/debt/src/books.rs
+++ b/crates/debt/src/books.rs
@@ -211,8 +211,12 @@
         }
         let past = (owner.folded.len() + uses.len()).saturating_sub(Self::KEPT).min(Self::FOLDS);
         // Whole tokens go, so that the floor says of each whether it is kept; a few more than a bound of that size.
-        let floor =
-            owner.folded.keys().take(past).last().map_or(row.floor, |(token, _)| row.floor.max(token + 1));
+        let floor = owner
+            .folded
+            .keys()
+            .take(past)
+            .next_back()
+            .map_or(row.floor, |(token, _)| row.floor.max(token + 1));
         let gone: Vec<Key> = owner
             .folded
             .keys()
--- a/crates/debt/tests/explore.rs
+++ b/crates/debt/tests/explore.rs
@@ -20,6 +20,9 @@
     Mark,
 }
 
+/// A use with its row's revision.
+type Row = (u64, UseRow);
+
 fn shares() -> Shares {
     Shares { other: 1, half_life: 8, ..Shares::default() }
 }
@@ -27,7 +30,7 @@
 #[derive(Clone, Default)]
 struct Rows {
     revision: u64,
-    uses: BTreeMap<Key, (u64, UseRow)>,
+    uses: BTreeMap<Key, Row>,
     users: BTreeMap<String, Sum>,
     groups: BTreeMap<String, Sum>,
     epoch: (u64, EpochRow),
@@ -42,7 +45,7 @@
     /// Folds on their way to the store, of owners that may be none any more.
     folds: Vec<(usize, Fold, u64)>,
     /// Uses on their way, with the row that was read for each.
-    heard: Vec<(Key, Fact, Option<(u64, UseRow)>)>,
+    heard: Vec<(Key, Fact, Option<Row>)>,
     /// What each lease has used by now, and whether it has ended.
     truth: BTreeMap<Key, Fact>,
 }
@@ -97,7 +100,7 @@
         self.books[n].done(fold, done);
     }
 
-    fn hear(&mut self, key: Key, fact: Fact, read: Option<(u64, UseRow)>) {
+    fn hear(&mut self, key: Key, fact: Fact, read: Option<Row>) {
         let now = self.rows.uses.get(&key);
         let known = read.as_ref().map(|(_, row)| row);
         let row = match known {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -80,6 +80,14 @@
         #[arg(long, default_value_t = 20)]
         rounds: usize,
     },
+    /// Measures duties and jobs: time without an owner, from a site's loss to its jobs elsewhere, jobs through the store, and
+    /// what it costs at rest.
+    MeasureWork {
+        #[arg(long, value_delimiter = ',', default_values_t = [3, 5, 9])]
+        stewards: Vec<usize>,
+        #[arg(long, default_value_t = 10)]
+        rounds: usize,
+    },
     /// Plays a day again and again with one seed after the other. Exit code 1 if one of them broke a rule.
     Soak {
         #[arg(long)]
@@ -164,45 +172,55 @@
 }
 
 fn main() -> ExitCode {
-    let result = match Cli::parse().command {
-        Command::Day { file, keep, seed } => run_day(&file, keep, seed),
-        Command::Judge { dir } => judge_dir(&dir),
-        Command::Measure { forwarders, slices, servers, hand_overs } => {
-            measure(&forwarders, slices, servers, hand_overs)
-        }
-        Command::MeasureSharing { stewards, slices, rounds } => {
-            let known = stewards.iter().all(|count| (2..=64).contains(count))
-                && slices.iter().all(|count| (1..=65_535).contains(count))
-                && rounds > 0;
-            match known {
-                true => block_on(measure_sharing::sharing(&stewards, &slices, rounds))
-                    .and_then(|measured| measured.map(|()| true)),
-                false => Err(Fault::Input(
-                    "measure-sharing: expected 2 to 64 stewards, 1 to 65535 slices, 1 round or more"
-                        .to_owned(),
-                )),
+    let result =
+        match Cli::parse().command {
+            Command::Day { file, keep, seed } => run_day(&file, keep, seed),
+            Command::Judge { dir } => judge_dir(&dir),
+            Command::Measure { forwarders, slices, servers, hand_overs } => {
+                measure(&forwarders, slices, servers, hand_overs)
             }
-        }
-        Command::MeasureView { stewards, rounds } => {
-            let known = stewards.iter().all(|count| (2..=25).contains(count)) && rounds > 0;
-            match known {
-                true => {
-                    block_on(fleet::measure(&stewards, rounds)).and_then(|measured| measured.map(|()| true))
+            Command::MeasureSharing { stewards, slices, rounds } => {
+                let known = stewards.iter().all(|count| (2..=64).contains(count))
+                    && slices.iter().all(|count| (1..=65_535).contains(count))
+                    && rounds > 0;
+                match known {
+                    true => block_on(measure_sharing::sharing(&stewards, &slices, rounds))
+                        .and_then(|measured| measured.map(|()| true)),
+                    false => Err(Fault::Input(
+                        "measure-sharing: expected 2 to 64 stewards, 1 to 65535 slices, 1 round or more"
+                            .to_owned(),
+                    )),
                 }
-                false => {
-                    Err(Fault::Input("measure-view: expected 2 to 25 stewards, 1 round or more".to_owned()))
+            }
+            Command::MeasureView { stewards, rounds } => {
+                let known = stewards.iter().all(|count| (2..=25).contains(count)) && rounds > 0;
+                match known {
+                    true => block_on(fleet::measure(&stewards, rounds))
+                        .and_then(|measured| measured.map(|()| true)),
+                    false => Err(Fault::Input(
+                        "measure-view: expected 2 to 25 stewards, 1 round or more".to_owned(),
+                    )),
                 }
             }
-        }
-        Command::Soak { minutes, seed, at_once, file, keep } => {
-            run_soak(&file, minutes, seed, at_once, &keep)
-        }
-        Command::Steward { args } => {
-            return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
-        }
-        Command::Agent(args) => run_agent(args),
-        Command::Forwarder(args) => run_forwarder(args),
-    };
+            Command::MeasureWork { stewards, rounds } => {
+                let known = stewards.iter().all(|count| (2..=9).contains(count)) && rounds > 0;
+                match known {
+                    true => block_on(work::measure(&stewards, rounds))
+                        .and_then(|measured| measured.map(|()| true)),
+                    false => Err(Fault::Input(
+                        "measure-work: expected 2 to 9 stewards, 1 round or more".to_owned(),
+                    )),
+                }
+            }
+            Command::Soak { minutes, seed, at_once, file, keep } => {
+                run_soak(&file, minutes, seed, at_once, &keep)
+            }
+            Command::Steward { args } => {
+                return ravenspar::cli::run([OsString::from("ravenspar")].into_iter().chain(args))
+            }
+            Command::Agent(args) => run_agent(args),
+            Command::Forwarder(args) => run_forwarder(args),
+        };
     match result {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -241,12 +241,15 @@
 }
 
 /// Median, 99th and worst, with so many digits.
-pub fn quantiles(mut of: Vec<f64>, digits: usize) -> String {
-    of.sort_by(f64::total_cmp);
-    let last = of.len().saturating_sub(1);
-    let at = |q: f64| of.get(((of.len() as f64 * q) as usize).min(last)).copied().unwrap_or(0.0);
-    let worst = of.last().copied().unwrap_or(0.0);
-    format!("{:.digits$} / {:.digits$} / {worst:.digits$}", at(0.5), at(0.99))
+pub fn quantiles(of: Vec<f64>, digits: usize) -> String {
+    /// Parts of a unit that are told apart: the histogram counts whole numbers.
+    const PARTS: f64 = 1e4;
+    // Three digits are more than such measurements bear; it fails for more than five alone.
+    let Ok(mut all) = hdrhistogram::Histogram::<u64>::new(3) else { return String::new() };
+    // It grows as far as it has to.
+    of.iter().for_each(|value| _ = all.record((value.max(0.0) * PARTS).round() as u64));
+    let at = |q: f64| all.value_at_quantile(q) as f64 / PARTS;
+    format!("{:.digits$} / {:.digits$} / {:.digits$}", at(0.5), at(0.99), all.max() as f64 / PARTS)
 }
 
 fn median(column: &mut [f64]) -> f64 {
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -55,21 +55,21 @@
         self.child.id()
     }
 
+    fn stat(&self) -> Option<procfs::process::Stat> {
+        let id = i32::try_from(self.child.id()?).ok()?;
+        procfs::process::Process::new(id).and_then(|process| process.stat()).ok()
+    }
+
     /// Seconds of CPU that it had so far; 0 of one that has ended.
     pub fn cpu(&self) -> f64 {
-        let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
-        let fields = stat.as_deref().and_then(|stat| stat.rsplit(") ").next()).unwrap_or("");
-        // User and system time are the 12th and 13th behind the name, in hundredths of a second.
-        fields.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
+        let ticks = self.stat().map_or(0, |stat| stat.utime + stat.stime);
+        ticks as f64 / procfs::ticks_per_second() as f64
     }
 
     /// Whether it stands still by a signal, as the system says.
     pub fn is_stopped(&self) -> bool {
-        let stat = self.child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok());
-        // The state stands behind the name in brackets.
-        stat.is_some_and(|stat| {
-            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
-        })
+        let state = self.stat().and_then(|stat| stat.state().ok());
+        state == Some(procfs::process::ProcState::Stopped)
     }
 
     /// Sends a signal by name.
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -72,6 +72,33 @@
     pub effects_forget: bool,
 }
 
+impl Default for Work {
+    fn default() -> Work {
+        Work {
+            stewards: 1,
+            sites: 1,
+            room: Work::room(),
+            member_lease: Work::lease(),
+            site_lease: Work::lease(),
+            cold: Work::cold(),
+            again: Work::again(),
+            most_gone: Work::most_gone(),
+            attempts: Work::attempts(),
+            jobs: Vec::new(),
+            debts: None,
+            halt: None,
+            pause: None,
+            pause_for: Work::pause_for(),
+            pause_site: None,
+            clocks: Vec::new(),
+            doubles: Vec::new(),
+            ignores_lease: Vec::new(),
+            forgets: Vec::new(),
+            effects_forget: false,
+        }
+    }
+}
+
 impl Work {
     fn room() -> usize {
         4
@@ -113,7 +140,7 @@
 }
 
 /// Jobs that are handed in alike.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Jobs {
     pub count: usize,
--- a/crates/lab/src/work/mod.rs
+++ b/crates/lab/src/work/mod.rs
@@ -3,8 +3,10 @@
 
 mod day;
 mod judge;
+mod measure;
 mod play;
 mod troubles;
 
 pub use day::WorkDay;
+pub use measure::measure;
 pub use play::play;
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -54,6 +54,8 @@
     relays: Vec<Vec<Rc<Streams>>>,
     landing: Vec<Rc<Streams>>,
     starts: RefCell<Vec<usize>>,
+    /// Bytes that crossed between stewards and the store, and between agents and stewards.
+    pub crossed: [Rc<Cell<u64>>; 2],
     /// Processes that stand still by a trouble and are to be continued at the end of it.
     pub handed_in: Cell<usize>,
 }
@@ -69,13 +71,7 @@
         fleet.start_site(n).await?;
     }
     let tending = spawn_local(fleet.clone().tend());
-    let began = std::time::Instant::now();
-    while !fleet.is_there() {
-        if began.elapsed() > PATIENCE {
-            return Err(Fault::Failed("the fleet did not get there, see its logs".to_owned()));
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
+    fleet.gets_there().await?;
     let began = fleet.store.now();
     let handing = spawn_local(fleet.clone().hand_in());
     let last = fleet.clone().troubles(began).await?;
@@ -104,7 +100,7 @@
 }
 
 impl Fleet {
-    async fn open(day: WorkDay, dir: &Path) -> Result<Rc<Fleet>, Fault> {
+    pub async fn open(day: WorkDay, dir: &Path) -> Result<Rc<Fleet>, Fault> {
         std::fs::write(
             dir.join("servers.yaml"),
             "servers:\n  - {id: a, zone: z, address: \"127.0.0.1:9\"}\n",
@@ -116,17 +112,26 @@
         let store_at = Rc::new(Cell::new(Some(store.listen().await?)));
         let effects_at = Rc::new(Cell::new(Some(effects.listen().await?)));
         let targets: Vec<_> = (0..day.work.stewards).map(|_| Rc::new(Cell::new(None))).collect();
+        let crossed: [Rc<Cell<u64>>; 2] = Default::default();
+        let counts = |of: usize| {
+            let count = crossed[of].clone();
+            Rc::new(move |_, seen: crate::ways::Seen| {
+                if let crate::ways::Seen::Piece { bytes, .. } = seen {
+                    count.set(count.get() + bytes.len() as u64);
+                }
+            })
+        };
         let (mut pipes, mut relays, mut landing) = (Vec::new(), Vec::new(), Vec::new());
         for n in 0..day.work.stewards {
             let ends = (End::Steward(n), End::Store);
-            let watch = Rc::new(|_, _: crate::ways::Seen| ());
+            let watch = counts(0);
             pipes.push(Streams::listen(&ways, ends, store_at.clone(), BytesCodec::new, watch).await?);
         }
         for m in 0..day.work.sites {
             let mut own = Vec::new();
             for (n, target) in targets.iter().enumerate() {
                 let ends = (End::Agent(m), End::Steward(n));
-                let watch = Rc::new(|_, _: crate::ways::Seen| ());
+                let watch = counts(1);
                 own.push(Streams::listen(&ways, ends, target.clone(), || codec(MOST_DOWN), watch).await?);
             }
             relays.push(own);
@@ -139,6 +144,7 @@
         Ok(Rc::new(Fleet {
             stewards: RefCell::new((0..day.work.stewards).map(|_| None).collect()),
             sites: RefCell::new((0..day.work.sites).map(|_| None).collect()),
+            crossed,
             starts: RefCell::new(vec![0; day.work.stewards]),
             befell: RefCell::default(),
             chance: RefCell::new(fastrand::Rng::with_seed(day.seed)),
@@ -293,8 +299,20 @@
         crate::processes::send(id, "CONT").await;
     }
 
+    /// Waits until all are members, there is an owner, and all sites are at the store.
+    pub async fn gets_there(&self) -> Result<(), Fault> {
+        let began = std::time::Instant::now();
+        while !self.is_there() {
+            if began.elapsed() > PATIENCE {
+                return Err(Fault::Failed("the fleet did not get there, see its logs".to_owned()));
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
     /// All are members, there is an owner, and all sites are at the store.
-    fn is_there(&self) -> bool {
+    pub fn is_there(&self) -> bool {
         let changes = self.store.changes();
         let count = |kind: &str| {
             let mut there = std::collections::BTreeSet::new();
@@ -313,7 +331,7 @@
     }
 
     /// Hands all jobs in, each in its time.
-    async fn hand_in(self: Rc<Fleet>) {
+    pub async fn hand_in(self: Rc<Fleet>) {
         let began = self.store.now();
         let mut all: Vec<(Time, String, String)> = Vec::new();
         for (k, jobs) in self.day.work.jobs.iter().enumerate() {
@@ -355,7 +373,7 @@
         used
     }
 
-    fn all_over(&self) -> bool {
+    pub fn all_over(&self) -> bool {
         let prefix = format!("{PREFIX}outcome/");
         let changes = self.store.changes();
         let over: std::collections::BTreeSet<&str> = changes
--- a/crates/lab/src/work/troubles.rs
+++ b/crates/lab/src/work/troubles.rs
@@ -33,8 +33,19 @@
 impl Fleet {
     /// Plays all troubles, each in its time; returns when the last is over.
     pub async fn troubles(self: Rc<Fleet>, began: Time) -> Result<Time, Fault> {
+        let troubles = self.day.troubles.clone();
+        self.play_all(began, &troubles).await
+    }
+
+    /// Plays these from now on.
+    pub async fn troubles_of(self: Rc<Fleet>, troubles: Vec<Trouble>) -> Result<Time, Fault> {
+        let now = self.store.now();
+        self.play_all(now, &troubles).await
+    }
+
+    async fn play_all(self: Rc<Fleet>, began: Time, troubles: &[Trouble]) -> Result<Time, Fault> {
         let mut all: Vec<Trouble> = Vec::new();
-        for trouble in &self.day.troubles {
+        for trouble in troubles {
             match &trouble.what {
                 What::Storm { faults, lasts } => all.extend(self.storm(trouble.at.0, *faults, lasts.0)),
                 _ => all.push(trouble.clone()),
--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -241,7 +241,13 @@
         return Err(Fault::Input(format!("{}: --watch: expected settings with a fleet", file.display())));
     }
     let share = shared_of(&cfg, file)?;
-    let said = ask(&share, async |store, keys| shared::snapshot(store, keys, 0).await)?;
+    let said = ask(&share, async |store, keys| {
+        shared::with_duties(store, keys, shared::snapshot(store, keys, 0).await?).await
+    })?;
+    let name = |life: u64| {
+        let member = said.members.iter().find(|(member, _)| *member == life);
+        member.map_or("gone", |(_, member)| &member.name)
+    };
     let slices = cfg.map.number("family_info.ranges").unwrap_or(0.0) as usize;
     let count = |life: u64| said.charges.iter().filter(|(_, steward, _)| *steward == life).count();
     let there = |life: u64| said.members.iter().any(|(member, _)| *member == life);
@@ -259,8 +265,17 @@
             })
             .collect();
         let cluster = format!("{:x}", said.cluster);
+        let duties: Vec<_> = said
+            .duties
+            .iter()
+            .map(|(duty, life, term)| {
+                let life_shown = format!("{life:016x}");
+                serde_json::json!({ "duty": duty, "owner": name(*life), "life": life_shown, "term": term })
+            })
+            .collect();
         say(serde_json::json!({
             "cluster": cluster, "revision": said.revision, "members": all, "in_charge_of_nobody": orphans,
+            "duties": duties, "sites": said.sites,
         }));
         return Ok(());
     }
@@ -274,6 +289,9 @@
         let (name, address) = (&member.name, &member.address);
         say(format_args!("{life:016x}  {name:<20}  {address:<21}  {:>6}  {state}", count(*life)));
     }
+    for (duty, life, term) in &said.duties {
+        say(format_args!("duty {duty}: {} ({life:016x}), term {term}; {} sites", name(*life), said.sites));
+    }
     say(format_args!(
         "in charge of nobody: {orphans} of {slices} slices; cluster {:x}, revision {}",
         said.cluster, said.revision
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -1,5 +1,6 @@
 //! One loop that hands the host what sockets, record, list and store bring, and carries out what it says.
 
+use ravenspar_duty::Pace;
 use ravenspar_host::Output;
 use ravenspar_notes::kind;
 use ravenspar_record::SliceRow;
@@ -59,7 +60,15 @@
 
     async fn steps(&mut self) -> Result<End, Fault> {
         loop {
-            let wake = tokio::time::Instant::from_std(self.clock.instant(self.wake(self.clock.now())));
+            let now = self.clock.now();
+            let mut wake = self.wake(now);
+            if self.shared.is_some() && self.door.fleet.is_some() {
+                if !self.pace.is_asked() {
+                    self.pace.asks(now);
+                }
+                wake = wake.min(now + Pace::TICK);
+            }
+            let wake = tokio::time::Instant::from_std(self.clock.instant(wake));
             let mut event = None;
             tokio::select! {
                 _ = self.door.terminate.recv() => if self.stop() { return Ok(End::Stopped) },
@@ -82,6 +91,7 @@
                 () = self.recorder.changed() => {}
                 () = tokio::time::sleep_until(wake) => {}
             }
+            self.pace.runs(self.clock.now());
             if let Some(why) = event.and_then(|event| self.event(event)) {
                 return Ok(End::Over(why));
             }
--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -119,6 +119,8 @@
     hints: mpsc::Sender<(u8, u64)>,
     /// Hints sent, taken in, and dropped as the core was behind.
     hinted: [u64; 3],
+    /// Others that were not given a hint, as they are past the bound.
+    unhinted: u64,
     /// Datagrams that the system did not take.
     unsent: u64,
     status_at: Time,
@@ -152,6 +154,7 @@
         shown,
         hints: to_core,
         hinted: [0; 3],
+        unhinted: 0,
         unsent: 0,
         status_at: now + STATUS,
         told: Figures::default(),
@@ -222,6 +225,7 @@
     /// To all others in the view, each once.
     fn hint(&mut self, kind: u8, number: u64) {
         let datagram = self.outbox.note(kind, number);
+        self.unhinted += self.view.addresses().count().saturating_sub(HINTED) as u64;
         for to in self.view.addresses().take(HINTED) {
             self.hinted[0] += 1;
             self.unsent += u64::from(self.socket.try_send_to(&datagram, to).is_err());
@@ -289,6 +293,7 @@
             news = figures.news,
             news_dropped = figures.news_dropped,
             hints = ?self.hinted,
+            unhinted = self.unhinted,
             comparisons = figures.comparisons,
             lives = figures.lives,
             stalls = figures.stalls,
--- a/crates/ravenspar/src/shared/mod.rs
+++ b/crates/ravenspar/src/shared/mod.rs
@@ -6,4 +6,4 @@
 
 pub use life::{Event, From, Joining, Life, EARLY};
 pub use rows::{read_life, write_life, Keys, Member};
-pub use store::{backward, record, snapshot, Snapshot};
+pub use store::{backward, record, snapshot, with_duties, Snapshot};
--- a/crates/ravenspar/src/shared/store.rs
+++ b/crates/ravenspar/src/shared/store.rs
@@ -17,6 +17,10 @@
     pub members: Vec<(Life, Member)>,
     /// Slice, steward, term; those that changed since the revision asked for.
     pub charges: Vec<(usize, Life, u64)>,
+    /// Duties with the lives of their owners, and under which terms.
+    pub duties: Vec<(String, Life, u64)>,
+    /// Lives of sites at the store.
+    pub sites: usize,
     /// Keys that can't be read.
     pub unread: Vec<String>,
 }
@@ -138,3 +142,12 @@
             found.0, found.1
         ))
 }
+
+/// Adds who has which duty, and how many sites there are, for whoever is to be shown it.
+pub async fn with_duties(store: &dyn Store, keys: &Keys, mut said: Snapshot) -> Result<Snapshot, Fault> {
+    let read = store.read(vec![under(keys.duties(), 0), under(keys.sites(), 0)]).await?;
+    let duty = |row: &Row| Some((Keys::last(&row.key)?.to_owned(), read_life(&row.value)?, row.modified));
+    said.duties = read.ranges.first().into_iter().flatten().filter_map(duty).collect();
+    said.sites = read.ranges.get(1).map_or(0, Vec::len);
+    Ok(said)
+}
--- a/crates/ravenspar/src/sharing.rs
+++ b/crates/ravenspar/src/sharing.rs
@@ -120,14 +120,15 @@
         }
     }
 
-    /// Says in the store whether this steward rests: it reaches so few of the forwarders that others reach that its slices
-    /// are better off with them.
+    /// Says in the store whether this steward rests: it reaches so few of the forwarders that others reach, or crawls, that
+    /// its slices are better off with them.
     pub fn be_of_use(&mut self, own: u32, others: Option<&[u32]>) {
         let now = self.clock.now();
+        let slow = self.pace.runs(now);
         let Some(shared) = self.shared.as_mut() else { return };
-        let resting = shared.useful.look(now, own, others);
+        let resting = shared.useful.look(now, own, others) || slow;
         if resting != std::mem::replace(&mut shared.resting, resting) {
-            tracing::warn!(resting, own, ?others, "forwarders reached here and by the others");
+            tracing::warn!(resting, own, ?others, slow, "forwarders reached here and by the others");
             shared.life.say_resting(resting);
         }
     }
--- a/crates/ravenspar/src/state.rs
+++ b/crates/ravenspar/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use ravenspar_duty::Pace;
 use ravenspar_host::{Charged, Host};
 use ravenspar_net::Clock;
 use ravenspar_sharing::useful::Useful;
@@ -53,6 +54,8 @@
     pub members: Vec<(String, u64)>,
     /// When the others are told next which forwarders are joined.
     pub reach_at: Time,
+    /// Whether this process crawls; looked at where there is a view that others are seen by.
+    pub pace: Pace,
 }
 
 impl<'a> Core<'a> {
@@ -73,6 +76,7 @@
             ran: Ran::default(),
             members: Vec::new(),
             reach_at: Time::MIN,
+            pace: Pace::default(),
         }
     }
 }
