--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -265,6 +265,16 @@
         #[serde(default = "one")]
         stewards: usize,
     },
+    /// Stewards run for `on` and stand still for `off`, again and again.
+    CrawlSteward {
+        on: Span,
+        off: Span,
+        lasts: Span,
+        #[serde(default)]
+        which: Vec<usize>,
+        #[serde(default = "one")]
+        stewards: usize,
+    },
     /// All stewards, one after the other, end in order and are started again.
     RollStewards { every: Span },
     /// Until the end stewards are killed, stopped, cut off from the store or from forwarders, and revived, at random.
--- a/crates/lab/src/troubles.rs
+++ b/crates/lab/src/troubles.rs
@@ -181,6 +181,20 @@
                 fleet.signal_steward(number, "CONT", "continued").await;
             }
         }
+        What::CrawlSteward { on, off, lasts, which, stewards } => {
+            let numbers = draw_stewards(fleet, which, *stewards);
+            let until = fleet.capture.now() + lasts.0;
+            while fleet.capture.now() < until {
+                for &number in &numbers {
+                    fleet.signal_steward(number, "STOP", "stopped").await;
+                }
+                wait(*off).await;
+                for &number in &numbers {
+                    fleet.signal_steward(number, "CONT", "continued").await;
+                }
+                wait(*on).await;
+            }
+        }
         What::RollStewards { every } => {
             for number in 0..fleet.stewards.len() {
                 let code = fleet.end_steward(number).await;
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -55,6 +55,19 @@
     keeps_the_rules("cut-from-forwarders");
 }
 
+/// A steward that stands still most of the time and keeps its membership gives its slices away: by its own log, as nothing
+/// on the sockets says why slices move.
+#[test]
+fn crawling_steward() {
+    let _one = ONE.lock();
+    let dir = tempfile::tempdir().expect("a folder");
+    let kept = dir.path().join("kept");
+    let output = lab(&["day", "examples/days/crawling-steward.yaml", "--keep", kept.to_str().expect("a path")]);
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stdout));
+    let log = std::fs::read_to_string(kept.join("steward-1.log")).expect("a log");
+    assert!(log.contains("\"resting\":true") && log.contains("gave slices"), "it rests and gives");
+}
+
 /// What the judge looks for there is there to be found: late lines at forwarders that ignore terms.
 #[test]
 fn stale_steward_is_judged_to_break_the_rules() {
