--- a/crates/lab/src/fleet/judge.rs
+++ b/crates/lab/src/fleet/judge.rs
@@ -51,6 +51,12 @@
         Verdict { rules: vec![("V1 settles", "at the start".to_owned(), breaks)] }
     }
 
+    /// Names of the rules that are broken.
+    #[cfg(test)]
+    pub fn broken(&self) -> Vec<&'static str> {
+        self.rules.iter().filter(|(_, _, breaks)| !breaks.is_empty()).map(|(rule, ..)| *rule).collect()
+    }
+
     pub fn kept(&self) -> bool {
         self.rules.iter().all(|(_, _, breaks)| breaks.is_empty())
     }
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -184,7 +184,7 @@
     /// J6: a user's jobs may wait this long; not looked at where it is none.
     #[serde(default)]
     pub wait_most: Span,
-    /// J6: these users get the same share of what all used, give or take a part in so many.
+    /// J6: while all of these had jobs that waited, each was given its weight's part, give or take this part of it.
     #[serde(default)]
     pub even: Vec<String>,
     #[serde(default)]
--- a/crates/lab/src/work/measure.rs
+++ b/crates/lab/src/work/measure.rs
@@ -205,9 +205,63 @@
             (after.1 - before.1) / each * 100.0
         ));
     }
+    say("\n| stewards | jobs at the store | claim to first line, the first owner, s | the next, its owner killed, s |\n| ---: | ---: | ---: | ---: |");
+    for jobs in [10_000, 100_000] {
+        let [first, next] = many(3, jobs).await?;
+        say(format_args!("| 3 | {jobs} | {first:.2} | {next:.2} |"));
+    }
     Ok(())
 }
 
+/// With so many jobs at the store: from the first steward's claim to its first line, and from the next one's, its owner
+/// killed. In seconds.
+async fn many(stewards: usize, jobs: usize) -> Result<[f64; 2], Fault> {
+    let dir = tempfile::tempdir()?;
+    let fleet = Fleet::open(day(stewards, SITES, ROOM, Vec::new(), Vec::new()), dir.path()).await?;
+    let spec = r#"{"user":"lender","steps":600,"step_ms":1000}"#;
+    (0..jobs).for_each(|n| fleet.store.put_key(&format!("{PREFIX}job/job-{n:06}"), spec));
+    for m in 0..SITES {
+        fleet.start_site(m).await?;
+    }
+    let mut took = [0.0; 2];
+    let mut known = fleet.store.revision();
+    for n in 0..stewards {
+        fleet.start_steward(n).await?;
+    }
+    for (round, took) in took.iter_mut().enumerate() {
+        if round > 0 {
+            // All sites are full by now: a lost one makes room for lines.
+            let owner = fleet.owner().ok_or_else(|| Fault::Failed("there is no owner".to_owned()))?;
+            let who = vec![format!("steward-{owner}"), "site-0".to_owned()];
+            known = fleet.store.revision();
+            let what = What::Kill { who, back: None };
+            fleet.clone().troubles_of(vec![Trouble { at: Span(0), what }]).await?;
+        }
+        *took = claim_to_line(&fleet, &mut known).await?;
+        sleep(Duration::from_secs(8)).await;
+    }
+    Ok(took)
+}
+
+/// From the next claim of the duty of jobs to the first line after it.
+async fn claim_to_line(fleet: &Fleet, known: &mut i64) -> Result<f64, Fault> {
+    let (key, lines) = (format!("{PREFIX}duty/jobs"), format!("{PREFIX}line/"));
+    let (until, mut claimed) = (Instant::now() + Duration::from_secs(60), None);
+    while Instant::now() < until {
+        for change in fleet.store.changes_after(*known) {
+            *known = change.revision;
+            if change.key == key && change.value.is_some() {
+                claimed = Some(change.at);
+            }
+            if let Some(claimed) = claimed.filter(|_| change.key.starts_with(&lines)) {
+                return Ok((change.at - claimed) as f64 / SECOND as f64);
+            }
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Err(Fault::Failed("no line was written".to_owned()))
+}
+
 /// Compared writes a second, one after the other, by one hand.
 async fn floor(fleet: &Fleet) -> Result<f64, Fault> {
     const WRITES: u32 = 500;
--- a/crates/lab/tests/work_days.rs
+++ b/crates/lab/tests/work_days.rs
@@ -156,6 +156,11 @@
     keeps_the_rules("debt-flood");
 }
 
+#[test]
+fn users_with_weights() {
+    keeps_the_rules("debt-shares");
+}
+
 /// What the guide asks of whoever takes effects is needed: without it the same faults make steps land twice.
 #[test]
 fn a_taker_without_a_memory_is_none() {
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -188,6 +188,8 @@
     /// This steward's term as owner of the duty of jobs.
     owner: Option<(Tenure, Giver)>,
     books: Books,
+    /// When the ranking that is gone by was first seen.
+    ranked_at: Time,
     /// Its term as owner of the duty of debts, and when the next epoch begins.
     folder: Option<(Tenure, Time)>,
     /// What agents have said that was used and is not at the store yet, with who said so last.
@@ -254,6 +256,7 @@
             desk: Desk::default(),
             owner: None,
             books: Books::new(with.debts.as_ref().map(|debts| debts.shares.clone()).unwrap_or_default()),
+            ranked_at: now,
             folder: None,
             heard: Facts::new(HEARD),
             said_by: BTreeMap::new(),
@@ -592,6 +595,7 @@
 
     /// Another ranking is in use.
     fn rank(&mut self) {
+        self.ranked_at = self.with.clock.now();
         let ledger = self.books.ledger();
         let digest = format!("{:032x}", u128::from_be_bytes(ledger.digest()));
         tracing::debug!(epoch = ledger.epoch, users = ledger.users(), digest, "ranked");
@@ -775,6 +779,7 @@
             changes = self.duties.changes,
             poor = self.reach.poor,
             epoch = self.books.epoch(),
+            ranking_age_s = (now - self.ranked_at) / SECOND,
             users = self.books.ledger().users(),
             uses = ?self.books.open(),
             heard = self.heard.len(),
--- a/crates/standin/src/store/mvcc.rs
+++ b/crates/standin/src/store/mvcc.rs
@@ -166,13 +166,19 @@
 
     /// All changes that are kept, in order: when, at which revision, which key, what it is since (none: it is gone).
     pub fn changes(&self) -> Vec<Change> {
+        self.changes_after(0)
+    }
+
+    /// Those after a revision.
+    pub fn changes_after(&self, revision: i64) -> Vec<Change> {
         let change = |done: &Done| Change {
             at: done.at,
             revision: done.revision,
             key: String::from_utf8_lossy(&done.key).into_owned(),
             value: done.after.as_ref().map(|kv| String::from_utf8_lossy(&kv.value).into_owned()),
         };
-        self.log.iter().map(change).collect()
+        let from = self.log.partition_point(|done| done.revision <= revision);
+        self.log.range(from..).map(change).collect()
     }
 
     /// What happened to keys in a range from a revision on, in order; none where that has been compacted.
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -104,6 +104,14 @@
         self.lock().mvcc.changes()
     }
 
+    pub fn changes_after(&self, revision: i64) -> Vec<super::Change> {
+        self.lock().mvcc.changes_after(revision)
+    }
+
+    pub fn revision(&self) -> i64 {
+        self.lock().mvcc.header().revision
+    }
+
     pub fn now(&self) -> crate::Time {
         self.clock.now()
     }
