A level at which nothing is tried doubles a tick, as that of an idle server

Cause: levels() took a server of which nothing was heard for 0.8 strained. At such a level shares round down to nothing let in, so nothing is tried, nothing heard, and it rises by a quarter each two seconds: twenty seconds to a whole.

Ruled out: slices without owner after 26 s (none 0), writes that settle (123 of 627, gone at 31 s), suspects (1), jams (2).

Change: one at which nothing was tried for a whole span is idle, so its level doubles: four ticks to a whole.

The test fails without the change (ten ticks do not do).

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -576,7 +576,8 @@
             let (tried, good) = self.bes[be].met(now, span);
             let level = self.bes[be].level;
             // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
-            let level = match strain.unwrap_or(0.8) {
+            // One at which nothing was tried for a whole span is idle: it is its level alone that keeps reqs away.
+            let level = match strain.unwrap_or(0.0) {
                 strain if strain > 1.0 => ((1.0 / strain).max(0.8) * good * a_second
                     / self.bes[be].load.max(1e-6))
                 .min(0.95 * level),
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -470,6 +470,23 @@
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain > 2.0));
 }
 
+/// What a trouble left behind ends soon after it: a level at which nothing is let in, so that nothing is heard of its server.
+#[test]
+fn a_level_that_keeps_everything_away_is_back_within_four_ticks() {
+    let mut steward = steward(1, 1, 1);
+    steward.bes[0].level = 0.1;
+    let ticks = (1..=10).find(|tick| {
+        steward.levels(tick * Steward::TICK, true);
+        steward.bes[0].level >= 1.0
+    });
+    assert_eq!(ticks, Some(4));
+    // One that is heard of and half busy has no more than it bears.
+    steward.bes[0].level = 0.1;
+    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(0.68));
+    steward.levels(SECOND, true);
+    assert!((steward.bes[0].level - 0.125).abs() < 1e-9, "{}", steward.bes[0].level);
+}
+
 #[test]
 fn a_level_lets_in_the_dearest_credit_first() {
     let mut steward = steward(1, 1, 1);
@@ -499,7 +516,7 @@
     assert_eq!(level(1.0, 1), 2, "a cold server is spared at once");
     let mut steward = steward(1, 1, 1);
     steward.heat(2 * SECOND, 0, 0, 10.0, SECOND);
-    steward.bes[0].level = 0.5;
+    steward.bes[0].level = 0.25;
     steward.leveled = SECOND;
     assert_eq!(orders(&mut steward, 3 * SECOND).len(), 2, "a tick later");
 }
