--- a/crates/ravenspar/src/work/hands.rs
+++ b/crates/ravenspar/src/work/hands.rs
@@ -226,8 +226,8 @@
             match self.uses(some).await {
                 Ok(counted) => told.push(Told::Counted(counted)),
                 Err(Stop::Over(why)) => told.push(Told::Over(why)),
-                // Somebody else has written one of them: agents say it again.
-                Err(Stop::Not) => {}
+                // Somebody else has written one of them, or the store does not answer: they are tried again.
+                Err(Stop::Not) => told.push(Told::Counted(Vec::new())),
             }
         }
         match self.settle(&settles).await {
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -196,6 +196,10 @@
     heard: Facts,
     said_by: BTreeMap<Key, u64>,
     uses_at: Time,
+    /// Some are on their way to the store.
+    uses_busy: bool,
+    /// How often all uses were asked for.
+    uses_asked: u64,
     streams: BTreeMap<u64, Stream>,
     next_stream: u64,
     inputs: mpsc::Sender<Input>,
@@ -261,6 +265,8 @@
             heard: Facts::new(HEARD),
             said_by: BTreeMap::new(),
             uses_at: now,
+            uses_busy: false,
+            uses_asked: 0,
             streams: BTreeMap::new(),
             next_stream: 0,
             inputs,
@@ -566,8 +572,10 @@
 
     /// All uses are to be read anew, if they are wanted.
     fn uses_anew(&mut self) {
-        let wants = self.folder.is_some();
-        self.wanted.send_modify(|wanted| wanted.uses = if wants { wanted.uses + 1 } else { 0 });
+        // A number that was asked for before would be no news to whoever looks there.
+        self.uses_asked += 1;
+        let asked = if self.folder.is_some() { self.uses_asked } else { 0 };
+        self.wanted.send_modify(|wanted| wanted.uses = asked);
     }
 
     /// What the duty of debts has published, and what its owner folds.
@@ -660,7 +668,7 @@
     /// Hands what was heard to the store, some at a time.
     fn write_uses(&mut self) {
         let now = self.with.clock.now();
-        if self.heard.is_empty() || now < self.uses_at {
+        if self.heard.is_empty() || self.uses_busy || now < self.uses_at {
             return;
         }
         self.uses_at = now + USES;
@@ -672,11 +680,12 @@
         });
         let heard = heard.collect();
         // Where the store does not take them, they stay here, and agents say them again as well.
-        let _ = self.agents.try_send(Ask::Uses(heard));
+        self.uses_busy = self.agents.try_send(Ask::Uses(heard)).is_ok();
     }
 
     /// These are at the store: they are not lost with this steward any more.
     fn counted(&mut self, counted: &[(Key, u64)]) {
+        self.uses_busy = false;
         let mut by: BTreeMap<u64, Vec<(Key, u64)>> = BTreeMap::new();
         for (key, used) in counted {
             if self.heard.get(key).is_some_and(|fact| fact.used <= *used) {
