--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -20,6 +20,12 @@
     }
 }
 
+/// Whether a file has this entry, which says what kind of day it is.
+pub fn has(path: &Path, entry: &str) -> bool {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    serde_saphyr::from_str::<serde_json::Value>(&text).is_ok_and(|day| day.get(entry).is_some())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Day {
--- a/crates/lab/src/fleet/day.rs
+++ b/crates/lab/src/fleet/day.rs
@@ -163,12 +163,7 @@
 impl FleetDay {
     /// Whether a file is a day of this kind.
     pub fn is_one(path: &Path) -> bool {
-        #[derive(Deserialize)]
-        struct Some {
-            fleet: Option<serde_json::Value>,
-        }
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        serde_saphyr::from_str::<Some>(&text).is_ok_and(|some| some.fleet.is_some())
+        crate::day::has(path, "fleet")
     }
 
     /// Fails with what was expected and where.
--- a/crates/lab/src/work/day.rs
+++ b/crates/lab/src/work/day.rs
@@ -274,12 +274,7 @@
 impl WorkDay {
     /// Whether a file is a day of this kind.
     pub fn is_one(path: &Path) -> bool {
-        #[derive(Deserialize)]
-        struct Some {
-            work: Option<serde_json::Value>,
-        }
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        serde_saphyr::from_str::<Some>(&text).is_ok_and(|some| some.work.is_some())
+        crate::day::has(path, "work")
     }
 
     /// Fails with what was expected and where.
