Agents leave a steward that is gone by another stream; a flag and a comment that were wrong

Change: a stream that is there takes the renewals over. In review: a registration's flag was set whatever came of it, a doc comment named a parameter that is not there.

--- a/crates/duty/src/warrant.rs
+++ b/crates/duty/src/warrant.rs
@@ -24,8 +24,8 @@
     }
 
     /// What lets one effect leave, if the membership holds. `until`: when the membership is over as the steward itself
-    /// reckons it, [`ravenspar_sharing::membership::Membership::until`]. `began`: when the work was begun that the effect
-    /// comes from; what was begun before the membership was last in doubt is not sent after it, see [`Warrant::leaves`].
+    /// reckons it, [`ravenspar_sharing::membership::Membership::until`]. A renewal that comes later
+    /// prolongs no warrant that was made before it, see [`Warrant::leaves`].
     pub fn warrant(&self, now: Time, until: Time) -> Option<Warrant> {
         (now < until).then_some(Warrant { duty: self.duty, term: self.term, until })
     }
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -169,14 +169,10 @@
         self.agents.insert(stream, Agent { hello, registered: false, renewals: 0, heard: now });
     }
 
-    /// What came of a registration.
-    pub fn registered(&mut self, stream: u64, life: Life, done: bool) {
-        let Some(agent) = self.agents.get_mut(&stream).filter(|agent| agent.hello.life == life) else {
-            return;
-        };
-        agent.registered = done;
-        if !done {
-            // Another steward may have been quicker, or the life is over: the next renewal tells.
+    /// A registration was tried. Where it was not carried out, another steward may have been quicker, or the life is over:
+    /// the next renewal tells.
+    pub fn registered(&mut self, stream: u64, life: Life) {
+        if let Some(agent) = self.agents.get_mut(&stream).filter(|agent| agent.hello.life == life) {
             agent.registered = true;
         }
     }
@@ -354,7 +350,7 @@
         desk.term(3);
         desk.hello(0, 1, hello(9), vec![8]);
         assert!(matches!(&acts(&mut desk)[..], [Act::End { .. }, Act::Register { .. }]));
-        desk.registered(1, 9, true);
+        desk.registered(1, 9);
         desk.line("a", leased(9), 70);
         let give = Act::Give { stream: 1, term: 3, life: 9, job: "a".into(), token: 70 };
         assert_eq!(acts(&mut desk), std::slice::from_ref(&give));
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -63,7 +63,6 @@
     Registered {
         stream: u64,
         life: Life,
-        done: bool,
     },
     Renewed {
         stream: u64,
@@ -420,7 +419,7 @@
             Told::Folded { fold, revision } => self.folded(now, fold, revision),
             Told::Counted(counted) => self.counted(&counted),
             Told::Reached => self.reach_busy = false,
-            Told::Registered { stream, life, done } => self.desk.registered(stream, life, done),
+            Told::Registered { stream, life } => self.desk.registered(stream, life),
             Told::Renewed { stream, life, sent, held } => self.desk.renewed(stream, life, sent, held),
             Told::Line { job, line } => self.desk.read(&job, line),
             Told::Settled { job, done } => {
@@ -812,16 +811,16 @@
     steward: Life,
 ) -> Option<Told> {
     let Hello { life, boot, room, name } = site;
-    let made = store.grant(life, seconds).await;
+    // Refused where it is there already.
+    let _ = store.grant(life, seconds).await;
     // Its own witness, bound to the site's life: nothing of a site is written by a steward's membership.
     let witness = keys.work_witness(life, &format!("{steward:016x}"));
     let row = rows::write(&rows::SiteRow { name, room, boot });
     let mut hand = Hand::new(store, life, witness);
     let key = keys.site(life);
     let put = vec![ravenspar_store::put(key.clone(), row, life)];
-    let written = hand.commit(vec![ravenspar_store::at(key, 0)], put).await;
-    let done = made.is_ok() || written.is_ok();
-    Some(Told::Registered { stream, life, done })
+    let _ = hand.commit(vec![ravenspar_store::at(key, 0)], put).await;
+    Some(Told::Registered { stream, life })
 }
 
 /// Ends lives of sites that are over by their own word.
--- a/crates/standin/src/agent/streams.rs
+++ b/crates/standin/src/agent/streams.rs
@@ -92,10 +92,9 @@
         said.push(site.finish());
         *kept_at = 0;
     }
-    // A steward that has not answered for two fifths of a lease is left for the next.
-    if number == core.current && now > core.heard + core.options.lease * 2 / 5 {
-        core.current = (core.current + 1) % core.options.stewards.len();
-        core.heard = now;
+    // A steward that has not answered for two fifths of a lease is left for one whose stream is there: its own may be gone.
+    if number != core.current && now > core.heard + core.options.lease * 2 / 5 {
+        (core.current, core.heard, *kept_at) = (number, now, 0);
     }
     if number != core.current {
         if core.options.doubles {
