Classes and zones go by their names in the settings, not by those of the plain map

Cause: settings.rs `plain` makes a space or comma within a value `_`, as the simulator's plain text has it. The session took names of classes and zones from that map (session.rs, `flat.kinds()`, `azs`), but reports and orders bear them as the JSON has them. A level that closes a class's writes was refused, so writes stayed open while the slice settled: a writer twice. Two names that differ only in such a character were one, a class silently taken for another.

Change: names are read from the JSON, told apart, 32 classes at most; a setting that the decisions would misread (another type, a negative number, a list of flags of another length than the classes) ends the start with its name.

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -3,14 +3,14 @@
 //! Decisions are pulled only while every earlier order is surely carried out and what stands is known. So whatever the
 //! decisions take for proof (an answer, a joining, a lease run out) is looked at with all their orders in the store.
 
-use ravenspar_steward::{IdTable, Order, Scope, Settings, Steward, Time};
+use ravenspar_steward::{Order, Scope, Settings, Steward, Time};
 use serde_json::{json, Value};
 
 use crate::calls::{slice_of, Calls, Settled};
 use crate::fields::{self, Fault};
 use crate::news::{Row, Standing};
 use crate::servers::Servers;
-use crate::settings::flatten;
+use crate::settings::{flatten, names, Names};
 
 /// A slice as the store has it, as far as known.
 #[derive(Clone, Debug, Default)]
@@ -49,8 +49,7 @@
 pub struct Session {
     steward: Steward,
     servers: Servers,
-    kinds: IdTable<String>,
-    zones: Vec<String>,
+    names: Names,
     proxies: Vec<bool>,
     slices: Vec<Charge>,
     lease: Time,
@@ -67,14 +66,14 @@
 impl Session {
     /// Fails with what was expected of the settings or the known list.
     pub fn new(now: Time, seed: u64, settings: &Value, known: &Value) -> Result<Session, String> {
+        let names = names(settings)?;
         let flat: Settings = flatten(settings);
-        let (kinds, slices) = (flat.kinds(), flat.slices());
+        let slices = flat.slices();
         let proxies = flat.number("family_info.proxy_count").filter(|count| (0.0..=65_536.0).contains(count));
         let proxies = proxies.ok_or("settings.family_info.proxy_count: expected a whole number to 65536")?;
         if slices > 65_535 {
             return Err("settings.family_info.ranges: expected a whole number below 65536".to_owned());
         }
-        let zones = flat.text("azs").unwrap_or("").split(',').map(str::to_owned).collect();
         let lease = flat.time("family_info.write_lease_s").unwrap_or(0);
         let mut steward = Steward::new(now, seed, flat)
             .map_err(|name| format!("settings.{name}: expected a number, and there is none"))?;
@@ -85,8 +84,7 @@
         Ok(Session {
             steward,
             servers,
-            kinds,
-            zones,
+            names,
             proxies: vec![false; proxies as usize],
             slices: vec![Charge::default(); slices],
             lease,
@@ -101,7 +99,7 @@
 
     /// The zones that have a collector.
     pub fn zones(&self) -> &[String] {
-        &self.zones
+        &self.names.zones
     }
 
     pub fn figures(&self) -> Figures {
@@ -126,7 +124,7 @@
         match fields::text(report, "msg")? {
             "LOAD" => {
                 let site = fields::text(report, "site")?;
-                if !self.zones.iter().any(|zone| zone == site) {
+                if !self.names.zones.iter().any(|zone| zone == site) {
                     return fields::fault("site", "a zone of the settings");
                 }
                 let target = self.servers.find(fields::text(report, "target")?);
@@ -141,7 +139,8 @@
             }
             "SHARD" => {
                 let slice = fields::whole(report, "range", self.slices.len())?;
-                let kind = self.kinds.find(&fields::text(report, "lane")?.to_owned());
+                let lane = fields::text(report, "lane")?;
+                let kind = self.names.classes.iter().position(|name| name == lane);
                 let kind = kind.ok_or(Fault { field: "lane", expected: "a request kind" })?;
                 // Those that failed may have come before this report's time.
                 fields::number(report, "fail")?;
@@ -412,8 +411,8 @@
             }
             Order::DropLines { slice } => json!({"verb": "clear", "cluster": slice}),
             Order::Level { slice, kinds, share } => {
-                let named = (0..32).filter(|k| kinds & (1 << k) != 0).filter_map(|k| self.kinds.id(k));
-                let routes: Vec<&String> = named.collect();
+                let named = self.names.classes.iter().enumerate().filter(|(k, _)| kinds & (1 << k) != 0);
+                let routes: Vec<&String> = named.map(|(_, name)| name).collect();
                 let mut level = json!({"verb": "admit", "admit": share, "policy": 0, "routes": routes});
                 if let Some(slice) = slice {
                     level["cluster"] = json!(slice);
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,4 +1,7 @@
 //! The platform hands the settings over as nested JSON; the decisions know them as a plain map of paths to values.
+//!
+//! Names of classes and zones are not read from the plain map, where two of them may be one: reports and orders bear
+//! them as the settings have them.
 
 use ravenspar_steward::Settings;
 use serde_json::Value;
@@ -32,30 +35,110 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn nested_settings_become_the_paths_of_the_simulators_first_message() {
-        let nested = serde_json::json!({
-            "family_info": {"ranges": 110, "mutating": [false, true], "write_lease_s": 4.0},
-            "classes": [{"name": "quote x"}, {"name": "commit", "aim_s": 3.0}],
-            "report": {"names": ["cpu_share"], "source": "answers"}, "empty": [], "absent": null,
-        });
-        let flat = flatten(&nested);
-        for (path, value) in [
-            ("family_info.ranges", "110"),
-            ("family_info.mutating", "false,true"),
-            ("family_info.write_lease_s", "4.0"),
-            ("classes.count", "2"),
-            ("classes.0.name", "quote_x"),
-            ("classes.1.aim_s", "3.0"),
-            ("report.names", "cpu_share"),
-            ("empty", ""),
-        ] {
-            assert_eq!(flat.text(path), Some(value), "{path}");
+/// Classes told apart, as many as the decisions hold. One past them could not be closed to writes.
+const MOST_CLASSES: usize = 32;
+
+/// Numbers that the decisions read. One that is absent or null has the default of `docs/guide/platform.md`; one of
+/// another type would have it too, unnoticed, and a limit that is none is a limit broken.
+const NUMBERS: [&str; 19] = [
+    "/balancers",
+    "/family_info/channel_rate",
+    "/family_info/conns_least",
+    "/family_info/cycle_s",
+    "/family_info/fixed_cost",
+    "/family_info/pending_max",
+    "/family_info/proxy_count",
+    "/family_info/pushes_allowed",
+    "/family_info/ranges",
+    "/family_info/settle_s",
+    "/family_info/update_window_s",
+    "/family_info/write_lease_s",
+    "/limits/idle_close_s",
+    "/safety/ask_within_s",
+    "/safety/cold_from",
+    "/safety/cold_s",
+    "/safety/drain_grace_s",
+    "/safety/fall_multiple",
+    "/safety/fall_s",
+];
+
+const FLAGS: [&str; 2] = ["/family_info/single_writer", "/safety/only_draining_binds"];
+
+/// What reports and orders name, in the settings' order.
+#[derive(Debug, PartialEq)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+fn fault<T>(path: &str, expected: &str) -> Result<T, String> {
+    Err(format!("settings.{}: expected {expected}", path.trim_start_matches('/').replace('/', ".")))
+}
+
+/// The items of a list, none where it is absent.
+fn list<'a>(settings: &'a Value, path: &str, expected: &str) -> Result<&'a [Value], String> {
+    match settings.pointer(path) {
+        None | Some(Value::Null) => Ok(&[]),
+        Some(Value::Array(items)) => Ok(items),
+        Some(_) => fault(path, expected),
+    }
+}
+
+fn distinct(path: &str, names: &[String]) -> Result<(), String> {
+    match names.iter().enumerate().find(|(n, name)| names[..*n].contains(name)) {
+        Some((n, name)) => {
+            fault(&format!("{path}/{n}"), &format!("another name than {name:?}, which is taken"))
+        }
+        None => Ok(()),
+    }
+}
+
+fn number_or_none(value: Option<&Value>) -> bool {
+    value.is_none_or(|value| value.is_null() || value.as_f64().is_some_and(|number| number >= 0.0))
+}
+
+/// Fails with the first setting that the decisions would misread, and what was expected of it.
+pub fn names(settings: &Value) -> Result<Names, String> {
+    if let Some(path) = NUMBERS.iter().find(|path| !number_or_none(settings.pointer(path))) {
+        return fault(path, "a number from 0 on");
+    }
+    let flag =
+        |path: &&&str| settings.pointer(path).is_none_or(|value| value.is_null() || value.is_boolean());
+    if let Some(path) = FLAGS.iter().find(|path| !flag(path)) {
+        return fault(path, "true or false");
+    }
+    let mut classes = Vec::new();
+    for (n, class) in list(settings, "/classes", "a list of objects")?.iter().enumerate() {
+        let Some(name) = class["name"].as_str().filter(|name| !name.is_empty()) else {
+            return fault(&format!("/classes/{n}/name"), "a text");
+        };
+        if let Some(field) = ["aim_s", "worth"].iter().find(|field| !number_or_none(class.get(field))) {
+            return fault(&format!("/classes/{n}/{field}"), "a number from 0 on");
         }
-        assert_eq!(flat.text("absent"), None);
+        classes.push(name.to_owned());
+    }
+    if classes.len() > MOST_CLASSES {
+        return fault("/classes", &format!("at most {MOST_CLASSES}, and there are {}", classes.len()));
+    }
+    distinct("/classes", &classes)?;
+    const MUTATING: &str = "/family_info/mutating";
+    let writes = list(settings, MUTATING, "a list of true and false")?;
+    if !writes.iter().all(Value::is_boolean) {
+        return fault(MUTATING, "a list of true and false");
     }
+    // Absent: no class writes. A list of another length gives some class another's flag.
+    if !writes.is_empty() && writes.len() != classes.len() {
+        return fault(
+            MUTATING,
+            &format!("{} of them, one a class, and there are {}", classes.len(), writes.len()),
+        );
+    }
+    let zones =
+        list(settings, "/azs", "a list of texts")?.iter().map(|zone| zone.as_str().map(str::to_owned));
+    let Some(zones) = zones.collect::<Option<Vec<String>>>() else { return fault("/azs", "a list of texts") };
+    distinct("/azs", &zones)?;
+    Ok(Names { classes, zones })
 }
+
+#[cfg(test)]
+mod tests;
