A task of `serve` that fails ends the life or the process, in place of leaving it deaf

Seen by reading, for each task that the core of `serve` rests on, what becomes of it at a panic: - the record's writer (recorder.rs `run`): no ticket ever becomes durable and no fault is set, so nothing goes out any more while streams are answered. Now its end, in whatever way, is a fault: the process ends, or the life does; - the looks at the store and the steps of a life (shared/life.rs): the steward goes on by what it knew last, or waits for a step that never ends, and renews its membership all the while. Now the life is over, and it joins anew from the store; - the source of the list (core.rs `Some(news) = ...`, serve.rs `list`): the branch of the select was passed over in silence, and no drain was ever seen again. Now the process ends with code 1. No source ends by itself while it is heard (list.rs, list_store.rs).

Work for the fleet had this already (work/mod.rs). The view's task is a hint's source alone; its end freezes what is shown, which is on the roadmap. Tests: each fault forced by a writer, a task or a source that fails; without the change the first waits without end, the second is told nothing, the third is no longer a value that can be missed.

--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -82,7 +82,7 @@
                         self.input(input);
                     }
                 }
-                Some(news) = self.door.list.recv() => self.news(news).await,
+                news = list::next(&mut self.door.list) => self.news(news?).await,
                 said = next(&mut self.shared) => event = Some(said),
                 heard = heard(&mut self.door.fleet) => match heard {
                     Heard::Shown => self.view_changed(),
--- a/crates/ravenspar/src/list.rs
+++ b/crates/ravenspar/src/list.rs
@@ -6,6 +6,7 @@
 use ravenspar_steward::{from_seconds, Health, Time};
 use tokio::sync::mpsc;
 
+use crate::door::Fault;
 use crate::yaml::{self, Faults, Node, Placed};
 
 /// What a source says.
@@ -19,6 +20,12 @@
     Failed(String),
 }
 
+/// What the source says next. Fails where it has ended, which none does while somebody hears it: a steward that went on
+/// would never see a drain again.
+pub async fn next(news: &mut mpsc::Receiver<News>) -> Result<News, Fault> {
+    news.recv().await.ok_or_else(|| Fault::Failed("the source of the server list has ended".to_owned()))
+}
+
 /// A source of the server list. It sends the list once at the start, then at every change, until the receiver goes.
 pub trait Source {
     /// Starts to follow; says how much of the queue it may fill by the sender it is given.
@@ -175,3 +182,6 @@
 fn boot_time(seconds: f64) -> Time {
     from_seconds(seconds)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ravenspar/src/recorder.rs
+++ b/crates/ravenspar/src/recorder.rs
@@ -138,7 +138,29 @@
     }
 }
 
+impl Done {
+    /// The first fault stays.
+    fn fail(&self, fault: String) {
+        if let Ok(mut place) = self.fault.lock() {
+            place.get_or_insert(fault);
+        }
+        self.failed.store(true, Ordering::Release);
+        self.changed.notify_one();
+    }
+}
+
+/// Says that the writer has ended, in whatever way. Guards against a fault in it: the core would wait without end for
+/// what never becomes durable, and answer all the while.
+struct Ended<'a>(&'a Done);
+
+impl Drop for Ended<'_> {
+    fn drop(&mut self) {
+        self.0.fail("its writer has ended".to_owned());
+    }
+}
+
 async fn run(mut keep: impl Keep, mut queue: mpsc::Receiver<Batch>, done: &Done) {
+    let _ended = Ended(done);
     let mut batches = Vec::new();
     while queue.recv_many(&mut batches, QUEUE).await > 0 {
         let (mut gathered, mut last) = (Gathered::default(), None);
@@ -156,12 +178,7 @@
         }
         gathered.slices = slices.into_values().collect();
         if let Err(fault) = keep.write(gathered).await {
-            if let Ok(mut place) = done.fault.lock() {
-                *place = Some(fault);
-            }
-            done.failed.store(true, Ordering::Release);
-            done.changed.notify_one();
-            return;
+            return done.fail(fault);
         }
         done.commits.fetch_add(1, Ordering::Relaxed);
         if let Some(ticket) = last {
@@ -170,3 +187,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ravenspar/src/recorder/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+/// Keeps this many batches, and then fails by a panic or in words.
+struct Fails {
+    after: usize,
+    panics: bool,
+}
+
+impl Keep for Fails {
+    async fn write(&mut self, _: Gathered) -> Result<(), String> {
+        if self.after == 0 {
+            assert!(!self.panics, "a fault in the writer");
+            return Err("the disk is full".to_owned());
+        }
+        self.after -= 1;
+        Ok(())
+    }
+}
+
+async fn fault(recorder: &Recorder) -> (String, Option<u64>) {
+    for ticket in 0..2 {
+        recorder.write(Batch::Slices { ticket, rows: Vec::new() }).await;
+        while recorder.fault().is_none() && recorder.durable() != Some(ticket) {
+            recorder.changed().await;
+        }
+    }
+    (recorder.fault().expect("a fault"), recorder.durable())
+}
+
+#[tokio::test]
+async fn a_writer_that_ends_by_a_panic_has_failed_like_one_that_says_so() {
+    for (panics, why) in [(true, "its writer has ended"), (false, "the disk is full")] {
+        let in_task = Recorder::in_task(Fails { after: 1, panics });
+        let in_thread = Recorder::in_thread(Fails { after: 1, panics }).expect("a thread");
+        for recorder in [in_task, in_thread] {
+            let waited = tokio::time::timeout(std::time::Duration::from_secs(60), fault(&recorder)).await;
+            assert_eq!(waited.expect("in time"), (why.to_owned(), Some(0)));
+        }
+    }
+}
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -170,14 +170,12 @@
         share,
     };
     // The record speaks of starts of servers that the list has shown to others: it is read before any slice is.
-    let first = tokio::select! {
+    let rows = tokio::select! {
         () = stopped(&mut door.terminate, &mut door.interrupt) => return Ok(()),
-        list = list(&mut door.list, &door.kept) => list,
+        list = list(&mut door.list, &door.kept) => list?,
     };
-    if let Some(rows) = first {
-        door.kept.write(Batch::List(rows.clone())).await;
-        door.rows = rows;
-    }
+    door.kept.write(Batch::List(rows.clone())).await;
+    door.rows = rows;
     let mut failures = 0;
     let halt = door.halt;
     loop {
@@ -229,10 +227,10 @@
 }
 
 /// The first list that can be read.
-async fn list(news: &mut mpsc::Receiver<News>, kept: &Recorder) -> Option<Vec<ServerRow>> {
+async fn list(news: &mut mpsc::Receiver<News>, kept: &Recorder) -> Result<Vec<ServerRow>, Fault> {
     loop {
-        match news.recv().await? {
-            News::Whole(rows) => return Some(rows),
+        match list::next(news).await? {
+            News::Whole(rows) => return Ok(rows),
             News::Followed(followed) => kept.write(Batch::Followed(followed)).await,
             News::Failed(why) => tracing::error!(%why, "no slice is taken before the list can be read"),
         }
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -1,5 +1,6 @@
 //! One life of a steward as a member: what it asks the store for, and what comes back, as events for the core.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::Arc;
@@ -186,6 +187,13 @@
         Ok(life)
     }
 
+    /// Starts a task of this life. One that ends by a fault ends the life, which joins anew from the store: without that
+    /// the steward would go on by what it knew last, or wait for a step that never ends.
+    fn start(&mut self, what: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.retain(|task| !task.is_finished());
+        self.tasks.push(watched(what, task, self.events.clone()));
+    }
+
     pub async fn next(&mut self) -> Event {
         let ended = async {
             match &mut self.work {
@@ -217,7 +225,7 @@
         const APART: Duration = Duration::from_millis(20);
         let (events, joining, look) = (self.events.clone(), self.joining.clone(), self.look.clone());
         let often = self.often.clone();
-        let task = tokio::spawn(async move {
+        self.start("the look at the store", async move {
             let mut since = 0;
             loop {
                 let event = match snapshot(&*joining.store, &joining.keys, since).await {
@@ -237,7 +245,6 @@
                 }
             }
         });
-        self.tasks.push(task.abort_handle());
     }
 
     /// Looks at the store sooner.
@@ -270,7 +277,7 @@
         let (events, store, renewals) =
             (self.events.clone(), self.joining.store.clone(), self.renewals.clone());
         let number = self.number;
-        tokio::spawn(async move {
+        self.start("a renewal", async move {
             let event = match store.renew(number).await {
                 Ok(Some(_)) => Event::Renewed(now),
                 Ok(None) => Event::Over("the store has let the membership go".to_owned()),
@@ -284,7 +291,7 @@
     /// Carries a step out; its events end with [`Event::Done`].
     pub fn carry_out(&mut self, step: Step) {
         let (events, hand, joining) = (self.events.clone(), self.hand.clone(), self.joining.clone());
-        let task = tokio::spawn(async move {
+        self.start("a step", async move {
             let ended = match step {
                 Step::Take { slices, gone } => take(&slices, &gone, &hand, &joining, &events).await,
                 Step::Serve { slices } => serve(slices, From::Given, &joining, &events).await,
@@ -297,8 +304,6 @@
             };
             let _ = events.send(event).await;
         });
-        self.tasks.retain(|task| !task.is_finished());
-        self.tasks.push(task.abort_handle());
     }
 
     /// Says that it is leaving.
@@ -317,12 +322,11 @@
     fn say(&mut self) {
         let (hand, events) = (self.hand.clone(), self.events.clone());
         let member = self.member.clone();
-        let task = tokio::spawn(async move {
+        self.start("a word to the store", async move {
             if let Err(Stop::Over(why)) = hand.lock().await.say(&member).await {
                 let _ = events.send(Event::Over(why)).await;
             }
         });
-        self.tasks.push(task.abort_handle());
     }
 
     /// Ends the membership at the store, for one that is in charge of nothing and publishes nothing any more.
@@ -332,6 +336,25 @@
     }
 }
 
+/// Starts a task whose fault is told as the end of the life.
+fn watched(
+    what: &'static str,
+    task: impl Future<Output = ()> + Send + 'static,
+    events: mpsc::Sender<Event>,
+) -> AbortHandle {
+    let task = tokio::spawn(task);
+    let abort = task.abort_handle();
+    tokio::spawn(async move {
+        if let Err(fault) = task.await {
+            // Otherwise it was ended with its life.
+            if fault.is_panic() {
+                let _ = events.send(Event::Over(format!("{what} has failed: {fault}"))).await;
+            }
+        }
+    });
+    abort
+}
+
 /// Taken off a membership by the steward itself: what it takes from a look at the clock to the system's buffer.
 const MARGIN: Time = SECOND / 20;
 
@@ -382,3 +405,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
