Decisions wait for an answer to the last call's own mark, not for any line of the news

Cause: a line heard after the answer may be as old as what waits in the socket. An answer to the call's own mark is not: the relay told it after it carried the call out, and whatever it told before comes first. Where none answers, a sign of life more than a second later ends the wait. Without the wait, crates/platform's a_proxy_that_came_back_unheard_before_a_revoke_is_waited_for fails.

--- a/crates/ravenspar/tests/platform/end.rs
+++ b/crates/ravenspar/tests/platform/end.rs
@@ -50,3 +50,14 @@
     again.signal("-KILL").await;
     assert_eq!(again.ended().await.code(), None);
 }
+
+#[tokio::test]
+async fn it_is_ready_without_relay_and_discovery_and_ends_as_readily() {
+    let (relay, discovery, config, first) = at_work().await;
+    // Both are gone: their addresses take nothing.
+    drop((relay, discovery, first));
+    let mut steward = Steward::start(&config).await;
+    assert!(alive(&mut steward.connect().await).await);
+    steward.signal("-TERM").await;
+    assert_eq!(steward.ended().await.code(), Some(0));
+}
--- a/crates/ravenspar/tests/platform/main.rs
+++ b/crates/ravenspar/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration;
 mod end;
+mod flood;
 mod harness;
 mod list;
 mod listener;
--- a/crates/standin/src/platform/relay.rs
+++ b/crates/standin/src/platform/relay.rs
@@ -43,6 +43,10 @@
 /// News that a subscriber may lag behind; past that it is cut off.
 const NEWS: usize = 4_096;
 
+fn joined(id: u64) -> String {
+    news("SUBSCRIBE", json!({"id": id, "site": "a", "rps": 1.0, "new": false}))
+}
+
 /// What is told to a subscriber.
 #[derive(Debug)]
 enum News {
@@ -63,6 +67,8 @@
     pub subscriptions: usize,
     /// Proxies answer no marks for now.
     pub mute: bool,
+    /// Nor does this one.
+    pub slow: Option<u64>,
     /// Classes that an order may name; any, where there are none.
     pub classes: Vec<String>,
     /// Orders at which a call was stopped.
@@ -96,9 +102,20 @@
         self.readers.retain(|reader| reader.try_send(News::Line(line.clone())).is_ok());
     }
 
+    /// A proxy's stream comes up.
+    pub fn join(&mut self, id: u64) {
+        self.proxies.push(id);
+        self.tell(joined(id));
+    }
+
+    /// A proxy's stream breaks.
+    pub fn leave(&mut self, id: u64) {
+        self.proxies.retain(|proxy| *proxy != id);
+        self.tell(news("CLOSED", json!({"id": id})));
+    }
+
     fn stands(&self) -> Vec<String> {
-        let join = |id: &u64| news("SUBSCRIBE", json!({"id": id, "site": "a", "rps": 1.0, "new": false}));
-        let mut all: Vec<String> = self.proxies.iter().map(join).collect();
+        let mut all: Vec<String> = self.proxies.iter().map(|id| joined(*id)).collect();
         for (range, row) in &self.rows {
             all.push(news("GRANT", json!({"range": range, "flag": true})));
             if let Some((target, rps)) = row {
@@ -125,7 +142,8 @@
                 }
                 (Some("clear"), Some(row)) => *row = None,
                 (Some("mark"), _) if !self.mute => {
-                    for proxy in self.proxies.clone() {
+                    let slow = self.slow;
+                    for proxy in self.proxies.clone().into_iter().filter(|proxy| Some(*proxy) != slow) {
                         let ack = json!({"id": proxy, "seq": order["nonce_out"], "ms": 1.0});
                         self.tell(news("ACK", ack));
                     }
