Decisions wait after a call for one line of the news, and not where a slice was just given

Cause: the session's wait after a call (session.rs, `deaf`) held all decisions, and those that close writes can't wait. Now a slice given since the last decision lifts the wait, and one line of the news does otherwise.

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -1,6 +1,6 @@
 //! The session: takes in what is learnt, and hands out the calls that carry the decisions to the store.
 //!
-//! Decisions are pulled only while every earlier order is surely carried out, news from after that are being heard, and
+//! Decisions are pulled only while every earlier order is surely carried out, news from after that have been heard, and
 //! what stands is known. So whatever the decisions take for proof (an answer, a joining, a lease run out) is looked at
 //! with all their orders in the store, and with whatever the store had to tell when it carried them out.
 
@@ -70,12 +70,12 @@
     /// The call under way was written before that. Guards against a slice that was taken away and given back in the gap:
     /// the call then counted as taken and changed nothing, so its answer proves nothing, and it is sent again.
     gapped: bool,
-    /// When the last call was answered, and its mark, until news are heard that were told after it was carried out.
-    /// Guards against a proxy that came back before that, while the news lag: by what is known its lease has run out, and
-    /// it has the former owner.
-    deaf: Option<(Time, Option<u16>)>,
-    /// The mark of the call that is not settled, once it was answered by a proxy: it was carried out before.
-    marked: Option<u16>,
+    /// Nothing has been heard since the last call was answered. Guards against a proxy that came back before it was
+    /// carried out, while the news are silent: by what is known its lease has run out, and it has the former owner.
+    deaf: bool,
+    /// A slice was given since the last decision. That can't wait: if it settles, its writes are open until they are
+    /// closed, as the store resets levels.
+    given: bool,
     /// Since when a slice is in charge whose line may still be on its way: no sign of life came after it.
     untold: Option<Time>,
     /// Since when all lists were older than the one held.
@@ -118,8 +118,8 @@
             ordered: vec![Time::MIN / 2; slices],
             gap: false,
             gapped: false,
-            deaf: None,
-            marked: None,
+            deaf: false,
+            given: false,
             untold: None,
             older: None,
             possible: Vec::new(),
@@ -228,10 +228,6 @@
             None if news["result"] == true => self.subscribed(now),
             None => return fields::fault("result", "true"),
             Some("ping") => {
-                // Without an answer to the mark, as nobody is joined or all are slow: news that lag for longer than between
-                // two signs of life are rare, and nobody's answer rarer.
-                let after = |(at, _): &(Time, Option<u16>)| now >= *at + SECOND;
-                self.deaf.take_if(|deaf| after(deaf));
                 self.untold = None;
                 self.stands(now)?;
             }
@@ -246,12 +242,7 @@
             Some("CLOSED") => self.left(now, fields::whole(of, "id", self.proxies.len())?),
             Some("ACK") => {
                 let proxy = fields::whole(of, "id", self.proxies.len())?;
-                let number = fields::whole(of, "seq", 65_536)? as u16;
-                self.deaf.take_if(|(_, mark)| *mark == Some(number));
-                if self.calls.pending().any(|order| *order == Order::Stamp { number }) {
-                    self.marked = Some(number);
-                }
-                self.steward.installed(proxy, number);
+                self.steward.installed(proxy, fields::whole(of, "seq", 65_536)? as u16);
             }
             Some("GRANT") => {
                 let slice = fields::whole(of, "range", self.slices.len())?;
@@ -273,6 +264,7 @@
             Some(_) => {}
         }
         self.figures.news_heard = Some(now);
+        self.deaf = false;
         Ok(())
     }
 
@@ -340,6 +332,7 @@
     }
 
     fn give(&mut self, now: Time, slice: usize) {
+        self.given = true;
         self.slices[slice] = Charge { mine: true, row: None, fresh: true };
         self.steward.given(now, slice);
     }
@@ -398,8 +391,7 @@
             self.slices[slice].fresh = false;
         }
         self.possible = Vec::new();
-        // Nothing was written since the news before broke off.
-        (self.gap, self.deaf) = (false, None);
+        self.gap = false;
         Ok(())
     }
 
@@ -413,10 +405,7 @@
             Settled::Refused => self.anew = true,
             Settled::Done(done, refused) => {
                 self.uncounted = refused.is_some() && !self.calls.settled();
-                let mark =
-                    |order: &Order| if let Order::Stamp { number } = order { Some(*number) } else { None };
-                let mark = done.iter().find_map(mark);
-                self.deaf = Some((now, mark)).filter(|_| mark.is_none() || mark != self.marked);
+                self.deaf = true;
                 for order in done {
                     let Some(slice) = slice_of(&order).filter(|&slice| self.slices[slice].mine) else {
                         continue;
@@ -457,7 +446,8 @@
         }
         // The decisions grant a slice without a line a lease after it was given, and no sooner.
         let told = self.untold.is_none_or(|since| now < since + self.lease);
-        if self.calls.settled() && self.standing.is_none() && !self.gap && self.deaf.is_none() && told {
+        if self.calls.settled() && self.standing.is_none() && !self.gap && (!self.deaf || self.given) && told
+        {
             self.decide(now);
         }
         self.poll_last(now)
@@ -485,6 +475,7 @@
     }
 
     fn decide(&mut self, now: Time) {
+        self.given = false;
         let mut orders = Vec::new();
         while let Some(order) = self.steward.next_order(now) {
             match order {
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -527,6 +527,26 @@
     assert_eq!(grants(&[asked, met.run(2 * SECOND)].concat()), ["B"]);
 }
 
+#[test]
+fn writes_of_slices_that_come_in_two_parts_are_closed_at_once() {
+    let mut met = Met::started(3, 1, &[host("A", "active", 0), host("B", "active", 0)]);
+    met.subscribe(&[0], &[Some("A")]);
+    met.run(SECOND);
+    // Another steward has ended: what was open to reads alone comes with its levels reset.
+    let settling = |met: &mut Met, slice: usize| {
+        met.news("GRANT", json!({"range": slice, "flag": true}));
+        met.news("ROW", json!({"range": slice, "target": "B", "rps": 0.5}));
+    };
+    let closed = |slice: usize| json!({"verb": "admit", "cluster": slice, "routes": ["write"], "admit": 0.0, "policy": 0});
+    settling(&mut met, 1);
+    assert!(met.poll().expect("the first").contains(&closed(1)));
+    // The second comes while the call is under way, and nothing after its answer.
+    settling(&mut met, 2);
+    met.answer(2);
+    met.later(SECOND / 20);
+    assert!(met.poll().is_some_and(|changes| changes.contains(&closed(2))), "at once");
+}
+
 #[test]
 fn an_answer_from_across_a_gap_proves_nothing() {
     let mut met = Met::new(1, 1);
--- a/crates/ravenspar/tests/platform/main.rs
+++ b/crates/ravenspar/tests/platform/main.rs
@@ -10,3 +10,4 @@
 mod moves;
 mod news;
 mod shape;
+mod stopped;
