Listener and frames go by these names; inline tests of files touched are in test files

Mechanical: platform's door.rs is frames.rs, platform-net's Door is Listener, the tests of calls.rs and frames.rs move to calls/tests.rs and frames/tests.rs as they were.

--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -31,7 +31,8 @@
 
 type Party = Framed<TcpStream, LengthDelimitedCodec>;
 
-pub struct Door {
+/// What the steward listens with.
+pub struct Listener {
     pub listener: TcpListener,
     pub zones: Arc<[String]>,
     pub events: mpsc::Sender<Event>,
@@ -136,8 +137,8 @@
 }
 
 /// Never returns while the core lives.
-pub async fn open(door: Door) {
-    let Door { listener, zones, events, sockets } = door;
+pub async fn open(with: Listener) {
+    let Listener { listener, zones, events, sockets } = with;
     let most = sockets.saturating_sub(KEPT_FREE + FOR_ZONE * zones.len()).max(16);
     let mut strangers = VecDeque::new();
     let mut collectors: Vec<Vec<_>> = zones.iter().map(|_| Vec::new()).collect();
--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use crate::listener::{self, Door};
+use crate::listener::{self, Listener};
 use crate::tasks::Tasks;
 use crate::{discovery, process, relay, Event, EVENTS};
 
@@ -65,10 +65,10 @@
     let (addresses, followed) = watch::channel(config.addresses);
     let (calls, to_call) = mpsc::channel(1);
     let (spoilt_news, again) = watch::channel(0);
-    let door =
-        Door { listener, zones: session.zones().into(), events: events.clone(), sockets: config.sockets };
+    let with =
+        Listener { listener, zones: session.zones().into(), events: events.clone(), sockets: config.sockets };
     let (mut listening, mut tasks) = (Tasks::default(), Tasks::default());
-    listening.spawn("listener", listener::open(door));
+    listening.spawn("listener", listener::open(with));
     tasks.spawn("relay's calls", relay::call(followed.clone(), to_call, events.clone()));
     tasks.spawn("relay's news", relay::news(followed.clone(), again, events.clone()));
     tasks.spawn("list", discovery::follow(followed, events));
--- /dev/null
+++ b/crates/platform/src/calls/tests.rs
@@ -0,0 +1,119 @@
+use super::*;
+
+fn clear(slice: usize) -> (Order, String) {
+    (Order::DropLines { slice }, format!(r#"{{"verb":"clear","cluster":{slice}}}"#))
+}
+
+fn stamp(number: u16) -> (Order, String) {
+    (Order::Stamp { number }, format!(r#"{{"verb":"mark","nonce_out":{number},"flag":1}}"#))
+}
+
+fn answer(id: u64, taken: u64) -> String {
+    format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"ok_count":{taken}}}}}"#)
+}
+
+/// The tables and marks that a call names, in order.
+fn named(line: &str) -> Vec<u64> {
+    let call: Value = serde_json::from_str(line).expect("calls are JSON");
+    let changes = call["params"]["changes"].as_array().expect("calls have changes").iter();
+    changes.map(|c| c["cluster"].as_u64().or(c["nonce_out"].as_u64()).expect("each names one")).collect()
+}
+
+fn calls(slices: &[usize]) -> Calls {
+    let mut calls = Calls::default();
+    calls.push(slices.iter().map(|&slice| clear(slice)).chain([stamp(905)]));
+    calls
+}
+
+#[test]
+fn a_call_whose_answer_is_lost_goes_out_again_whole_and_before_anything_later() {
+    let mut calls = calls(&[1, 2]);
+    calls.push([clear(3)].into_iter());
+    assert_eq!(named(&calls.next(0).expect("the first")), [1, 2, 905]);
+    assert_eq!(calls.next(0), None, "one at a time");
+    assert!(calls.lost(10));
+    assert_eq!(named(&calls.next(10).expect("at once")), [1, 2, 905]);
+    assert!(calls.lost(20) && calls.next(20).is_none(), "then less often");
+    assert_eq!(named(&calls.next(20 + PAUSE).expect("later")), [1, 2, 905]);
+    assert!(
+        matches!(calls.answered(1200, answer(3, 3).as_bytes()), Settled::Done(done, None) if done.len() == 3)
+    );
+    assert_eq!(named(&calls.next(1200).expect("the next")), [3]);
+}
+
+#[test]
+fn a_refused_order_is_left_out_and_the_rest_follows() {
+    let mut calls = calls(&[1, 2, 3]);
+    calls.next(0);
+    let settled = calls.answered(5, answer(1, 1).as_bytes());
+    let expected = Settled::Done(vec![clear(1).0], Some(clear(2).0));
+    assert_eq!(settled, expected);
+    assert_eq!(named(&calls.next(5).expect("the rest")), [3, 905]);
+    assert_eq!(
+        calls.answered(9, answer(2, 2).as_bytes()),
+        Settled::Done(vec![clear(3).0, stamp(905).0], None)
+    );
+    assert!(calls.settled());
+}
+
+#[test]
+fn spoilt_answers_settle_nothing() {
+    let mut calls = calls(&[1, 2]);
+    calls.next(0);
+    for line in [
+        "",
+        "{",
+        r#"{"jsonrpc":"2.0","id":1}"#,
+        r#"{"id":1,"result":{}}"#,
+        r#"{"id":1,"result":{"ok_count":4}}"#,
+        r#"{"id":1,"result":{"ok_count":-1}}"#,
+        r#"{"id":1,"result":{"ok_count":"3"}}"#,
+        r#"{"id":2,"result":{"ok_count":3}}"#,
+    ] {
+        assert_eq!(calls.answered(1, line.as_bytes()), Settled::Unreadable, "{line}");
+    }
+    assert_eq!(calls.unsettled(), 3);
+}
+
+#[test]
+fn a_call_that_is_turned_away_waits_and_keeps_its_place() {
+    let mut calls = calls(&[1]);
+    calls.next(0);
+    let refused = br#"{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"Throttling"}}"#;
+    assert_eq!(calls.answered(5, refused), Settled::Refused);
+    assert_eq!((calls.next(5), calls.next_timeout()), (None, Some(5 + PAUSE)));
+    assert_eq!(named(&calls.next(5 + PAUSE).expect("once more")), [1, 905]);
+}
+
+#[test]
+fn orders_for_a_slice_that_was_taken_away_go_no_further() {
+    let mut calls = calls(&[1, 2]);
+    calls.next(0);
+    calls.drop_slice(1);
+    let pending: Vec<Order> = calls.pending().cloned().collect();
+    assert_eq!(
+        pending,
+        [clear(2).0, stamp(905).0],
+        "what it may have done is nothing that the decisions know"
+    );
+    calls.lost(1);
+    assert_eq!(named(&calls.next(1).expect("again")), [2, 905]);
+    assert!(
+        matches!(calls.answered(2, answer(2, 2).as_bytes()), Settled::Done(done, None) if done.len() == 2)
+    );
+}
+
+#[test]
+fn a_long_reply_is_several_calls_in_order() {
+    let mut calls = Calls::default();
+    calls.push((0..4_000).map(clear));
+    let (mut all, mut id) = (Vec::new(), 0);
+    while let Some(line) = calls.next(0) {
+        assert!(line.len() < 60_000);
+        let slices = named(&line);
+        id += 1;
+        calls.answered(0, answer(id, slices.len() as u64).as_bytes());
+        all.extend(slices);
+    }
+    assert!(id > 1 && all == (0..4_000).collect::<Vec<u64>>());
+}
--- /dev/null
+++ b/crates/platform/src/frames/tests.rs
@@ -0,0 +1,57 @@
+use bytes::{BufMut, BytesMut};
+use tokio_util::codec::Decoder;
+
+use super::*;
+
+fn framed(body: &[u8]) -> Vec<u8> {
+    [&(body.len() as u32).to_le_bytes(), body].concat()
+}
+
+#[test]
+fn frames_come_out_whole_however_their_bytes_come_in() {
+    let all = [framed(PONG), framed(b""), framed(NACK)].concat();
+    for piece in [1, 3, 17, all.len()] {
+        let (mut codec, mut buffer, mut out) = (codec(MOST_GREETING), BytesMut::new(), Vec::new());
+        for bytes in all.chunks(piece) {
+            buffer.put_slice(bytes);
+            while let Some(frame) = codec.decode(&mut buffer).expect("these are frames") {
+                out.push(frame.to_vec());
+            }
+        }
+        assert_eq!(out, [PONG, b"", NACK], "in pieces of {piece}");
+    }
+}
+
+#[test]
+fn lengths_that_cannot_be_and_http_end_a_connection() {
+    for bytes in [&b"\xff\xff\xff\xff"[..], b"GET / HTTP/1.1\r\n", b"\x01\x04\x00\x00"] {
+        let mut buffer = BytesMut::from(bytes);
+        assert!(codec(MOST_GREETING).decode(&mut buffer).is_err(), "{bytes:?}");
+    }
+    assert!(codec(MOST_FRAME).decode(&mut BytesMut::from(&[0, 0, 16, 0][..])).is_ok());
+    assert!(codec(MOST_FRAME).decode(&mut BytesMut::from(&[1, 0, 16, 0][..])).is_err());
+}
+
+#[test]
+fn only_a_sign_of_life_and_a_collector_of_a_known_zone_are_heard_before_joining() {
+    let zones = ["a".to_owned(), "b".to_owned()];
+    let hear = |frame: &str, joined| hear(frame.as_bytes(), joined, &zones);
+    assert_eq!(hear(r#"{"msg":"PING"}"#, false), Ok(Heard::Ping));
+    assert_eq!(hear(r#"{"msg":"SOURCE","site":"b"}"#, false), Ok(Heard::Source(1)));
+    for frame in [
+        r#"{"msg":"SOURCE","site":"c"}"#,
+        r#"{"msg":"SOURCE"}"#,
+        r#"{"msg":"SOURCE","site":7}"#,
+        r#"{"msg":"SUBSCRIBE","id":1,"site":"a","rps":1,"new":true}"#,
+        r#"{"msg":"LOAD","site":"a"}"#,
+        r#"{"verb":"clear","cluster":4}"#,
+        r#"{}"#,
+        "7",
+        "",
+        "\u{0}",
+    ] {
+        assert!(hear(frame, false).is_err(), "{frame}");
+    }
+    assert!(matches!(hear(r#"{"msg":7}"#, true), Ok(Heard::Report(_))));
+    assert!(hear("not JSON", true).is_err());
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,16 +3,16 @@
 
 mod calls;
 mod config;
-mod door;
 mod fields;
+mod frames;
 mod news;
 mod servers;
 mod session;
 mod settings;
 
 pub use config::{Addresses, Config};
-pub use door::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
 pub use fields::Fault;
+pub use frames::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
 pub use news::SUBSCRIBE;
 pub use ravenspar_steward::{Time, SECOND};
 pub use session::{Call, Figures, Session};
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -670,7 +670,7 @@
             let _ = met.session.handle_news(met.now, &bytes);
             let _ = met.session.handle_list(met.now, message.to_string().as_bytes(), false);
             let _ = met.session.handle_list(met.now, &bytes, true);
-            let _ = crate::door::hear(&bytes, true, met.session.zones());
+            let _ = crate::frames::hear(&bytes, true, met.session.zones());
             let _ = met.poll();
             met.session.handle_answer(met.now, &bytes);
             met.session.handle_answer(met.now, json!({"id": 1, "result": message}).to_string().as_bytes());
