A call under way at a break of the news is sent again once there is a subscription

Seen by reading: with the gap's guard a call that was under way when the news broke off waited for the first sign of life after the next subscription, up to a second. Among such calls are those that close writes of slices just taken over, which can't wait. Nothing needs it to: what is told at a subscription may be from before or after that call, and both count as known.

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -64,8 +64,8 @@
     standing: Option<Standing>,
     /// When a call that names the slice was last written, by slice.
     ordered: Vec<Time>,
-    /// The news have broken off, and what stands has not been told since: nothing is written. Else what is told might be
-    /// from before or after a call, and nobody could say.
+    /// The news have broken off, and what stands has not been told since: nothing is decided, and nothing is written before
+    /// the next subscription. Else what is told might be from before or after a call, and nobody could say.
     gap: bool,
     /// The call under way was written before that. Guards against a slice that was taken away and given back in the gap:
     /// the call then counted as taken and changed nothing, so its answer proves nothing, and it is sent again.
@@ -455,7 +455,7 @@
 
     /// The next call of what is decided already; nothing new is. For a steward that is asked to end.
     pub fn poll_last(&mut self, now: Time) -> Option<Call> {
-        if self.gap {
+        if self.gap && self.standing.is_none() {
             return None;
         }
         let due = self.calls.next_timeout().is_some_and(|at| now >= at);
@@ -502,7 +502,7 @@
 
     /// When to poll though nothing was learnt.
     pub fn next_timeout(&self) -> Option<Time> {
-        let call = self.calls.next_timeout().filter(|_| !self.gap);
+        let call = self.calls.next_timeout().filter(|_| !self.gap || self.standing.is_some());
         self.wake.into_iter().chain(call).min()
     }
 
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -527,6 +527,20 @@
     assert_eq!(grants(&[asked, met.run(2 * SECOND)].concat()), ["B"]);
 }
 
+#[test]
+fn a_call_that_was_under_way_at_a_break_follows_the_next_subscription_at_once() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    met.news_lost();
+    met.answer(2);
+    met.later(SECOND);
+    assert_eq!(met.poll(), None, "nothing is written in the gap");
+    assert_eq!(met.session.next_timeout(), None, "and nothing waits for a time");
+    met.begin();
+    assert_eq!(met.poll(), Some(revoke), "not held up until all that stands is told");
+}
+
 #[test]
 fn writes_of_slices_that_come_in_two_parts_are_closed_at_once() {
     let mut met = Met::started(3, 1, &[host("A", "active", 0), host("B", "active", 0)]);
