A hand at the store or a look there that fails ends the life's work, as its page says

Seen by reading work/mod.rs: 'should it or one of those end by a fault, the life is over'. It was not so: of the two hands and the look (work/hands.rs, work/look.rs) only handles to abort them were kept, and the task holds a sender of its own queue, so it never learnt of a panic. It went on with orders that nobody took: claims that never end, uses that are never counted, looks that never come, while agents were answered and the membership renewed.

Now each is started by what starts the tasks of a life (`watched`, in a file of its own), and a fault is told as the end of the life. Test: a store whose client panics, under each of the three; without the telling it says that none of them did.

--- a/crates/ravenspar/src/lib.rs
+++ b/crates/ravenspar/src/lib.rs
@@ -18,6 +18,7 @@
 mod sharing;
 mod state;
 mod streams;
+mod watched;
 mod work;
 
 pub use fleet::{ask as ask_fleet, Answer};
--- a/crates/ravenspar/src/shared/life.rs
+++ b/crates/ravenspar/src/shared/life.rs
@@ -19,6 +19,7 @@
 use crate::halt::Halt;
 use crate::recorder::{Gathered, Keep, Recorder};
 use crate::settings::{Debts, Jobs, Share};
+use crate::watched::watched;
 use crate::work::{Standing, With, Work};
 use ravenspar_net::Clock;
 
@@ -191,7 +192,7 @@
     /// the steward would go on by what it knew last, or wait for a step that never ends.
     fn start(&mut self, what: &'static str, task: impl Future<Output = ()> + Send + 'static) {
         self.tasks.retain(|task| !task.is_finished());
-        self.tasks.push(watched(what, task, self.events.clone()));
+        self.tasks.push(watched(what, task, self.events.clone(), Event::Over));
     }
 
     pub async fn next(&mut self) -> Event {
@@ -336,25 +337,6 @@
     }
 }
 
-/// Starts a task whose fault is told as the end of the life.
-fn watched(
-    what: &'static str,
-    task: impl Future<Output = ()> + Send + 'static,
-    events: mpsc::Sender<Event>,
-) -> AbortHandle {
-    let task = tokio::spawn(task);
-    let abort = task.abort_handle();
-    tokio::spawn(async move {
-        if let Err(fault) = task.await {
-            // Otherwise it was ended with its life.
-            if fault.is_panic() {
-                let _ = events.send(Event::Over(format!("{what} has failed: {fault}"))).await;
-            }
-        }
-    });
-    abort
-}
-
 /// Taken off a membership by the steward itself: what it takes from a look at the clock to the system's buffer.
 const MARGIN: Time = SECOND / 20;
 
@@ -405,6 +387,3 @@
     }
     Ok(())
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/ravenspar/src/work/hands.rs
+++ b/crates/ravenspar/src/work/hands.rs
@@ -12,6 +12,7 @@
 use super::Told;
 use crate::halt::{Halt, Point};
 use crate::shared::{write_life, Keys};
+use crate::watched::watched;
 
 /// Orders that wait for a hand: each of its callers has one or a few under way.
 const ORDERS: usize = 64;
@@ -49,15 +50,16 @@
 impl Own {
     pub fn start(mut self) -> (mpsc::Sender<Order>, tokio::task::AbortHandle) {
         let (orders, mut queue) = mpsc::channel(ORDERS);
-        let task = tokio::spawn(async move {
+        let told = self.told.clone();
+        let task = async move {
             while let Some(order) = queue.recv().await {
                 let told = self.carry_out(order).await;
                 if self.told.send(told).await.is_err() {
                     return;
                 }
             }
-        });
-        (orders, task.abort_handle())
+        };
+        (orders, watched("the hand for duties", task, told, Told::Over))
     }
 
     async fn carry_out(&mut self, order: Order) -> Told {
@@ -196,7 +198,8 @@
 impl ForAgents {
     pub fn start(mut self) -> (mpsc::Sender<Ask>, tokio::task::AbortHandle) {
         let (asks, mut queue) = mpsc::channel(ravenspar_store::MOST * 4);
-        let task = tokio::spawn(async move {
+        let told = self.told.clone();
+        let task = async move {
             let mut waiting = Vec::new();
             // What waits is carried out together: three of a transaction's operations for each at most.
             while queue.recv_many(&mut waiting, ravenspar_store::MOST / 3).await > 0 {
@@ -206,8 +209,8 @@
                     }
                 }
             }
-        });
-        (asks, task.abort_handle())
+        };
+        (asks, watched("the hand for agents", task, told, Told::Over))
     }
 
     async fn carry_out(&mut self, asks: Vec<Ask>) -> Vec<Told> {
--- a/crates/ravenspar/src/work/look.rs
+++ b/crates/ravenspar/src/work/look.rs
@@ -8,6 +8,7 @@
 
 use super::Told;
 use crate::shared::Keys;
+use crate::watched::watched;
 
 /// Between two looks. A job waits half of it on its way to its site; five small reads a second cost the store little.
 const POLL: Duration = Duration::from_millis(200);
@@ -60,7 +61,8 @@
 
 impl Looker {
     pub fn start(mut self) -> tokio::task::AbortHandle {
-        tokio::spawn(async move {
+        let told = self.told.clone();
+        let task = async move {
             let (mut since, mut wanted, mut looks) = (0, Wanted::default(), 0);
             // The revision of the ranking that was told last.
             let mut ranking = 0;
@@ -88,8 +90,8 @@
                     changed = self.wanted.changed() => if changed.is_err() { return },
                 }
             }
-        })
-        .abort_handle()
+        };
+        watched("the look at the store for duties", task, told, Told::Over)
     }
 
     async fn look(
--- a/crates/ravenspar/src/work/mod.rs
+++ b/crates/ravenspar/src/work/mod.rs
@@ -831,3 +831,6 @@
     }
     None
 }
+
+#[cfg(test)]
+mod tests;
