Writes of slices told at a subscription are closed before the sign of life

Ruled out: calls lost or refused (0), a queue that was full, the wait after a call.

Cause: session.rs `poll` holds all decisions until the sign of life after a subscription, as until then not all that stands is known. Closing writes rests on none of that, and can't wait, as the store opens them when a slice changes hands. Now the module has a way of asking for just those (`next_closing`: no revoke, no grant, no opening, and a mark only with them), which the session uses while it is being told. Also: a line told after its GRANT was no news to the module (`on_record`), nor did it lift the wait after a call, so its writes stayed open until the next line or beat.

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -73,8 +73,8 @@
     /// Nothing has been heard since the last call was answered. Guards against a proxy that came back before it was
     /// carried out, while the news are silent: by what is known its lease has run out, and it has the former owner.
     deaf: bool,
-    /// A slice was given since the last decision. That can't wait: if it settles, its writes are open until they are
-    /// closed, as the store resets levels.
+    /// A slice was given since the last decision, or its line told. That can't wait: if it settles, its writes are open
+    /// until they are closed, as the store resets levels.
     given: bool,
     /// Since when a slice is in charge whose line may still be on its way: no sign of life came after it.
     untold: Option<Time>,
@@ -350,6 +350,7 @@
     fn record(&mut self, now: Time, slice: usize, row: Row) {
         (self.slices[slice].row, self.slices[slice].fresh) = (row, false);
         if let Some((be, weight)) = row {
+            self.given = true;
             self.steward.on_record(now, slice, be, weight);
         }
     }
@@ -449,6 +450,11 @@
         if self.calls.settled() && self.standing.is_none() && !self.gap && (!self.deaf || self.given) && told
         {
             self.decide(now);
+        } else if self.calls.settled() && self.standing.is_some() && self.given {
+            // What stands is still being told, up to a second long. Writes of what settles are open for as long.
+            self.given = false;
+            let orders = self.orders(now, Steward::next_closing);
+            self.calls.push(orders.into_iter());
         }
         self.poll_last(now)
     }
@@ -474,23 +480,28 @@
         self.calls.settled()
     }
 
-    fn decide(&mut self, now: Time) {
-        self.given = false;
+    fn orders(&mut self, now: Time, next: fn(&mut Steward, Time) -> Option<Order>) -> Vec<(Order, String)> {
         let mut orders = Vec::new();
-        while let Some(order) = self.steward.next_order(now) {
+        while let Some(order) = next(&mut self.steward, now) {
             match order {
                 Order::Remind { at } => self.wake = Some(at),
                 // The list is always watched.
                 Order::Watch => {}
                 order => {
-                    if let Some(slice) = slice_of(&order) {
-                        self.slices[slice].fresh = false;
-                    }
                     let text = self.text(&order);
                     orders.push((order, text));
                 }
             }
         }
+        orders
+    }
+
+    fn decide(&mut self, now: Time) {
+        self.given = false;
+        let orders = self.orders(now, Steward::next_order);
+        for slice in orders.iter().filter_map(|(order, _)| slice_of(order)) {
+            self.slices[slice].fresh = false;
+        }
         let slices = &self.slices;
         self.servers.sweep(&mut self.steward, |be| {
             let ordered = |order: &Order| matches!(order, Order::SetLine { be: named, .. } if *named == be);
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -561,6 +561,62 @@
     assert!(met.poll().is_some_and(|changes| changes.contains(&closed(2))), "at once");
 }
 
+#[test]
+fn writes_of_slices_told_at_a_subscription_are_closed_before_the_sign_of_life_and_nothing_else_is_done() {
+    let hosts = [host("A", "active", 0), host("B", "active", 0)];
+    let closed = |slice: usize| json!({"verb": "admit", "cluster": slice, "routes": ["write"], "admit": 0.0, "policy": 0});
+    for before in [false, true] {
+        let mut met = Met::started(4, 1, &hosts);
+        if before {
+            met.subscribe(&[0], &[Some("A")]);
+            met.run(6 * SECOND);
+            met.news_lost();
+        }
+        // It was another steward's meanwhile, which let it settle and is gone; its levels are reset.
+        met.begin();
+        met.joins(0);
+        met.given(0, Some("A"));
+        met.news("GRANT", json!({"range": 1, "flag": true}));
+        // A drain, and a slice whose line may still be on its way: neither is acted upon.
+        met.changed(2, &[host("A", "leaving", 0)]);
+        met.given(2, None);
+        assert_eq!(met.poll(), None, "no line of it yet");
+        met.news("ROW", json!({"range": 1, "target": "B", "rps": 0.5}));
+        let call = met.poll().expect("at once");
+        assert_eq!(call[0], closed(1));
+        assert!(call.len() == 2 && call[1]["verb"] == "mark", "{call:?}");
+        // The next part, while that call is under way.
+        met.news("GRANT", json!({"range": 3, "flag": true}));
+        met.news("ROW", json!({"range": 3, "target": "B", "rps": 0.5}));
+        met.answer(2);
+        assert!(met.poll().is_some_and(|call| call[0] == closed(3) && call.len() == 2));
+        met.answer(2);
+        met.later(SECOND / 2);
+        assert_eq!(met.poll(), None);
+        met.news("ping", json!({}));
+        let call = met.poll().expect("what waited for it");
+        assert!(call.contains(&json!({"verb": "clear", "cluster": 0})), "{call:?}");
+    }
+}
+
+#[test]
+fn a_line_that_comes_while_a_call_is_under_way_is_acted_upon_before_more_is_heard() {
+    let mut met = Met::started(3, 1, &[host("A", "active", 0), host("B", "active", 0)]);
+    met.subscribe(&[0], &[Some("A")]);
+    met.run(SECOND);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the revoke");
+    met.news("GRANT", json!({"range": 1, "flag": true}));
+    met.answer(revoke.len());
+    met.poll();
+    met.news("ROW", json!({"range": 1, "target": "B", "rps": 0.5}));
+    if met.call.is_some() {
+        met.answer(1);
+    }
+    let closed = json!({"verb": "admit", "cluster": 1, "routes": ["write"], "admit": 0.0, "policy": 0});
+    assert!(met.poll().is_some_and(|changes| changes.contains(&closed)), "at once");
+}
+
 #[test]
 fn an_answer_from_across_a_gap_proves_nothing() {
     let mut met = Met::new(1, 1);
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -339,6 +339,7 @@
     }
 
     pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
+        self.news = true;
         let settled = now + self.time("family_info.settle_s");
         let entry = self.be(be);
         (entry.start, entry.named) = (entry.start + 1, now);
@@ -399,6 +400,17 @@
         self.out.pop_front()
     }
 
+    /// As [`Steward::next_order`], for a host that has not been told yet of all that stands: writes of slices that settle
+    /// are closed, which hurts nobody whatever is told next, and nothing else is decided.
+    pub fn next_closing(&mut self, now: Time) -> Option<Order> {
+        if self.out.is_empty() && self.news {
+            self.tally(now);
+            let orders = self.turn(now, true);
+            self.out.extend(orders);
+        }
+        self.out.pop_front()
+    }
+
     fn decide(&mut self, now: Time) {
         // Deadlines (leases, settling, the ledger's window) are looked at this often.
         const BEAT: Time = SECOND / 10;
@@ -414,7 +426,7 @@
         self.tally(now);
         self.suspect(now);
         self.settle(now);
-        let orders = self.turn(now);
+        let orders = self.turn(now, false);
         self.out.extend(orders);
     }
 
@@ -737,9 +749,10 @@
     }
 
     /// All changes of one moment, gathered into one message a proxy; the ledger decides whether and how much.
-    fn turn(&mut self, now: Time) -> Vec<Order> {
+    /// `closings`: writes that have to be closed and nothing else.
+    fn turn(&mut self, now: Time, closings: bool) -> Vec<Order> {
         let joined = self.proxies.iter().filter(|proxy| proxy.joined).count();
-        let (leaving, lost) = self.leaving(now);
+        let (leaving, lost) = if closings { (Vec::new(), 0) } else { self.leaving(now) };
         let writing = self.writing;
         let open = |slice: &Slice| {
             let settling = slice.mine && slice.state == State::Settling && slice.owner.is_some();
@@ -752,6 +765,7 @@
         let urgent = lost + closing + self.bes.iter().filter(|be| leavers(be)).count();
         self.hurry |= closing > 0;
         let (room, rest) = self.room(now, joined, urgent);
+        let rest = if closings { 0 } else { rest };
         let mut orders = Vec::new();
         if room == 0 {
             return orders;
@@ -781,6 +795,9 @@
                 continue;
             }
             let quiet = slice.state == State::Owned || slice.quiet.is_some_and(|at| now >= at);
+            if closings && quiet {
+                continue;
+            }
             let mut wanted = None;
             if slice.owner.is_none() {
                 // Exception: the settling pause binds writes alone, so reads go to the new owner at once.
@@ -845,7 +862,7 @@
             let State::HandingOff { mark, waiting } = &slice.state else { return false };
             waiting.iter().any(|&p| self.proxies[p].joined && self.proxies[p].asked < *mark)
         };
-        if !orders.is_empty() || self.slices.iter().any(|slice| slice.mine && due(slice)) {
+        if !orders.is_empty() || !closings && self.slices.iter().any(|slice| slice.mine && due(slice)) {
             self.mark = mark;
             self.hurry = false;
             orders.push(Order::Stamp { number: (mark % 65_536) as u16 });
