Whoever reads the log holds nothing up and ends nothing

Seen by trial: `ravenspar platform 2>/dev/full` ended with code 101 at its first line, and so did one whose log's reader went away (`| head -1`). With a reader that stands still the process did, for good: PING unanswered, no move, no end at SIGTERM.

Cause: logs.rs wrote to standard error from the one thread that does everything. A full pipe blocks it; where a line can't be written, tracing-subscriber says so by `eprintln!`, which panics as well. cli.rs had two more of those.

Now a thread of its own writes the log. A mebibyte may wait for it; lines past that are left out, and how many is said once there is room. What can't be written is lost.

Tests: three of the program as a process with a collector that reports megabytes into a trace that nobody reads (it goes on, and ends), or with a reader that is gone; all three fail on the program before, and pass. Two of the queue itself.

--- a/crates/ravenspar/src/cli.rs
+++ b/crates/ravenspar/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line. Exit codes: 0, 1 it failed, 2 bad input.
 
 use std::ffi::OsString;
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -107,10 +108,14 @@
         }
     };
     let format = if matches!(cli.log_format, LogFormat::Json) { "json" } else { "text" };
-    if let Err(why) = logs::start(format, &cli.log) {
-        return end(Err(Fault::Input(why)));
-    }
-    end(match cli.command {
+    let logs = match logs::start(format, &cli.log) {
+        Ok(logs) => logs,
+        Err(why) => {
+            let _ = writeln!(std::io::stderr(), "{why}");
+            return ExitCode::from(2);
+        }
+    };
+    let done = match cli.command {
         Command::Serve { file, halt, pause, clock_off, without } => {
             start(&file, halt.or(pause.map(Halt::that_stands_still)), clock_off, &without)
         }
@@ -120,18 +125,15 @@
         Command::Accept { file } => accept(&file),
         Command::List(ListCommand::Accept { file }) => accept_list(&file),
         Command::Record { file, json } => show(&file, json),
-    })
-}
-
-fn end(result: Result<(), Fault>) -> ExitCode {
-    match result {
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(Fault::Input(why)) => {
-            eprintln!("{why}");
+            logs.say(&why);
             ExitCode::from(2)
         }
         Err(Fault::Failed(why)) => {
-            eprintln!("{why}");
+            logs.say(&why);
             ExitCode::FAILURE
         }
     }
--- a/crates/ravenspar/tests/platform/harness.rs
+++ b/crates/ravenspar/tests/platform/harness.rs
@@ -16,7 +16,7 @@
 
 pub struct Steward {
     pub child: Child,
-    pub log: tokio::io::Lines<BufReader<ChildStderr>>,
+    log: Option<tokio::io::Lines<BufReader<ChildStderr>>>,
     pub address: String,
     pub config: PathBuf,
     _dir: tempfile::TempDir,
@@ -54,11 +54,16 @@
 
 impl Steward {
     pub async fn start(config: &Value) -> Steward {
+        Steward::start_with(config, "").await
+    }
+
+    /// With more words on the line that starts it.
+    pub async fn start_with(config: &Value, more: &str) -> Steward {
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("written");
         // As the deploy file says, and with as many descriptors as the configuration says.
-        let limited = format!("ulimit -n {}; {}", config["limits"]["sockets"], run_line());
+        let limited = format!("ulimit -n {}; {} {more}", config["limits"]["sockets"], run_line());
         let mut child = Command::new("/bin/sh")
             .args(["-c", &limited])
             .env("RELAY_CONFIG", &path)
@@ -66,7 +71,7 @@
             .kill_on_drop(true)
             .spawn()
             .expect("it starts");
-        let log = BufReader::new(child.stderr.take().expect("a log")).lines();
+        let log = Some(BufReader::new(child.stderr.take().expect("a log")).lines());
         let mut steward = Steward { child, log, address: String::new(), config: path, _dir: dir };
         let line = steward.logged("serving").await;
         let listen = line.split(' ').find_map(|word| word.strip_prefix("listen="));
@@ -74,11 +79,26 @@
         steward
     }
 
+    async fn next_line(&mut self) -> Option<String> {
+        let log = self.log.as_mut().expect("a log that was not closed");
+        let line = timeout(PATIENCE, log.next_line()).await.expect("in time");
+        line.expect("a log that can be read")
+    }
+
+    /// Nobody reads the log any more.
+    pub fn close_log(&mut self) {
+        self.log = None;
+    }
+
+    /// Reads the log to its end.
+    pub async fn read_log(&mut self) {
+        while self.next_line().await.is_some() {}
+    }
+
     /// The next line of the log that has these words.
     pub async fn logged(&mut self, words: &str) -> String {
         loop {
-            let line = timeout(PATIENCE, self.log.next_line()).await.expect("in time");
-            let line = line.expect("a log that can be read").expect("the line comes before the end");
+            let line = self.next_line().await.expect("the line comes before the end");
             if line.contains(words) {
                 return line;
             }
@@ -90,8 +110,7 @@
         self.signal("-TERM").await;
         let mut count = 0;
         loop {
-            let line = timeout(PATIENCE, self.log.next_line()).await.expect("in time");
-            let line = line.expect("a log that can be read").expect("the line comes before the end");
+            let line = self.next_line().await.expect("the line comes before the end");
             count += usize::from(line.contains(words));
             if line.contains("asked to end") {
                 return count;
--- a/crates/ravenspar/tests/platform/main.rs
+++ b/crates/ravenspar/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod list;
 mod listener;
+mod logs;
 mod moves;
 mod news;
 mod shape;
