A view of the fleet that has failed ends the process; two crossings at signals forced

Seen by reading fleet.rs: should the view's task end by a fault, `heard` waits for ever, and what it showed last stays: members that stewards are counted by, and what the others reach, by which this one rests. Now that is heard of and the process ends with code 1, as with the source of the list. Test: a task that fails behind a hint it gave; without the change the test waits in vain.

Two leads that no test had forced, both refuted, the tests stay: SIGHUP and SIGTERM while both connects wait at an address that takes no connection and refuses none; SIGTERM with a collector and a stranger in the middle of a frame.

--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -87,6 +87,7 @@
                 heard = heard(&mut self.door.fleet) => match heard {
                     Heard::Shown => self.view_changed(),
                     Heard::Hint(kind, number) => self.hint(kind, number),
+                    Heard::Ended => return Err(Fault::Failed("the view of the fleet has failed".to_owned())),
                 },
                 () = self.recorder.changed() => {}
                 () = tokio::time::sleep_until(wake) => {}
--- a/crates/ravenspar/src/fleet.rs
+++ b/crates/ravenspar/src/fleet.rs
@@ -70,6 +70,8 @@
     Shown,
     /// Another steward's hint, of a kind with a number.
     Hint(u8, u64),
+    /// The task has failed: what is shown last stays for ever.
+    Ended,
 }
 
 /// The task's handle.
@@ -90,12 +92,12 @@
         let _ = self.commands.try_send(Command::Hint(kind, number));
     }
 
-    /// What is heard next; never, once the task has ended.
+    /// What is heard next. The task ends by a fault alone while anybody asks.
     pub async fn heard(&mut self) -> Heard {
         tokio::select! {
             Ok(()) = self.shown.changed() => Heard::Shown,
             Some((kind, number)) = self.hints.recv() => Heard::Hint(kind, number),
-            else => std::future::pending().await,
+            else => Heard::Ended,
         }
     }
 
@@ -350,3 +352,6 @@
         return Err(format!("{at}: no steward answers there, or not with this key"));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ravenspar/src/fleet/tests.rs
@@ -0,0 +1,21 @@
+use super::*;
+
+#[tokio::test]
+async fn a_task_that_fails_is_heard_of_behind_what_it_said() {
+    let ((commands, _), (shown, seen), (hint, hints)) =
+        (mpsc::channel(1), watch::channel(Shown::default()), mpsc::channel(1));
+    let mut fleet = Fleet { commands, shown: seen, hints };
+    hint.send((1, 7)).await.expect("there is room");
+    let failed = tokio::spawn(async move {
+        let _held = (shown, hint);
+        panic!("a fault in the view");
+    });
+    assert!(failed.await.is_err());
+    let within = std::time::Duration::from_secs(60);
+    let mut heard = Vec::new();
+    for _ in 0..2 {
+        let said = tokio::time::timeout(within, fleet.heard()).await.expect("in time");
+        heard.push(matches!(said, Heard::Ended));
+    }
+    assert_eq!(heard, [false, true]);
+}
--- a/crates/ravenspar/tests/platform/configuration.rs
+++ b/crates/ravenspar/tests/platform/configuration.rs
@@ -43,6 +43,46 @@
     assert_eq!(steward.ended().await.code(), Some(0));
 }
 
+/// An address that takes no connection and refuses none: whoever connects waits. Lives as long as what is returned.
+async fn full() -> (std::net::SocketAddr, Vec<tokio::net::TcpStream>, tokio::net::TcpListener) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let listener = socket.listen(1).expect("it listens");
+    let at = listener.local_addr().expect("an address");
+    let mut filled = Vec::new();
+    let connect = || timeout(std::time::Duration::from_millis(500), tokio::net::TcpStream::connect(at));
+    while let Ok(taken) = connect().await {
+        filled.push(taken.expect("it takes what it has room for"));
+    }
+    (at, filled, listener)
+}
+
+#[tokio::test]
+async fn connects_that_wait_at_the_old_addresses_hold_up_neither_the_new_ones_nor_the_end() {
+    let relay = Relay::start(2, "A", 2).await.expect("a relay");
+    let discovery = Discovery::start(&["A", "B"]).await.expect("discovery");
+    let mut config = config(&relay, &discovery);
+    let (waits, _filled, _listener) = full().await;
+    config["relay"]["address"] = json!(waits.to_string());
+    config["discovery"] = json!(waits.to_string());
+    let mut steward = Steward::start(&config).await;
+    // Both wait for the whole of their time, again and again, so that the signal comes while they do.
+    steward.logged("no connection in time").await;
+    config["relay"]["address"] = json!(relay.address.to_string());
+    config["discovery"] = json!(discovery.address.to_string());
+    std::fs::write(&steward.config, config.to_string()).expect("written");
+    steward.signal("-HUP").await;
+    until(&relay, |said| said.subscriptions == 1).await;
+    moves(&relay, &discovery, "A", "B").await;
+    // The same at the end.
+    config["relay"]["address"] = json!(waits.to_string());
+    std::fs::write(&steward.config, config.to_string()).expect("written");
+    steward.signal("-HUP").await;
+    steward.logged("no connection in time").await;
+    steward.signal("-TERM").await;
+    assert_eq!(steward.ended().await.code(), Some(0));
+}
+
 #[tokio::test]
 async fn a_configuration_that_cannot_be_read_is_an_exit_code_of_two_with_what_was_expected() {
     let dir = tempfile::tempdir().expect("a folder");
--- a/crates/ravenspar/tests/platform/end.rs
+++ b/crates/ravenspar/tests/platform/end.rs
@@ -2,6 +2,8 @@
 
 use ravenspar_standin::platform::Fault;
 
+use tokio::io::AsyncWriteExt;
+
 use crate::harness::*;
 
 #[tokio::test]
@@ -61,3 +63,20 @@
     steward.signal("-TERM").await;
     assert_eq!(steward.ended().await.code(), Some(0));
 }
+
+#[tokio::test]
+async fn parties_in_the_middle_of_a_frame_hold_no_end_up_and_are_closed() {
+    let (_relay, _discovery, _, mut steward) = at_work().await;
+    let source = frame(r#"{"msg":"SOURCE","site":"a"}"#);
+    let (mut collector, mut stranger) = (steward.connect().await, steward.connect().await);
+    collector.write_all(&source).await.expect("taken in");
+    assert!(alive(&mut collector).await);
+    // Answered in order, so that the half behind it is read by then.
+    let half = [&frame(r#"{"msg":"PING"}"#)[..], &frame(r#"{"msg":"LOAD","site":"a"}"#)[..9]].concat();
+    collector.write_all(&half).await.expect("taken in");
+    assert_eq!(heard(&mut collector).await.as_deref(), Some(r#"{"msg":"PONG"}"#));
+    stranger.write_all(&source[..5]).await.expect("taken in");
+    steward.signal("-TERM").await;
+    assert_eq!(steward.ended().await.code(), Some(0));
+    assert!(closed(&mut collector).await && closed(&mut stranger).await);
+}
