A steward asked to end whose life is over meanwhile ends, in place of joining anew for ever

Seen by a test: with the store away at SIGTERM, one of two stewards did not end within 30 s; its log says 'not a member ... failures=13'.

Cause: serve.rs `share`. The core hears the signal, begins to give its slices away and waits for that. Where its membership ends first (the store away, an outcome that is not known, a fault of one of its tasks), the life is over and the next one is joined; the signal had been taken out of its queue by then, and nothing remembered it. At a planned restart such a steward held its place, and with the store back it even took slices again, until it was killed. Now the end of a life that was leaving is the end.

Test: SIGTERM to one of two, with the answer to the transaction that gives slices away lost, with it carried out late, and with the store away: it ends with code 0 and the other has all slices under higher terms.

--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -198,6 +198,7 @@
                 let end = core.run().await?;
                 seen = core.shared.as_ref().map_or(seen, |shared| shared.seen);
                 let shared = core.shared.take();
+                let leaving = shared.as_ref().is_some_and(|shared| shared.life.fleet.is_leaving());
                 drop(core);
                 if let Some((cluster, revision)) = seen {
                     door.kept.write(Batch::Seen(cluster, revision)).await;
@@ -208,6 +209,11 @@
                 }
                 match end {
                     End::Stopped => return Ok(()),
+                    // The signal was heard in this life: one that joined anew would never end.
+                    End::Over(why) if leaving => {
+                        tracing::warn!(%why, "the life is over before all slices were given away");
+                        return Ok(());
+                    }
                     End::Over(why) => why,
                 }
             }
--- a/crates/ravenspar/tests/shared.rs
+++ b/crates/ravenspar/tests/shared.rs
@@ -76,6 +76,39 @@
     assert_eq!(second.ended().code(), Some(0));
 }
 
+/// The transaction that gives slices away is carried out and its answer lost, or carried out after its caller has heard
+/// that nothing is known, or can't be: the one that ends does end, and each slice is the other's in the end, once.
+#[test]
+fn slices_given_away_at_the_end_are_not_lost_with_the_answers() {
+    let late = Faults { late: 1, late_by: Duration::from_millis(300), ..Faults::default() };
+    let lost = Faults { lose_answers: 3, ..Faults::default() };
+    for faults in [lost, late, Faults { away: true, ..Faults::default() }] {
+        let dir = Dir::new(6, 2, &["a", "b"]);
+        let (store, at) = store(1);
+        let (one, two) = (settings(&dir, "one", at, ""), settings(&dir, "two", at, ""));
+        let mut first = start(&one, &[]);
+        let mut proxy = Proxy::dial(first.address, 0, 1);
+        until("one is in charge of all", &mut [&mut proxy], |all| all[0].owners.len() == 6);
+        let second = start(&two, &[]);
+        let mut other = Proxy::dial(second.address, 0, 1);
+        until("two has its share", &mut [&mut proxy, &mut other], |all| all[1].owners.len() == 3);
+        store.set_faults(faults.clone());
+        first.signal("TERM");
+        assert_eq!(first.ended().code(), Some(0), "{faults:?}");
+        store.set_faults(Faults::default());
+        // Where its own life had to end, it joins anew and its streams come again.
+        wait("two has all", || {
+            if other.closed {
+                other = Proxy::dial(second.address, 0, 1);
+            }
+            other.step();
+            other.owners.len() == 6
+        });
+        wait("one is no member", || shares(&two) == named(&[("two", 6)]));
+        assert!(other.term > proxy.term, "{faults:?}");
+    }
+}
+
 #[test]
 fn a_store_that_is_away_ends_memberships_and_streams_until_it_is_back() {
     let dir = Dir::new(4, 1, &["a"]);
