Closings that the ledger holds up at a subscription are tried again before the sign of life

Now it counts until closings went out; what is heard next asks again. Test: one message a second allowed, two slices told; without the change the second is never closed.

Also a name in logs.rs that said the opposite.

--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -452,8 +452,9 @@
             self.decide(now);
         } else if self.calls.settled() && self.standing.is_some() && self.given {
             // What stands is still being told, up to a second long. Writes of what settles are open for as long.
-            self.given = false;
             let orders = self.orders(now, Steward::next_closing);
+            // Without a line yet, or without room in the ledger: the same again with whatever is heard next.
+            self.given = orders.is_empty();
             self.calls.push(orders.into_iter());
         }
         self.poll_last(now)
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -53,8 +53,12 @@
     }
 
     fn started(slices: usize, proxies: usize, hosts: &[Value]) -> Met {
+        Met::with(&settings(slices, proxies), hosts)
+    }
+
+    fn with(settings: &Value, hosts: &[Value]) -> Met {
         let known = list(1, true, hosts);
-        let session = Session::new(START, 7, &settings(slices, proxies), &known).expect("good settings");
+        let session = Session::new(START, 7, settings, &known).expect("good settings");
         let mut met = Met { session, now: START, call: None, live: false };
         met.session.handle_list(START, known.to_string().as_bytes(), true).expect("a good list");
         met
@@ -599,6 +603,27 @@
     }
 }
 
+#[test]
+fn closings_that_the_ledger_holds_up_at_a_subscription_go_out_once_there_is_room() {
+    let mut settings = settings(2, 1);
+    settings["family_info"]["pushes_allowed"] = json!(1);
+    settings["family_info"]["update_window_s"] = json!(1.0);
+    let mut met = Met::with(&settings, &[host("A", "active", 0), host("B", "active", 0)]);
+    let settling = |met: &mut Met, slice: usize| {
+        met.news("GRANT", json!({"range": slice, "flag": true}));
+        met.news("ROW", json!({"range": slice, "target": "B", "rps": 0.5}));
+    };
+    met.begin();
+    met.joins(0);
+    settling(&mut met, 0);
+    assert_eq!(verbs(&met.poll().expect("the first")), ["admit", "mark"]);
+    met.answer(2);
+    settling(&mut met, 1);
+    assert_eq!(met.poll(), None, "one message a second");
+    met.later(SECOND + SECOND / 5);
+    assert_eq!(verbs(&met.poll().expect("before any sign of life")), ["admit", "mark"]);
+}
+
 #[test]
 fn a_line_that_comes_while_a_call_is_under_way_is_acted_upon_before_more_is_heard() {
     let mut met = Met::started(3, 1, &[host("A", "active", 0), host("B", "active", 0)]);
--- a/crates/ravenspar/src/logs.rs
+++ b/crates/ravenspar/src/logs.rs
@@ -61,8 +61,8 @@
 
     /// Whether all that came was written within this time.
     fn written(&self, within: Duration) -> bool {
-        let idle = |queue: &mut Queue| queue.writing || !queue.waiting.is_empty();
-        let waited = self.0 .1.wait_timeout_while(self.lock(), within, idle);
+        let busy = |queue: &mut Queue| queue.writing || !queue.waiting.is_empty();
+        let waited = self.0 .1.wait_timeout_while(self.lock(), within, busy);
         !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
     }
 }
