A slice just taken over is not granted for reads alone while it settles

Cause: rebalance.rs grants a slice for reads from a lease after it was given, though whoever had it before may be back at any time.

Tests changed, as they asserted the time that is found wrong: a_settling_slice_is_granted_... and no_grant_for_reads_alone_... are played ten seconds later; an_empty_record_waits_... wants a lease and a settling; five of the session's wait as long at the start, one with a longer cold time for that. New: a_slice_just_taken_over_is_not_granted_for_reads_alone, which fails without the change.

--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -46,8 +46,8 @@
         let mut met = Met::started(slices, proxies, &hosts);
         met.subscribe(&(0..proxies).collect::<Vec<_>>(), &vec![Some("A"); slices]);
         assert_eq!(met.poll(), None, "nothing to do at first");
-        // A slice is granted no sooner than a lease after it was given.
-        met.later(5 * SECOND);
+        // A slice is granted no sooner than a lease and a settling after it was given.
+        met.later(10 * SECOND);
         met.news("ping", json!({}));
         met
     }
@@ -351,12 +351,16 @@
 #[test]
 fn a_host_that_started_before_the_steward_is_still_cold_to_it() {
     let hosts = [host("A", "leaving", 0), host("B", "active", START - 3 * SECOND)];
-    let mut met = Met::started(1, 1, &hosts);
+    let mut settings = settings(1, 1);
+    settings["safety"]["cold_s"] = json!(20.0);
+    let mut met = Met::with(&settings, &hosts);
     met.subscribe(&[0], &[Some("A")]);
+    met.later(5 * SECOND);
     let revoke = met.poll().expect("the drain");
     met.answer(2);
     met.answers(0, mark(&revoke));
-    met.later(5 * SECOND);
+    // A lease and a settling after it was given, before this hand-over has settled.
+    met.later(4 * SECOND);
     let grant = met.poll().expect("the grant");
     let level = json!({"verb": "admit", "cluster": 0, "routes": ["lookup", "write"], "admit": 0.0,
         "policy": 0});
@@ -443,7 +447,7 @@
         report["lane"] = json!(name);
         assert_eq!(met.session.handle_report(met.now, &report), Ok(()), "{name}");
     }
-    met.run(5 * SECOND);
+    met.run(10 * SECOND);
     met.changed(2, &[host("A", "leaving", 0)]);
     let revoke = met.poll().expect("the drain");
     met.answer(2);
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -804,7 +804,11 @@
                 // Not where writes may open within a second: what two grants take of the channel is the others'.
                 let soon = slice.quiet.is_some_and(|at| at - now < SECOND);
                 let reads = self.writing != 0 && self.cfg.text("family_info.admit") != Some("none") && !soon;
-                if !quiet && (!reads || now < slice.given + self.time("family_info.write_lease_s")) {
+                // Nor soon after the slice came from another steward: that one may be back and get it again, at which the
+                // store opens the writes, and until somebody is told of it nobody can close them.
+                let lease = self.time("family_info.write_lease_s");
+                let taken_over = now < slice.given + lease + self.time("family_info.settle_s");
+                if !quiet && (!reads || taken_over) {
                     continue;
                 }
                 let Some(be) = self.fewest(now, s) else { continue };
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -210,22 +210,33 @@
 #[test]
 fn a_settling_slice_is_granted_for_reads_and_says_so_on_record() {
     let mut steward = steward(1, 2, 1);
-    settle(&mut steward, 9 * SECOND);
+    settle(&mut steward, 19 * SECOND);
     let grant = [
         Order::SetLine { slice: 0, be: 0, weight: 0.5 },
         Order::Level { slice: Some(0), kinds: 2, share: 0.0 },
         Order::Stamp { number: 1 },
     ];
-    assert_eq!(orders(&mut steward, 5 * SECOND), grant);
+    assert_eq!(orders(&mut steward, 15 * SECOND), grant);
     assert_eq!(steward.slices[0].state, State::Settling);
 }
 
+/// Whoever had it before may be back and have it again, at which the store opens its writes for a moment.
+#[test]
+fn a_slice_just_taken_over_is_not_granted_for_reads_alone() {
+    let mut steward = steward(1, 2, 1);
+    steward.given(SECOND, 0);
+    settle(&mut steward, 19 * SECOND);
+    assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE - 1), []);
+    let reads = Order::SetLine { slice: 0, be: 0, weight: 0.5 };
+    assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE)[0], reads);
+}
+
 #[test]
 fn no_grant_for_reads_alone_where_writes_may_open_within_a_second() {
     let mut steward = steward(1, 2, 1);
-    settle(&mut steward, 9 * SECOND);
-    assert_eq!(orders(&mut steward, 8 * SECOND + 1), []);
-    assert_eq!(orders(&mut steward, 9 * SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
+    settle(&mut steward, 19 * SECOND);
+    assert_eq!(orders(&mut steward, 18 * SECOND + 1), []);
+    assert_eq!(orders(&mut steward, 19 * SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
 }
 
 #[test]
@@ -267,11 +278,12 @@
 }
 
 #[test]
-fn an_empty_record_waits_one_lease_before_its_grant() {
+fn an_empty_record_waits_one_lease_and_settles_before_its_grant() {
     let mut steward = steward(1, 2, 1);
     steward.given(SECOND, 0);
-    assert_eq!(orders(&mut steward, SECOND + LEASE - 1), []);
-    assert!(matches!(orders(&mut steward, SECOND + LEASE)[0], Order::SetLine { weight: 0.5, .. }));
+    assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE - 1), []);
+    let grant = Order::SetLine { slice: 0, be: 0, weight: 1.0 };
+    assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE)[0], grant);
 }
 
 #[test]
