--- a/crates/ravenspar/tests/platform/configuration.rs
+++ b/crates/ravenspar/tests/platform/configuration.rs
@@ -185,7 +185,9 @@
     collector.write_all(&frame(r#"{"msg":"SOURCE","site":"belém, doca 2"}"#)).await.expect("taken in");
     assert!(alive(&mut collector).await, "a zone of the settings");
     until(&relay, |said| said.subscriptions == 1).await;
+    // Reads open first from a lease and a settling after the slices were given, which the first move lasts.
     moves(&relay, &discovery, "A", "B").await;
+    moves(&relay, &discovery, "B", "A").await;
     let (refused, closed) = relay.with(|said| {
         let closed =
             |order: &&serde_json::Value| order["admit"] == 0.0 && order["routes"] == json!(["crédito já"]);
