--- a/crates/platform/tests/liveness/main.rs
+++ b/crates/platform/tests/liveness/main.rs
@@ -136,3 +136,27 @@
         [(228, 54, Trouble::ProxiesLeave(46)), (282, 1, Trouble::NewsSilent), (219, 1, Trouble::Drain(0))];
     play_in(world, &troubles).expect("no limit is passed");
 }
+
+/// Known red. A proxy that was known to be away comes back while the news are silent, reads the owner of a slice, and leaves
+/// again before the next subscription tells who is joined. Its lease runs from that second leaving, which nobody heard; the
+/// session counts it from the first one, takes it for run out, and grants the slice to another server while the proxy may
+/// still write to the former one ("slice 0 is granted to 1 while proxies have it elsewhere").
+#[test]
+fn two_owners_after_a_gap_in_which_a_proxy_came_back_and_left() {
+    let silent_before_the_leaving = [
+        (236, 23, Trouble::NewsSilent),
+        (281, 1, Trouble::Drain(0)),
+        (275, 26, Trouble::ProxiesLeave(34)),
+        (197, 39, Trouble::ProxiesLeave(34)),
+    ];
+    let stopped_meanwhile = [
+        (278, 40, Trouble::ProxiesLeave(34)),
+        (291, 1, Trouble::Drain(0)),
+        (220, 26, Trouble::ProxiesLeave(34)),
+        (244, 16, Trouble::Stopped),
+        (229, 33, Trouble::NewsSilent),
+    ];
+    for history in [silent_before_the_leaving.as_slice(), &stopped_meanwhile] {
+        play(Sizes::few(), history).expect("one owner at a time");
+    }
+}
