No hand-over is over before somebody has answered it

Known from docs/design/endings.md, 'a hand-over that waits for no joined proxy at all'; forced by the session test of this commit, which failed on the code before (B was granted with the proxy unheard).

Cause: handoff.rs, settle. Leases that have run out by what is known end a hand-over, and what is known may be older than the revoke: the first line heard after the call's answer may have been written before the call. Where some proxy is joined, its answer comes after the news of whoever had joined by then; where none is, nothing showed that.

Change: a hand-over is over once each proxy has answered or is past its lease, and somebody has answered. Where nobody is joined, the first that joins is asked and answers. Why it holds: news come in their order, so any answer to the mark lies behind each joining from before the revoke was carried out. Cost: where all proxies were away at once, slices wait for one answer more.

Tests: one of the session, one of the module. Two of the module assumed an end with nobody's answer; they have a proxy that answers now, and assert the same times.

--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -635,6 +635,33 @@
     assert_eq!(grants(&[asked, met.run(2 * SECOND)].concat()), ["B"]);
 }
 
+/// The only proxy comes back just before a revoke is carried out, and reads the former owner; then the process stands still.
+/// When it goes on, the first line that it hears is older than the call. That ended the wait for something heard, the proxy's
+/// lease had run out by what was known, and the hand-over was over with nobody asked.
+#[test]
+fn a_proxy_whose_coming_back_lies_behind_older_lines_is_waited_for() {
+    let mut met = Met::new(1, 1);
+    met.news("CLOSED", json!({"id": 0}));
+    met.live = false;
+    met.later(5 * SECOND);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the drain");
+    met.answer(2);
+    met.later(10 * SECOND);
+    met.news("ping", json!({}));
+    assert_eq!(met.poll(), None);
+    met.joins(0);
+    met.live = true;
+    let asked = met.run(8 * SECOND);
+    assert!(grants(&asked).is_empty(), "it has not answered");
+    met.answers(0, met.session_mark(&asked, &revoke));
+    assert_eq!(
+        grants(&met.run(7 * SECOND)),
+        ["B", "B"],
+        "for reads alone, and once it has settled for writes"
+    );
+}
+
 #[test]
 fn a_call_that_was_under_way_at_a_break_follows_the_next_subscription_at_once() {
     let mut met = Met::new(1, 1);
--- a/crates/steward/src/rebalance/handoff.rs
+++ b/crates/steward/src/rebalance/handoff.rs
@@ -11,13 +11,15 @@
         for slice in self.slices.iter_mut().filter(|slice| slice.mine) {
             let State::HandingOff { mark, waiting } = &mut slice.state else { continue };
             // Looked at together: guards against a proxy whose lease has run out by what is known, and that is told to have
-            // come back before the others answer.
+            // come back before the others answer. Where nobody has answered, nothing shows that its coming back, before the
+            // revoke was carried out, would have been told by now: a proxy that joins is asked.
             let is_over = waiting.iter().all(|&proxy| {
                 let proxy = &self.proxies[proxy];
                 let broke = !proxy.joined && now >= proxy.down.max(slice.given) + lease;
                 proxy.answered >= *mark || broke
             });
-            if is_over {
+            let is_shown = self.proxies.iter().any(|proxy| proxy.answered >= *mark);
+            if is_over && is_shown {
                 slice.state = State::Settling;
                 // A slice that was open to reads alone has had no write since the earlier hand-over.
                 slice.quiet = Some(slice.quiet.unwrap_or(now + settle));
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -168,8 +168,9 @@
 
 #[test]
 fn a_broken_proxy_counts_its_lease_from_the_break() {
-    let mut steward = steward(1, 2, 1);
-    hand_off(&mut steward, &[0]);
+    let mut steward = steward(1, 2, 2);
+    hand_off(&mut steward, &[0, 1]);
+    steward.installed(1, 1, 1);
     steward.stream_down(SECOND, 0);
     steward.settle(SECOND + LEASE - 1);
     assert!(handing_off(&steward.slices[0]));
@@ -177,11 +178,32 @@
     assert_eq!(steward.slices[0].state, State::Settling);
 }
 
+#[test]
+fn a_hand_over_that_nobody_has_answered_waits_though_no_proxy_is_joined() {
+    let mut steward = steward(1, 2, 2);
+    hand_off(&mut steward, &[0, 1]);
+    (0..2).for_each(|proxy| steward.stream_down(1, proxy));
+    steward.settle(100 * LEASE);
+    assert!(
+        handing_off(&steward.slices[0]),
+        "one may have come back unheard before the revoke was carried out"
+    );
+    // Whoever joins is asked, and its answer shows who was there.
+    steward.joined(0, 0.0);
+    assert_eq!(orders(&mut steward, 100 * LEASE), [Order::Stamp { number: 2 }]);
+    steward.settle(101 * LEASE);
+    assert!(handing_off(&steward.slices[0]));
+    steward.installed(102 * LEASE, 0, 2);
+    steward.settle(102 * LEASE);
+    assert_eq!(steward.slices[0].state, State::Settling);
+}
+
 #[test]
 fn a_proxy_never_seen_counts_as_broken_when_the_slice_was_given() {
     let mut steward = steward(1, 2, 1);
     steward.proxy(1);
-    hand_off(&mut steward, &[1]);
+    hand_off(&mut steward, &[0, 1]);
+    steward.installed(1, 0, 1);
     steward.slices[0].given = SECOND;
     steward.settle(SECOND + LEASE - 1);
     assert!(handing_off(&steward.slices[0]));
