A read that is refused for a moment ends no connection

The new test of tests/faults failed at its first interrupted read.

Cause: listener.rs took any error of a read for the end of the connection, EINTR and ENOMEM as well.

Change: the socket is wrapped (patient.rs): a read or write that the system refuses for a moment is tried again every 5 ms, under the deadlines that stand anyway. It takes the place of the loop that only the answer to a PING had.

--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -3,6 +3,7 @@
 mod discovery;
 mod lines;
 mod listener;
+mod patient;
 mod process;
 mod relay;
 mod serve;
--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -15,6 +15,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::patient::Patient;
 use crate::Event;
 
 /// A party that has not joined by then is closed, as the platform allows.
@@ -29,7 +30,7 @@
 /// How long the last word to a party may take, and a sign of life.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
-type Party = Framed<TcpStream, LengthDelimitedCodec>;
+type Party = Framed<Patient<TcpStream>, LengthDelimitedCodec>;
 
 /// What the steward listens with.
 pub struct Listener {
@@ -40,24 +41,9 @@
     pub sockets: usize,
 }
 
-/// Answers a sign of life that was read, though the system refuses the write for a moment.
+/// Answers a sign of life. Returns whether it went out.
 async fn pong(party: &mut Party) -> bool {
-    const AGAIN: Duration = Duration::from_millis(5);
-    let answer = async {
-        let mut sent = party.send(Bytes::from_static(PONG)).await;
-        while sent.as_ref().is_err_and(is_for_a_moment) {
-            tokio::time::sleep(AGAIN).await;
-            sent = SinkExt::<Bytes>::flush(party).await;
-        }
-        sent
-    };
-    matches!(timeout(LAST_WORD, answer).await, Ok(Ok(())))
-}
-
-/// Interrupted by a signal, or out of buffers: the connection lives, and what is to be written still is.
-fn is_for_a_moment(error: &std::io::Error) -> bool {
-    const ENOBUFS: i32 = 105;
-    error.kind() == std::io::ErrorKind::Interrupted || error.raw_os_error() == Some(ENOBUFS)
+    matches!(timeout(LAST_WORD, party.send(Bytes::from_static(PONG))).await, Ok(Ok(())))
 }
 
 async fn turn_away(mut party: Party) {
@@ -78,7 +64,7 @@
 async fn greet(socket: TcpStream, zones: Arc<[String]>, joined: mpsc::Sender<(usize, Party)>) {
     let _ = socket.set_nodelay(true);
     let by = Instant::now() + GREETING;
-    let mut party = Framed::new(socket, codec(MOST_GREETING));
+    let mut party = Framed::new(Patient::new(socket), codec(MOST_GREETING));
     loop {
         let frame = match timeout_at(by, party.next()).await {
             Ok(Some(Ok(frame))) => frame,
--- a/crates/ravenspar/tests/faults/main.rs
+++ b/crates/ravenspar/tests/faults/main.rs
@@ -18,6 +18,7 @@
 /// Errors by their numbers.
 const EINTR: i32 = 4;
 const EIO: i32 = 5;
+const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
 const EADDRNOTAVAIL: i32 = 99;
@@ -161,6 +162,20 @@
     }
 }
 
+/// A read that a signal interrupts, or that finds no memory for a moment, ended its connection, with whatever was read before
+/// and not answered yet.
+#[tokio::test]
+async fn signs_of_life_are_answered_though_reads_are_refused_for_a_moment() {
+    for error in [EINTR, ENOMEM, ENOBUFS] {
+        let faulty = Faulty::start(&format!("recv {error} 0 20000 2")).await;
+        let mut party = faulty.steward.connect().await;
+        for _ in 0..20 {
+            assert!(alive(&mut party).await, "{error}");
+        }
+        assert!(faulty.delivered(&format!("recv Error({error})")) >= 5);
+    }
+}
+
 #[tokio::test]
 async fn waits_that_signals_interrupt() {
     let faulty = Faulty::start(&format!("epoll_wait {EINTR} 0 5000 2")).await;
