What was read of a party is answered before its connection ends

Cause: serve.rs returned once its last call was settled, and the runtime dropped every connection's task with what its buffer held; listener.rs ended connections by aborting their tasks.

Change: connections end by being asked to (CancellationToken, TaskTracker): a task reads nothing more, answers what it has read, and closes; what is unread makes the close a reset, which tells the peer so. A party that takes in no answer is cut off once 32 are ending. A collector's report that waits for room holds no answer up. The listener fell apart: a party's frames, answers and end are in listener/party.rs.

--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -1,22 +1,23 @@
 //! The steward's own address: strangers until they have said who they are, collectors from then on.
 
+mod party;
+
 use std::collections::VecDeque;
+use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
-use ravenspar_platform::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use ravenspar_platform::{hear, Heard};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-use crate::patient::Patient;
 use crate::Event;
+use party::{Next, Party};
 
 /// A party that has not joined by then is closed, as the platform allows.
 const GREETING: Duration = Duration::from_millis(1_000);
@@ -27,10 +28,9 @@
 /// Descriptors that strangers never take: for collectors, relay, discovery, files and what the runtime needs.
 const KEPT_FREE: usize = 96;
 
-/// How long the last word to a party may take, and a sign of life.
-const LAST_WORD: Duration = Duration::from_millis(200);
-
-type Party = Framed<Patient<TcpStream>, LengthDelimitedCodec>;
+/// Parties that are to end and have not yet: past that the first of them is cut off, whatever it is owed. Guards the
+/// descriptors against parties that take in no answer.
+const ENDING: usize = 32;
 
 /// What the steward listens with.
 pub struct Listener {
@@ -39,66 +39,98 @@
     pub events: mpsc::Sender<Event>,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    pub parties: Parties,
 }
 
-/// Answers a sign of life. Returns whether it went out.
-async fn pong(party: &mut Party) -> bool {
-    matches!(timeout(LAST_WORD, party.send(Bytes::from_static(PONG))).await, Ok(Ok(())))
+/// The tasks of all connections, which end by themselves once they are asked to: what was read of a connection is answered.
+#[derive(Clone, Default)]
+pub struct Parties {
+    tasks: TaskTracker,
+    ending: CancellationToken,
 }
 
-async fn turn_away(mut party: Party) {
-    // Whether it arrives or not, the close does.
-    let word = async {
-        party.send(Bytes::from_static(NACK)).await?;
-        let socket = party.get_mut();
-        socket.shutdown().await?;
-        // A close with something left unread is a reset, which may take the last word with it.
-        let mut rest = [0; 4096];
-        while socket.read(&mut rest).await? > 0 {}
-        std::io::Result::Ok(())
-    };
-    let _ = timeout(LAST_WORD, word).await;
+impl Parties {
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+        self.tasks.spawn(task).abort_handle()
+    }
+
+    /// Ends all connections, within this time.
+    pub async fn end(&self, within: Duration) {
+        self.ending.cancel();
+        self.tasks.close();
+        let _ = timeout(within, self.tasks.wait()).await;
+    }
+}
+
+/// A connection's task, and how it is asked to end.
+struct Connection {
+    task: AbortHandle,
+    ending: CancellationToken,
+}
+
+/// Connections that were asked to end.
+#[derive(Default)]
+struct Endings(VecDeque<AbortHandle>);
+
+impl Endings {
+    fn end(&mut self, connection: Connection) {
+        connection.ending.cancel();
+        self.0.retain(|task| !task.is_finished());
+        self.0.push_back(connection.task);
+        if self.0.len() > ENDING {
+            self.0.pop_front().inspect(AbortHandle::abort);
+        }
+    }
 }
 
 /// Hears a stranger until it joins or is turned away.
-async fn greet(socket: TcpStream, zones: Arc<[String]>, joined: mpsc::Sender<(usize, Party)>) {
-    let _ = socket.set_nodelay(true);
+async fn greet(mut party: Party, zones: Arc<[String]>, joined: mpsc::Sender<(usize, Party)>) {
     let by = Instant::now() + GREETING;
-    let mut party = Framed::new(Patient::new(socket), codec(MOST_GREETING));
     loop {
         let frame = match timeout_at(by, party.next()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return,
-            Err(_) | Ok(Some(Err(_))) => return turn_away(party).await,
+            Ok(Next::Frame(frame)) => frame,
+            Ok(Next::Ended) => return,
+            Err(_) | Ok(Next::Unreadable) => return party.turn_away().await,
         };
         match hear(&frame, false, &zones) {
             // What came in time is answered; one that pings without end is no collector all the same.
-            Ok(Heard::Ping) if pong(&mut party).await && Instant::now() < by => {}
+            Ok(Heard::Ping) if party.pong().await && Instant::now() < by => {}
             Ok(Heard::Source(zone)) => {
-                party.codec_mut().set_max_frame_length(MOST_FRAME);
-                let _ = joined.send((zone, party)).await;
+                party.is_collector();
+                // Nobody joins a steward that is about to end.
+                if let Err(refused) = joined.send((zone, party)).await {
+                    refused.0 .1.turn_away().await;
+                }
                 return;
             }
-            _ => return turn_away(party).await,
+            _ => return party.turn_away().await,
         }
     }
 }
 
 /// Passes on what a collector reports, until what it says can't be read any more.
 async fn collect(mut party: Party, zones: Arc<[String]>, events: mpsc::Sender<Event>, heard: Arc<Heartbeat>) {
-    while let Some(Ok(frame)) = party.next().await {
+    let ending = party.ending().clone();
+    loop {
+        let frame = match party.next().await {
+            Next::Frame(frame) => frame,
+            Next::Ended if ending.is_cancelled() => return,
+            Next::Ended | Next::Unreadable => break,
+        };
         match hear(&frame, true, &zones) {
             Ok(Heard::Report(report)) => {
                 heard.beat();
-                if events.send(Event::Report(report)).await.is_err() {
-                    return;
+                // A report is owed no answer; signs of life that were read behind it are.
+                tokio::select! {
+                    () = ending.cancelled() => {}
+                    _ = events.send(Event::Report(report)) => {}
                 }
             }
-            Ok(Heard::Ping) if pong(&mut party).await => {}
+            Ok(Heard::Ping) if party.pong().await => {}
             _ => break,
         }
     }
-    turn_away(party).await;
+    party.turn_away().await;
 }
 
 /// When a collector last reported, or joined.
@@ -119,22 +151,22 @@
     }
 }
 
-/// Aborts those that have been quiet the longest, past [`FOR_ZONE`]: by age alone, parties that claim to be a zone's
+/// Ends those that have been quiet the longest, past [`FOR_ZONE`]: by age alone, parties that claim to be a zone's
 /// collector and say nothing would throw out the one that reports.
-fn bound_zone(collectors: &mut Vec<(AbortHandle, Arc<Heartbeat>)>) {
-    collectors.retain(|(task, _)| !task.is_finished());
+fn bound_zone(collectors: &mut Vec<(Connection, Arc<Heartbeat>)>, endings: &mut Endings) {
+    collectors.retain(|(connection, _)| !connection.task.is_finished());
     while collectors.len() > FOR_ZONE {
         let quiet = |n: &usize| collectors[*n].1.us.load(Ordering::Relaxed);
         let Some(quietest) = (0..collectors.len()).min_by_key(quiet) else { return };
-        collectors.remove(quietest).0.abort();
+        endings.end(collectors.remove(quietest).0);
     }
 }
 
-/// Aborts the oldest that are still there, past so many.
-fn bound(tasks: &mut VecDeque<AbortHandle>, most: usize) {
-    tasks.retain(|task| !task.is_finished());
-    while tasks.len() > most {
-        tasks.pop_front().inspect(AbortHandle::abort);
+/// Ends the oldest that are still there, past so many.
+fn bound(strangers: &mut VecDeque<Connection>, most: usize, endings: &mut Endings) {
+    strangers.retain(|connection| !connection.task.is_finished());
+    while strangers.len() > most {
+        strangers.pop_front().into_iter().for_each(|oldest| endings.end(oldest));
     }
 }
 
@@ -159,9 +191,10 @@
 
 /// Never returns while the core lives.
 pub async fn open(with: Listener) {
-    let Listener { listener, zones, events, sockets } = with;
+    let Listener { listener, zones, events, sockets, parties } = with;
     let most = sockets.saturating_sub(KEPT_FREE + FOR_ZONE * zones.len()).max(16);
     let mut strangers = VecDeque::new();
+    let mut endings = Endings::default();
     let mut collectors: Vec<Vec<_>> = zones.iter().map(|_| Vec::new()).collect();
     let began = Instant::now();
     let (joined, mut joining) = mpsc::channel::<(usize, Party)>(16);
@@ -170,15 +203,18 @@
             biased;
             Some((zone, party)) = joining.recv() => {
                 let heard = Heartbeat::new(began);
-                let collector = tokio::spawn(collect(party, zones.clone(), events.clone(), heard.clone()));
-                collectors[zone].push((collector.abort_handle(), heard));
-                bound_zone(&mut collectors[zone]);
+                let ending = party.ending().clone();
+                let task = parties.spawn(collect(party, zones.clone(), events.clone(), heard.clone()));
+                collectors[zone].push((Connection { task, ending }, heard));
+                bound_zone(&mut collectors[zone], &mut endings);
             }
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    let stranger = tokio::spawn(greet(socket, zones.clone(), joined.clone()));
-                    strangers.push_back(stranger.abort_handle());
-                    bound(&mut strangers, most);
+                    let ending = parties.ending.child_token();
+                    let party = Party::new(socket, ending.clone());
+                    let task = parties.spawn(greet(party, zones.clone(), joined.clone()));
+                    strangers.push_back(Connection { task, ending });
+                    bound(&mut strangers, most, &mut endings);
                 }
                 Err(error) if is_of_the_connection(&error) => {
                     tracing::debug!(%error, "a connection is gone before it is taken");
@@ -187,7 +223,7 @@
                 Err(error) => {
                     // Out of descriptors, for one: the strangers go, and the next ones wait a moment.
                     tracing::warn!(%error, "no connection can be taken");
-                    bound(&mut strangers, most / 2);
+                    bound(&mut strangers, most / 2, &mut endings);
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             },
--- a/crates/ravenspar/tests/platform/end.rs
+++ b/crates/ravenspar/tests/platform/end.rs
@@ -2,7 +2,8 @@
 
 use ravenspar_standin::platform::Fault;
 
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::harness::*;
 
@@ -80,3 +81,62 @@
     assert_eq!(steward.ended().await.code(), Some(0));
     assert!(closed(&mut collector).await && closed(&mut stranger).await);
 }
+
+/// How a connection ended for a peer that went on asking for signs of life.
+#[derive(Debug, PartialEq)]
+enum End {
+    /// All that it had asked was answered, or was not read.
+    Kept,
+    /// So many were read and not answered.
+    Lost(usize),
+}
+
+/// Asks for signs of life in bursts until the connection is over. The end of a stream with nothing left unread, and with
+/// answers due, is a loss; a reset says that something was left unread.
+async fn asks_until_the_end(mut peer: TcpStream, burst: usize) -> End {
+    let ping = frame(r#"{"msg":"PING"}"#);
+    let pong = frame(r#"{"msg":"PONG"}"#).len();
+    let asked = ping.repeat(burst);
+    loop {
+        if peer.write_all(&asked).await.is_err() {
+            return End::Kept;
+        }
+        let mut left = burst * pong;
+        let mut answers = vec![0; left];
+        while left > 0 {
+            match peer.read(&mut answers).await {
+                Err(_) => return End::Kept,
+                Ok(0) => {
+                    // What arrives after the close is answered by a reset.
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                    let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
+                    return if is_unread { End::Kept } else { End::Lost(left.div_ceil(pong)) };
+                }
+                Ok(read) => left -= read.min(left),
+            }
+        }
+    }
+}
+
+/// Peers go on asking on the connections that they have. The process ended with what its tasks had read and not answered yet:
+/// those requests were lost.
+#[tokio::test]
+async fn signs_of_life_that_were_read_before_the_end_are_answered() {
+    for round in 0..6 {
+        let (_relay, _discovery, _, mut steward) = at_work().await;
+        let mut peers = tokio::task::JoinSet::new();
+        for n in 0..24 {
+            let mut peer = steward.connect().await;
+            if n % 2 == 0 {
+                peer.write_all(&frame(r#"{"msg":"SOURCE","site":"a"}"#)).await.expect("taken in");
+            }
+            assert!(alive(&mut peer).await);
+            peers.spawn(asks_until_the_end(peer, 1 + n * 20));
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20 + 7 * round)).await;
+        steward.signal("-TERM").await;
+        assert_eq!(steward.ended().await.code(), Some(0));
+        let ends = peers.join_all().await;
+        assert!(ends.iter().all(|end| *end == End::Kept), "round {round}: {ends:?}");
+    }
+}
