Closings of writes are sent again after a gap in which the store may have reset them

Cause: charge.rs, given, keeps a slice that is told with its line as known; its levels are not told, and the store resets them with each giving.

Change: at each subscription whatever levels keep requests out is ordered anew (Steward::levels_may_be_reset), closings of writes before the sign of life, as for a slice just given. Cost: a line for each slice that settles or denies, once a subscription.

--- a/crates/platform/src/session/charge.rs
+++ b/crates/platform/src/session/charge.rs
@@ -116,8 +116,10 @@
         if let Some(snapshot) = self.subscription.snapshot() {
             said = snapshot.earliest;
             let first = snapshot.slices.insert(slice, None).is_none();
-            // Told as standing: held against what was known once all of it is there.
+            // Told as standing: held against what was known once all of it is there. Its levels are not told: the store has
+            // reset them if it took the slice away and gave it back in the gap.
             if first && known {
+                self.charge_changed |= self.steward.levels_may_be_reset(slice);
                 return;
             }
         }
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -635,6 +635,29 @@
     assert_eq!(grants(&[asked, met.run(2 * SECOND)].concat()), ["B"]);
 }
 
+/// A slice settles, open to reads alone, as its writes are closed by a level. In a gap of the news the store takes it away and
+/// gives it back with the same line, which resets its levels. The line was as known, so the closing was not sent again, and
+/// writes reached the new owner while the former one had some in hand.
+#[test]
+fn writes_of_a_slice_that_settles_are_closed_again_after_a_gap() {
+    let mut met = Met::new(1, 1);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.run(SECOND / 2);
+    met.answers(0, mark(&revoke));
+    let granted = met.run(SECOND / 2);
+    assert_eq!((grants(&granted), verbs(&granted).contains(&"admit")), (vec!["B"], true), "for reads alone");
+    met.news_lost();
+    met.later(3 * SECOND);
+    met.begin();
+    met.joins(0);
+    met.news("GRANT", json!({"range": 0, "flag": true}));
+    met.news("ROW", json!({"range": 0, "target": "B", "rps": 0.5}));
+    met.news("ping", json!({}));
+    let closed = met.poll().expect("the closing");
+    assert_eq!(closed[0]["admit"], json!(0.0), "{closed:?}");
+    assert_eq!(closed[0]["routes"], json!(["write"]));
+}
+
 /// The only proxy comes back just before a revoke is carried out, and reads the former owner; then the process stands still.
 /// When it goes on, the first line that it hears is older than the call. That ended the wait for something heard, the proxy's
 /// lease had run out by what was known, and the hand-over was over with nobody asked.
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -124,6 +124,16 @@
         }
     }
 
+    /// The levels of a slice are those that were ordered, or the store has reset them: what keeps requests out is ordered anew.
+    /// Returns whether writes may be let in that have to be closed.
+    pub fn levels_may_be_reset(&mut self, slice: usize) -> bool {
+        let Some(entry) = self.slices.get_mut(slice) else { return false };
+        let closed = entry.levels.iter_mut().filter(|level| **level < 1.0);
+        closed.for_each(|level| *level = UNKNOWN_LEVEL);
+        self.news = true;
+        self.is_open(&self.slices[slice])
+    }
+
     pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
         self.news = true;
         let settled = now + self.time("family_info.settle_s");
