A test of a slow channel that is taken for empty, red

Why it is not mended here: before the gap all proxies had answered, so nothing tells then that most stand still. It takes three of four proxies that stand still, a channel four times slower and a gap at once.

Change: the test, its entry.

--- a/crates/platform/tests/liveness/main.rs
+++ b/crates/platform/tests/liveness/main.rs
@@ -206,3 +206,20 @@
         play(Sizes::few(), history).expect("one owner at a time");
     }
 }
+
+/// Known red. Three of four proxies stand still, the channel sends four times slower than usual, and the news break off. Of the
+/// few proxies that would answer none has its message yet, so the channel is quiet for as long as its longest message takes at
+/// the slowest pace; the time for all of it at the usual pace has passed, and it is taken for empty while much of it waits.
+#[test]
+fn a_slow_channel_is_not_taken_for_empty_while_most_proxies_stand_still() {
+    let troubles = [
+        (100, 100, Trouble::ProxiesMute(75)),
+        (100, 100, Trouble::ChannelSlow(4)),
+        (101, 1, Trouble::Drain(0)),
+        (102, 6, Trouble::NewsCut),
+        (110, 1, Trouble::Drain(1)),
+        (125, 1, Trouble::Drain(2)),
+        (140, 1, Trouble::Drain(3)),
+    ];
+    play(Sizes::fleet(), &troubles).expect("no limit is passed");
+}
