--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -658,6 +658,34 @@
     assert_eq!(closed[0]["routes"], json!(["write"]));
 }
 
+/// Known red. A slice settles, open to reads alone, when the store moves it to another steward and resets its levels. Proxies read
+/// the store as early as 88 ms later; the new steward is told after 150 ms, and its closing takes 100 ms to the proxies. So writes
+/// reach the new owner for a while, with writes of the former one in hand ("duplicate", split days of the bench; split 19 and 27).
+#[test]
+fn writes_stay_closed_where_a_slice_that_settles_changes_hands() {
+    const MILLISECOND: Time = SECOND / 1_000;
+    let (read, told, transit) = (88 * MILLISECOND, 150 * MILLISECOND, 100 * MILLISECOND);
+    let mut former = Met::new(1, 1);
+    let mut next = Met::new(1, 1);
+    next.news("GRANT", json!({"range": 0, "flag": false}));
+    former.changed(2, &[host("A", "leaving", 0)]);
+    next.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = former.run(SECOND / 2);
+    former.answers(0, mark(&revoke));
+    let answered = former.now;
+    let granted = former.run(SECOND / 2);
+    let moved = former.now + 2 * SECOND;
+    assert!(moved < answered + 5 * SECOND, "it settles until then");
+    let Some(owner) = grants(&granted).first().copied() else { return };
+    next.later(moved + told - next.now);
+    next.given(0, None);
+    next.news("ROW", json!({"range": 0, "target": owner, "rps": 0.5}));
+    let closing = next.poll().expect("the closing");
+    assert_eq!(closing[0]["admit"], json!(0.0));
+    let (opened, closed) = (moved + read, next.now + transit);
+    assert!(closed <= opened, "writes go to {owner} for {} ms", (closed - opened) / MILLISECOND);
+}
+
 /// The only proxy comes back just before a revoke is carried out, and reads the former owner; then the process stands still.
 /// When it goes on, the first line that it hears is older than the call. That ended the wait for something heard, the proxy's
 /// lease had run out by what was known, and the hand-over was over with nobody asked.
