Each part of a reply that is too long for one call counts as a message

Seen by callers: more messages to one proxy within the window than the settings allow: 14 where 3 may, in the test of this commit on the code before (2,500 slices, simulated).

Cause: calls.rs, push, splits a reply at 59,000 bytes; the ledger counted it as one message.

Change: the first part is the message that is counted; each further one is counted when it is written, under a mark of its own, as orders that wait behind a lost call are. Why it holds: an answer to a later mark is one to all before it, so the revokes of the first part need none of their own.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -181,7 +181,13 @@
     pub fn push(&mut self, orders: impl Iterator<Item = (Order, String)>) {
         let counted = self.settled();
         let items = orders.map(|(order, text)| Item { order, text, dropped: false, counted });
-        self.waiting.extend(in_calls(items.collect()));
+        let mut calls = in_calls(items.collect());
+        self.waiting.extend(calls.next());
+        // The ledger knows of one message: each further one counts, under a mark of its own, when it is written.
+        for mut call in calls {
+            call.iter_mut().for_each(|item| item.counted = false);
+            self.waiting.push_back(call);
+        }
     }
 
     /// All is carried out that was ever ordered.
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -686,6 +686,37 @@
     assert!(closed <= opened, "writes go to {owner} for {} ms", (closed - opened) / MILLISECOND);
 }
 
+/// A reply longer than a call may be goes out as several messages, and counted as one: a proxy was written more of them than it may
+/// be within the window.
+#[test]
+fn each_part_of_a_reply_too_long_for_one_call_counts_as_a_message() {
+    let slices = 2_500;
+    let mut settings = settings(slices, 1);
+    settings["family_info"]["pushes_allowed"] = json!(3);
+    settings["family_info"]["pending_max"] = json!(1_000_000);
+    settings["family_info"]["channel_rate"] = json!(1_000_000);
+    let mut met = Met::with(&settings, &[host("A", "active", 0), host("B", "active", 0)]);
+    met.subscribe(&[0], &vec![Some("A"); slices]);
+    met.run(10 * SECOND);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let (mut written, mut revoked, mut longest) = (VecDeque::new(), 0, 0);
+    for _ in 0..400 {
+        while let Some(changes) = met.poll() {
+            written.push_back(met.now);
+            revoked += verbs(&changes).iter().filter(|verb| **verb == "clear").count();
+            let asked = changes.last().and_then(|change| change["nonce_out"].as_u64());
+            met.answer(changes.len());
+            asked.into_iter().for_each(|mark| met.answers(0, mark));
+        }
+        written.retain(|at| met.now - at < 10 * SECOND);
+        longest = longest.max(written.len());
+        met.later(SECOND / 10);
+        met.news("ping", json!({}));
+    }
+    assert_eq!(revoked, slices);
+    assert!(longest <= 3, "{longest} messages within the window");
+}
+
 /// The only proxy comes back just before a revoke is carried out, and reads the former owner; then the process stands still.
 /// When it goes on, the first line that it hears is older than the call. That ended the wait for something heard, the proxy's
 /// lease had run out by what was known, and the hand-over was over with nobody asked.
