Numbers in the decisions have names

Need: readable code. Numbers in the middle of expressions of admission, suspicion and the inputs become constants with a name and, where one would wonder, a reason. No other change.

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -120,6 +120,15 @@
     levels: [f64; KINDS],
 }
 
+/// Good tries that took more than this part of the response target came late: a server is filling up before it misses it.
+const LATE: f64 = 0.4;
+
+/// The share of its cores at which a server counts as busy.
+const BUSY: f64 = 0.85;
+
+/// How long a server counts as full after it was last busy or late.
+const STRAIN_LASTS: Time = 6 * SECOND;
+
 impl Be {
     fn new() -> Be {
         let (granted, suspect_until, strained, named) = (NEVER, NEVER, NEVER, NEVER);
@@ -135,7 +144,7 @@
 
     /// It was busy or late just before: failures say that it is full.
     fn jammed(&self, now: Time) -> bool {
-        now - self.strained < 6 * SECOND
+        now - self.strained < STRAIN_LASTS
     }
 }
 
--- a/crates/steward/src/rebalance/admission.rs
+++ b/crates/steward/src/rebalance/admission.rs
@@ -1,8 +1,41 @@
 //! Admission: the share of requests that is let in, by what servers get done.
 
-use super::{Be, Steward, KINDS, NEW_KEYS};
+use super::{Be, Steward, BUSY, KINDS, LATE, NEW_KEYS};
 use crate::{Time, SECOND};
 
+/// A server that gets less than this part of its tries done, and was busy, turns the rest away as it is full.
+const DONE_BELOW_FULL: f64 = 0.7;
+
+/// The least strain of a server whose cores are busy, whatever its times say.
+const BUSY_STRAIN: f64 = 0.8;
+
+/// From this strain on a level is kept, and below this one it rises no faster.
+const KEPT_STRAIN: f64 = 0.9;
+const LEAST_RISING_STRAIN: f64 = 0.5;
+
+/// A server that has too much is sent at most this part of what it was, and no less than this part of what it gets done.
+const FALLING_LEVEL: f64 = 0.95;
+const LEAST_OF_DONE: f64 = 0.8;
+
+/// A level never falls below this, so that reports go on telling.
+const LEAST_LEVEL: f64 = 0.1;
+
+/// A cold server's level that falls below this part of itself can't wait for the next turn.
+const SUDDEN_FALL: f64 = 0.8;
+
+/// The least strain that a server's capacity is worked out with.
+const LEAST_STRAIN: f64 = 0.2;
+
+/// The part of a server's capacity that is given away, and how many average servers one counts as that is not heard of yet.
+const USED_CAPACITY: f64 = 0.9;
+const UNHEARD_CAPACITY: f64 = 2.0;
+
+/// Levels are written in so many steps, so that no lines are written for less.
+const LEVEL_STEPS: f64 = 20.0;
+
+/// Requests a second that count as none, where they divide.
+const NEXT_TO_NOTHING: f64 = 1e-6;
+
 impl Steward {
     /// How hard a server works: above 1 it has too much.
     pub(super) fn strain(&self, be: usize, now: Time) -> Option<f64> {
@@ -14,16 +47,19 @@
             return None;
         }
         // Busy cores say more than times, which vary with the reqs; near the top only times tell how far;
-        // good ones let levels rise, as loads may be false. 0.85 and 0.4 leave room for a short queue.
+        // good ones let levels rise, as loads may be false.
         let utils: Vec<f64> = recent().filter_map(|t| t.util).collect();
-        let util = utils.iter().sum::<f64>() / utils.len() as f64 / 0.85;
+        let util = utils.iter().sum::<f64>() / utils.len() as f64 / BUSY;
         if util < 1.0 {
             return Some(util);
         }
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
-        let full = if good < 0.7 * count && self.bes[be].jammed(now) { count / good.max(1.0) } else { 0.0 };
-        Some((took / (0.4 * self.target)).max(full).max(if util.is_nan() { 0.0 } else { 0.8 }))
+        let is_full = good < DONE_BELOW_FULL * count && self.bes[be].jammed(now);
+        let full = if is_full { count / good.max(1.0) } else { 0.0 };
+        let busy = if util.is_nan() { 0.0 } else { BUSY_STRAIN };
+        let late = took / (LATE * self.target);
+        Some(late.max(full).max(busy))
     }
 
     /// Each tick: a server that has too much is sent less, one that has room more.
@@ -45,21 +81,23 @@
             // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
             // One at which nothing was tried for a whole span is idle: it is its level alone that keeps reqs away.
             let level = match strain.unwrap_or(0.0) {
-                strain if strain > 1.0 => ((1.0 / strain).max(0.8) * good * a_second
-                    / self.bes[be].load.max(1e-6))
-                .min(0.95 * level),
-                strain if strain > 0.9 => level,
-                strain => level / strain.max(0.5),
+                strain if strain > 1.0 => {
+                    let part = (1.0 / strain).max(LEAST_OF_DONE);
+                    let done = part * good * a_second / self.bes[be].load.max(NEXT_TO_NOTHING);
+                    done.min(FALLING_LEVEL * level)
+                }
+                strain if strain > KEPT_STRAIN => level,
+                strain => level / strain.max(LEAST_RISING_STRAIN),
             };
             let level = if tick { level } else { level.min(self.bes[be].level) };
             let cap = self.cap(be);
             let be = &mut self.bes[be];
-            self.hurry |= be.present < 1.0 && be.load > 0.0 && level < 0.8 * be.level;
+            self.hurry |= be.present < 1.0 && be.load > 0.0 && level < SUDDEN_FALL * be.level;
             if let Some(strain) = strain {
-                be.capacity = tried * a_second / strain.max(0.2);
+                be.capacity = tried * a_second / strain.max(LEAST_STRAIN);
             }
             if shares {
-                be.level = level.clamp(0.1, 1.0).min(cap);
+                be.level = level.clamp(LEAST_LEVEL, 1.0).min(cap);
             }
         }
     }
@@ -68,8 +106,9 @@
     pub(super) fn share_with(&self, be: usize, slice: usize) -> f64 {
         let &Be { budget, capacity, load, .. } = &self.bes[be];
         // One not heard of yet counts as two average ones, half used: a single one was taken for endless.
-        let known = if capacity.is_finite() { 0.9 * capacity } else { 2.0 * self.full };
-        budget.min(known) / (load + NEW_KEYS * self.rate_at(be, slice)).max(1e-6)
+        let known =
+            if capacity.is_finite() { USED_CAPACITY * capacity } else { UNHEARD_CAPACITY * self.full };
+        budget.min(known) / (load + NEW_KEYS * self.rate_at(be, slice)).max(NEXT_TO_NOTHING)
     }
 
     /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets
@@ -83,8 +122,8 @@
             if !quiet && self.writing & (1 << k) != 0 {
                 wanted[k] = 0.0;
             } else if level < 1.0 && rates[k] > 0.0 {
-                // In twentieths, so that no lines are written for less.
-                wanted[k] = (left / rates[k] * 20.0).floor().clamp(0.0, 20.0) / 20.0;
+                let steps = (left / rates[k] * LEVEL_STEPS).floor();
+                wanted[k] = steps.clamp(0.0, LEVEL_STEPS) / LEVEL_STEPS;
                 left = (left - rates[k]).max(0.0);
             }
         }
@@ -93,6 +132,6 @@
 
     /// The share of its reqs that keeps a cold server within its budget.
     pub(super) fn cap(&self, be: usize) -> f64 {
-        (self.bes[be].budget / self.bes[be].load.max(1e-6)).min(1.0)
+        (self.bes[be].budget / self.bes[be].load.max(NEXT_TO_NOTHING)).min(1.0)
     }
 }
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -1,8 +1,19 @@
 //! What the host hands in: these only update what is known.
 
-use super::{keep, Be, Heat, Slice, State, Steward, Tries, KINDS, UNKNOWN_LEVEL};
+use super::{keep, Be, Heat, Slice, State, Steward, Tries, BUSY, KINDS, LATE, UNKNOWN_LEVEL};
 use crate::{Health, Scope, Time, SECOND};
 
+/// Reports kept of a server: some seconds of them from every zone.
+const TRAFFIC_SAMPLES: usize = 32;
+
+/// Reports kept of a slice: more than `rates` looks back on, at the shortest time between two.
+const DEMAND_SAMPLES: usize = 16;
+
+/// How long after a list that could not be had the next is asked for, and what is added by chance, so that stewards that
+/// failed together don't come back at once.
+const LIST_RETRY: Time = SECOND / 4;
+const LIST_RETRY_SPREAD: Time = SECOND / 2;
+
 impl Steward {
     /// The list follows, entry by entry; `list_end` closes it.
     pub fn list_begin(&mut self, scope: Scope) {
@@ -53,9 +64,8 @@
 
     pub fn list_failed(&mut self, now: Time) {
         self.news = true;
-        // Soon, and spread so that stewards that failed together don't come back at once.
         self.watching = self.cfg.text("discovery") != Some("on_request");
-        self.ask_at = now + SECOND / 4 + self.rng.i64(0..SECOND / 2);
+        self.ask_at = now + LIST_RETRY + self.rng.i64(0..LIST_RETRY_SPREAD);
     }
 
     pub fn joined(&mut self, proxy: usize, usual: f64) {
@@ -163,23 +173,21 @@
 
     pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
         (self.news, self.heard) = (true, now);
-        let late = took as f64 > 0.4 * self.target;
+        let late = took as f64 > LATE * self.target;
         let idle = self.time("limits.idle_close_s").max(1) as f64;
         let entry = self.be(be);
-        if late || util.is_some_and(|util| util >= 0.85) {
+        if late || util.is_some_and(|util| util >= BUSY) {
             entry.strained = now;
         }
         (entry.kept, entry.met_at) =
             (entry.kept * (-((now - entry.met_at) as f64) / idle).exp() + count - failed, now);
-        // Some seconds of reports from every zone.
-        keep(&mut entry.tries, Tries { at: now, count, failed, took, util }, 32);
+        keep(&mut entry.tries, Tries { at: now, count, failed, took, util }, TRAFFIC_SAMPLES);
     }
 
     pub fn heat(&mut self, now: Time, slice: usize, kind: usize, count: f64, window: Time) {
         (self.news, self.reported) = (true, true);
         if let Some(entry) = self.slices.get_mut(slice) {
-            // More than `rates` looks back on, at the shortest time between reports.
-            keep(&mut entry.heat, Heat { at: now, kind, count, window }, 16);
+            keep(&mut entry.heat, Heat { at: now, kind, count, window }, DEMAND_SAMPLES);
         }
     }
 
--- a/crates/steward/src/rebalance/suspicion.rs
+++ b/crates/steward/src/rebalance/suspicion.rs
@@ -3,6 +3,21 @@
 use super::{Steward, Tries};
 use crate::{Health, Time, SECOND};
 
+/// As long as the list usually needs to notice a silent machine.
+const SUSPICION: Time = 15 * SECOND;
+
+/// Tries from which on chance failures are unlikely.
+const ENOUGH_TRIES: f64 = 8.0;
+
+/// The parts of the tries that fail at a server that is gone, by the newest reports alone; at one that is dead; at one that is
+/// ill.
+const FAILING_GONE: f64 = 0.8;
+const FAILING_DEAD: f64 = 0.9;
+const FAILING_ILL: f64 = 0.25;
+
+/// Reports that tell of a server that no list names.
+const NEWEST_REPORTS: usize = 3;
+
 impl Steward {
     /// A server at which nothing succeeds any more, though the list still shows it.
     pub(super) fn suspect(&mut self, now: Time) {
@@ -22,24 +37,22 @@
             // Guards against a list that drops live servers, or none but a kept one: what reports show to
             // work stays. Gone is what mostly fails in the newest reports, or is silent for long.
             // Harm: a real death is believed only once reports agree, a second or two later.
-            let newest = &recent[recent.len().saturating_sub(3)..];
+            let newest = &recent[recent.len().saturating_sub(NEWEST_REPORTS)..];
             let silent = recent.is_empty() && now - be.named >= 2 * span;
-            if be.missing && (silent || !recent.is_empty() && failing(newest, 0.8)) {
+            if be.missing && (silent || !recent.is_empty() && failing(newest, FAILING_GONE)) {
                 be.health = Health::Gone;
             }
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or
-            // late just before. Its level falls first; moving its slices would only jam the next one. Eight
-            // tries make chance failures unlikely.
+            // late just before. Its level falls first; moving its slices would only jam the next one.
             // Nor a full door: whoever has a connection is still served, and moved slices would bring a crowd to the next.
             let full = be.jammed(now) || crowded(be.kept) && !failing(&recent, 1.0);
-            let told = recent.len() >= 2 && count(&recent) >= 8.0 && !full;
-            be.ill = told && failing(&recent, 0.25);
+            let told = recent.len() >= 2 && count(&recent) >= ENOUGH_TRIES && !full;
+            be.ill = told && failing(&recent, FAILING_ILL);
             // Where more proxies come than a server accepts, a door may be full by other stewards' slices, unseen from
             // here: then a death is that nothing at all succeeds.
-            let dead = if proxies > accepted { 1.0 } else { 0.9 };
+            let dead = if proxies > accepted { 1.0 } else { FAILING_DEAD };
             if told && failing(&recent, dead) {
-                // As long as the list usually needs to notice a silent machine.
-                be.suspect_until = now + 15 * SECOND;
+                be.suspect_until = now + SUSPICION;
             }
         }
     }
