--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -10,7 +10,7 @@
 /// One steward with the id tables of its own door. Instances share nothing.
 struct Instance {
     steward: Steward,
-    bes: IdTable<u32>,
+    servers: IdTable<u32>,
     kinds: IdTable<String>,
     slices: usize,
 }
@@ -173,7 +173,8 @@
         let (kinds, slices) = (settings.kinds(), settings.slices());
         match Steward::new(now, seed, settings) {
             Ok(steward) => {
-                self.instances.insert(number, Instance { steward, bes: IdTable::default(), kinds, slices });
+                self.instances
+                    .insert(number, Instance { steward, servers: IdTable::default(), kinds, slices });
             }
             Err(name) => {
                 self.refused.insert(number, name);
@@ -201,8 +202,8 @@
 }
 
 impl Instance {
-    fn be(&mut self, line: &Line) -> Result<usize, String> {
-        Ok(self.bes.index(&line.get("host")?))
+    fn server(&mut self, line: &Line) -> Result<usize, String> {
+        Ok(self.servers.index(&line.get("host")?))
     }
 
     fn slice(&self, line: &Line) -> Result<usize, String> {
@@ -231,8 +232,8 @@
             "ON_RECORD" => {
                 let slice = self.slice(line)?;
                 let weight = line.number("heft")?;
-                let be = self.be(line)?;
-                self.steward.on_record(now, slice, be, weight);
+                let server = self.server(line)?;
+                self.steward.on_record(now, slice, server, weight);
             }
             "TRAFFIC_REPORT" => {
                 let (count, failed) = (line.number("tries_n")?, line.number("failed")?);
@@ -242,8 +243,8 @@
                     loads.filter_map(|load| load.split_once(':')).find(|(name, _)| *name == "cpu_share");
                 let util =
                     util.and_then(|(_, value)| value.parse().ok()).filter(|util: &f64| util.is_finite());
-                let be = self.be(line)?;
-                self.steward.traffic(now, be, count, failed, took, util);
+                let server = self.server(line)?;
+                self.steward.traffic(now, server, count, failed, took, util);
             }
             "HOTNESS" => {
                 let name = line.text("qos")?;
@@ -290,27 +291,27 @@
             value => return Err(format!("M: field health can't be read: {value:.80}")),
         };
         let boot = if row.text("boot_time_s").is_ok() { row.time("boot_time_s")? } else { 0 };
-        let be = self.be(row)?;
-        self.steward.list_entry(be, health, boot);
+        let server = self.server(row)?;
+        self.steward.list_entry(server, health, boot);
         Ok(())
     }
 
     /// Writes one order as a line of the reply. Indices come from this instance's own tables.
     fn put(&self, number: u32, order: &Order, reply: &mut String) {
-        let host = |be: &usize| self.bes.id(*be).copied().unwrap_or_default();
+        let host = |server: &usize| self.servers.id(*server).copied().unwrap_or_default();
         let i = format!("i=steward-{number}");
         // Writing to a string can't fail.
         let _ = match order {
-            Order::SetLine { slice, be, weight } => {
-                writeln!(reply, "SET_LINE {i} map_id={slice} heft={weight} host={}", host(be))
+            Order::SetLine { slice, server, weight } => {
+                writeln!(reply, "SET_LINE {i} map_id={slice} heft={weight} host={}", host(server))
             }
             Order::DropLines { slice } => writeln!(reply, "DROP_LINES {i} map_id={slice}"),
             Order::Level { slice, kinds, share } => {
                 let table = slice.unwrap_or(65_535);
                 writeln!(reply, "RATION {i} quota={share} only={kinds} retry_mode=0 map_id={table}")
             }
-            Order::Withdraw { be, out } => {
-                writeln!(reply, "WITHDRAW {i} host={} active={}", host(be), u8::from(*out))
+            Order::Withdraw { server, out } => {
+                writeln!(reply, "WITHDRAW {i} host={} active={}", host(server), u8::from(*out))
             }
             Order::Stamp { number } => writeln!(reply, "STAMP {i} number={number} active=1"),
             Order::Watch => writeln!(reply, "STREAM_CHANGES {i} active=1"),
--- a/crates/host/src/charge.rs
+++ b/crates/host/src/charge.rs
@@ -44,9 +44,9 @@
             self.steward.given(charged.echoed_until.unwrap_or(now).max(now), slice);
             changes.push(Change::Charge { slice, term: charged.term });
             if let Some((owner, weight, _)) = &charged.owner {
-                let (be, weight) = (self.servers.index(owner), *weight);
-                self.steward.on_record(now, slice, be, weight);
-                let held = Change::Held { slice, be, weight };
+                let (server, weight) = (self.servers.index(owner), *weight);
+                self.steward.on_record(now, slice, server, weight);
+                let held = Change::Held { slice, server, weight };
                 held.write(&self.servers, &mut fields);
                 changes.push(held);
             }
@@ -83,8 +83,8 @@
     }
 
     /// When a server last started, as far as list and record say.
-    pub fn boot(&self, be: usize) -> Time {
-        self.servers.boot(be)
+    pub fn boot(&self, server: usize) -> Time {
+        self.servers.boot(server)
     }
 
     /// Lines that may still come to wait before decisions have to.
@@ -95,12 +95,12 @@
     /// A start of a server that the record knows of and the list does not yet. Guards against a list that lags behind
     /// that of the steward before: hearing of the start later would look as if all it holds had stopped by it.
     fn learn_start(&mut self, id: &str, boot: Time) {
-        let be = self.servers.index(id);
-        let Some(listed) = self.servers.started(be, boot) else { return };
+        let server = self.servers.index(id);
+        let Some(listed) = self.servers.started(server, boot) else { return };
         self.steward.list_begin(Scope::Changes);
-        self.steward.list_entry(be, listed.unwrap_or(Health::Ready), boot);
+        self.steward.list_entry(server, listed.unwrap_or(Health::Ready), boot);
         if listed.is_none() {
-            self.steward.list_entry(be, Health::Gone, boot);
+            self.steward.list_entry(server, Health::Gone, boot);
         }
         self.steward.list_end(Scope::Changes);
     }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -91,9 +91,9 @@
         host.terms = vec![term; host.limits.slices];
         (0..host.limits.slices).for_each(|slice| host.steward.given(now, slice));
         for (slice, owner, weight) in record.iter().filter(|(slice, ..)| *slice < host.limits.slices) {
-            let be = host.servers.index(owner);
-            host.steward.on_record(now, *slice, be, *weight);
-            host.table.apply(&Change::Line { slice: *slice, be, weight: *weight });
+            let server = host.servers.index(owner);
+            host.steward.on_record(now, *slice, server, *weight);
+            host.table.apply(&Change::Line { slice: *slice, server, weight: *weight });
         }
         if term > 1 {
             // A proxy's earlier life may hold a lease of the steward before this one, unless there was none.
@@ -116,9 +116,9 @@
         // The list first: it tells which start of a server the record speaks of.
         steward.list_begin(Scope::Kept);
         for (server, health, boot) in list {
-            let be = servers.learn(&server.id, &server.zone, &server.address);
-            servers.list(be, *health, *boot);
-            steward.list_entry(be, *health, *boot);
+            let server = servers.learn(&server.id, &server.zone, &server.address);
+            servers.list(server, *health, *boot);
+            steward.list_entry(server, *health, *boot);
         }
         steward.list_end(Scope::Kept);
         Ok(Host {
@@ -154,8 +154,8 @@
         })
     }
 
-    pub fn server(&self, be: usize) -> &Server {
-        self.servers.get(be)
+    pub fn server(&self, server: usize) -> &Server {
+        self.servers.get(server)
     }
 
     /// The proxies that are joined.
@@ -187,9 +187,9 @@
     }
 
     pub fn list_entry(&mut self, id: &str, zone: &str, address: &str, health: Health, boot: Time) {
-        let be = self.servers.learn(id, zone, address);
-        self.servers.list(be, health, boot);
-        self.steward.list_entry(be, health, boot);
+        let server = self.servers.learn(id, zone, address);
+        self.servers.list(server, health, boot);
+        self.steward.list_entry(server, health, boot);
     }
 
     pub fn list_end(&mut self, scope: Scope) {
@@ -493,13 +493,13 @@
         while let Some((tag, mut field)) = body.field()? {
             match tag {
                 tag::MET => {
-                    let (be, count, failed) = (field.index()?, field.number()?, field.number()?);
+                    let (server, count, failed) = (field.index()?, field.number()?, field.number()?);
                     // A mean time longer than a minute says no more than a minute does.
                     let took = field.time()?.min(600_000);
                     let util = field.fraction().ok();
-                    if be < self.servers.len() && failed <= count {
+                    if server < self.servers.len() && failed <= count {
                         let (count, failed) = (clipped(count), clipped(failed));
-                        self.sums.met(zone, be, count, failed, took, util);
+                        self.sums.met(zone, server, count, failed, took, util);
                     }
                 }
                 tag::ARRIVED => {
@@ -568,12 +568,16 @@
     /// Pulls the decisions of one moment: they make one turn.
     fn turn(&mut self, now: Time) {
         let (mut changes, mut mark) = (Vec::new(), None);
+        // Streams are heard as they are read: what was answered up to now is known.
+        self.steward.news_heard(now);
         while let Some(order) = self.steward.next_order(now) {
             match order {
-                Order::SetLine { slice, be, weight } => changes.push(Change::Line { slice, be, weight }),
+                Order::SetLine { slice, server, weight } => {
+                    changes.push(Change::Line { slice, server, weight })
+                }
                 Order::DropLines { slice } => changes.push(Change::Drop { slice }),
                 Order::Level { slice, kinds, share } => changes.push(Change::Level { slice, kinds, share }),
-                Order::Withdraw { be, out } => changes.push(Change::Withdraw { be, out }),
+                Order::Withdraw { server, out } => changes.push(Change::Withdraw { server, out }),
                 Order::Stamp { number } => {
                     // Marks travel whole; the decisions' numbers are their last 16 bits.
                     self.mark += u64::from(number.wrapping_sub(self.mark as u16));
@@ -589,7 +593,7 @@
         let record: Vec<_> = changes
             .iter()
             .filter_map(|change| match *change {
-                Change::Line { slice, be, weight } => Some((slice, Some(be), weight)),
+                Change::Line { slice, server, weight } => Some((slice, Some(server), weight)),
                 Change::Drop { slice } => Some((slice, None, 0.0)),
                 _ => None,
             })
--- a/crates/host/src/servers.rs
+++ b/crates/host/src/servers.rs
@@ -21,19 +21,19 @@
 impl Servers {
     /// The index of an id, which may be new.
     pub fn index(&mut self, id: &str) -> usize {
-        let be = self.index.index(&id.to_owned());
-        if be == self.all.len() {
+        let server = self.index.index(&id.to_owned());
+        if server == self.all.len() {
             self.all.push(Server { id: id.to_owned(), ..Server::default() });
             self.listed.push((None, 0));
         }
-        be
+        server
     }
 
     pub fn learn(&mut self, id: &str, zone: &str, address: &str) -> usize {
-        let be = self.index(id);
-        let server = &mut self.all[be];
+        let index = self.index(id);
+        let server = &mut self.all[index];
         (server.zone, server.address) = (zone.to_owned(), address.to_owned());
-        be
+        index
     }
 
     /// A complete list follows.
@@ -41,14 +41,14 @@
         self.listed.iter_mut().for_each(|entry| entry.0 = None);
     }
 
-    pub fn list(&mut self, be: usize, health: Health, boot: Time) {
-        let entry = &mut self.listed[be];
+    pub fn list(&mut self, server: usize, health: Health, boot: Time) {
+        let entry = &mut self.listed[server];
         *entry = (Some(health), boot.max(entry.1));
     }
 
     /// A start of it that the record tells of. Returns what the list says of it, if the start is news.
-    pub fn started(&mut self, be: usize, boot: Time) -> Option<Option<Health>> {
-        let entry = &mut self.listed[be];
+    pub fn started(&mut self, server: usize, boot: Time) -> Option<Option<Health>> {
+        let entry = &mut self.listed[server];
         (boot > entry.1).then(|| {
             entry.1 = boot;
             entry.0
@@ -56,12 +56,12 @@
     }
 
     /// When it last started, as far as known.
-    pub fn boot(&self, be: usize) -> Time {
-        self.listed[be].1
+    pub fn boot(&self, server: usize) -> Time {
+        self.listed[server].1
     }
 
-    pub fn get(&self, be: usize) -> &Server {
-        &self.all[be]
+    pub fn get(&self, server: usize) -> &Server {
+        &self.all[server]
     }
 
     pub fn len(&self) -> usize {
--- a/crates/host/src/sums.rs
+++ b/crates/host/src/sums.rs
@@ -6,7 +6,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Key {
-    Met { zone: usize, be: usize },
+    Met { zone: usize, server: usize },
     Arrived { slice: usize, kind: usize },
 }
 
@@ -43,9 +43,17 @@
     }
 
     /// `took`: the mean time of the good tries.
-    pub fn met(&mut self, zone: usize, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
+    pub fn met(
+        &mut self,
+        zone: usize,
+        server: usize,
+        count: f64,
+        failed: f64,
+        took: Time,
+        util: Option<f64>,
+    ) {
         let good = (count - failed).max(0.0);
-        self.add(Key::Met { zone, be }, count, failed, good * took as f64, util);
+        self.add(Key::Met { zone, server }, count, failed, good * took as f64, util);
     }
 
     pub fn arrived(&mut self, slice: usize, kind: usize, count: f64) {
@@ -65,10 +73,10 @@
             let Some(sum) = self.sums.remove(&key) else { continue };
             handed += 1;
             match key {
-                Key::Met { be, .. } => {
+                Key::Met { server, .. } => {
                     let good = sum.count - sum.failed;
                     let took = if good > 0.0 { (sum.took / good) as Time } else { 0 };
-                    steward.traffic(now, be, sum.count, sum.failed, took, sum.util);
+                    steward.traffic(now, server, sum.count, sum.failed, took, sum.util);
                 }
                 Key::Arrived { slice, kind } => {
                     steward.heat(now, slice, kind, sum.count, (now - sum.since).max(1));
--- a/crates/host/src/table.rs
+++ b/crates/host/src/table.rs
@@ -10,7 +10,7 @@
 pub enum Change {
     Line {
         slice: usize,
-        be: usize,
+        server: usize,
         weight: f64,
     },
     Drop {
@@ -22,7 +22,7 @@
         share: f64,
     },
     Withdraw {
-        be: usize,
+        server: usize,
         out: bool,
     },
     /// The steward is in charge of the slice from here on, under this term; nobody owns it until that is told.
@@ -33,7 +33,7 @@
     /// Its line on record, read anew.
     Held {
         slice: usize,
-        be: usize,
+        server: usize,
         weight: f64,
     },
     /// The steward is in charge of it no more; what was told of it stands.
@@ -47,31 +47,32 @@
     pub fn write(&self, servers: &Servers, into: &mut Frame) {
         let number = |slice: &Option<usize>| slice.map_or(0, |slice| slice as u64 + 1);
         match self {
-            Change::Line { slice, be, weight } => {
-                write_server(*be, servers, into);
-                into.numbers(tag::LINE, &[*slice as u64, *be as u64, millionths(*weight)])
+            Change::Line { slice, server, weight } => {
+                write_server(*server, servers, into);
+                into.numbers(tag::LINE, &[*slice as u64, *server as u64, millionths(*weight)])
             }
             Change::Drop { slice } => into.numbers(tag::DROP, &[*slice as u64]),
             Change::Level { slice, kinds, share } => {
                 into.numbers(tag::LEVEL, &[number(slice), u64::from(*kinds), millionths(*share)])
             }
-            Change::Withdraw { be, out } => {
-                write_server(*be, servers, into);
-                into.numbers(tag::WITHDRAW, &[*be as u64, u64::from(*out)])
+            Change::Withdraw { server, out } => {
+                write_server(*server, servers, into);
+                into.numbers(tag::WITHDRAW, &[*server as u64, u64::from(*out)])
             }
             Change::Charge { slice, term } => into.numbers(tag::CHARGE, &[*slice as u64, 1, *term]),
-            Change::Held { slice, be, weight } => {
-                write_server(*be, servers, into);
-                into.numbers(tag::HELD, &[*slice as u64, *be as u64, millionths(*weight)])
+            Change::Held { slice, server, weight } => {
+                write_server(*server, servers, into);
+                into.numbers(tag::HELD, &[*slice as u64, *server as u64, millionths(*weight)])
             }
             Change::Left { slice } => into.numbers(tag::LEFT, &[*slice as u64, 1]),
         };
     }
 }
 
-fn write_server(be: usize, servers: &Servers, into: &mut Frame) {
-    let server = servers.get(be);
-    into.text(tag::SERVER, &[be as u64], &server.id).text(tag::ADDRESS, &[be as u64], &server.address);
+fn write_server(index: usize, servers: &Servers, into: &mut Frame) {
+    let server = servers.get(index);
+    into.text(tag::SERVER, &[index as u64], &server.id);
+    into.text(tag::ADDRESS, &[index as u64], &server.address);
 }
 
 /// Writes charges of slices in order, neighbours of one term as one field.
@@ -126,22 +127,22 @@
     pub fn apply(&mut self, change: &Change) {
         self.read = None;
         match *change {
-            Change::Line { slice, be, weight } => self.lines[slice].owner = Some((be, weight)),
+            Change::Line { slice, server, weight } => self.lines[slice].owner = Some((server, weight)),
             Change::Drop { slice } => {
                 let term = self.lines[slice].term;
                 self.lines[slice] = Line { term, ..Line::default() };
             }
             Change::Charge { slice, term } => self.lines[slice] = Line { term, ..Line::default() },
-            Change::Held { slice, be, weight } => self.lines[slice].owner = Some((be, weight)),
+            Change::Held { slice, server, weight } => self.lines[slice].owner = Some((server, weight)),
             Change::Left { slice } => self.lines[slice] = Line::default(),
             Change::Level { slice: Some(slice), kinds, share } => {
                 set_level(&mut self.lines[slice].levels, kinds, share);
             }
             Change::Level { slice: None, kinds, share } => set_level(&mut self.all, kinds, share),
-            Change::Withdraw { be, out } => {
-                self.withdrawn.retain(|&other| other != be);
+            Change::Withdraw { server, out } => {
+                self.withdrawn.retain(|&other| other != server);
                 if out {
-                    self.withdrawn.push(be);
+                    self.withdrawn.push(server);
                 }
             }
         }
@@ -161,17 +162,18 @@
         let charges: Vec<(usize, u64)> = in_charge.map(|(slice, line)| (slice, line.term)).collect();
         write_charges(&charges, &mut frame);
         let lines = self.lines.iter().enumerate().flat_map(|(slice, line)| {
-            let owner = line.owner.iter().map(move |&(be, weight)| Change::Line { slice, be, weight });
+            let owner =
+                line.owner.iter().map(move |&(server, weight)| Change::Line { slice, server, weight });
             let level =
                 move |&(kinds, share): &(u32, f64)| Change::Level { slice: Some(slice), kinds, share };
             owner.chain(line.levels.iter().map(level))
         });
         let all = self.all.iter().map(|&(kinds, share)| Change::Level { slice: None, kinds, share });
-        let out = self.withdrawn.iter().map(|&be| Change::Withdraw { be, out: true });
+        let out = self.withdrawn.iter().map(|&server| Change::Withdraw { server, out: true });
         for change in all.chain(out).chain(lines) {
             match change {
-                Change::Line { slice, be, weight } if std::mem::replace(&mut told[be], true) => {
-                    frame.numbers(tag::LINE, &[slice as u64, be as u64, millionths(weight)]);
+                Change::Line { slice, server, weight } if std::mem::replace(&mut told[server], true) => {
+                    frame.numbers(tag::LINE, &[slice as u64, server as u64, millionths(weight)]);
                 }
                 change => change.write(servers, &mut frame),
             }
--- a/crates/host/tests/charges.rs
+++ b/crates/host/tests/charges.rs
@@ -169,5 +169,5 @@
 }
 
 fn host_index(host: &Host, id: &str) -> usize {
-    (0..2).find(|&be| host.server(be).id == id).expect("known")
+    (0..2).find(|&server| host.server(server).id == id).expect("known")
 }
--- a/crates/host/tests/leases.rs
+++ b/crates/host/tests/leases.rs
@@ -154,8 +154,8 @@
         for proxy in self.proxies.iter().chain(&self.ghosts) {
             let until = time.min(proxy.lease);
             for slice in (0..SLICES).filter(|_| proxy.lease > self.now) {
-                if let Some(be) = proxy.writer(slice) {
-                    let last = self.last.entry((slice, be.clone())).or_insert(Time::MIN);
+                if let Some(server) = proxy.writer(slice) {
+                    let last = self.last.entry((slice, server.clone())).or_insert(Time::MIN);
                     *last = (*last).max(until);
                 }
             }
@@ -166,12 +166,12 @@
     fn check(&self) {
         for (number, proxy) in self.proxies.iter().chain(&self.ghosts).enumerate() {
             for slice in (0..SLICES).filter(|_| proxy.lease > self.now) {
-                let Some(be) = proxy.writer(slice) else { continue };
-                for other in SERVERS.iter().filter(|other| *other != be) {
+                let Some(server) = proxy.writer(slice) else { continue };
+                for other in SERVERS.iter().filter(|other| *other != server) {
                     let last = self.last.get(&(slice, (*other).to_owned())).copied().unwrap_or(Time::MIN / 2);
                     assert!(
                         last + SETTLE <= self.now,
-                        "at {} proxy {number} may write slice {slice} to {be}, at {last} one could to {other}",
+                        "at {} proxy {number} may write slice {slice} to {server}, at {last} one could to {other}",
                         self.now
                     );
                 }
@@ -276,13 +276,14 @@
             let whole = what == kind::READ;
             match tag {
                 tag::SERVER => {
-                    let be = field.number().expect("a number");
-                    entry.names.insert(be, field.text().expect("an id").to_owned());
+                    let server = field.number().expect("a number");
+                    entry.names.insert(server, field.text().expect("an id").to_owned());
                 }
                 tag::LINE => {
-                    let (slice, be) = (field.index().expect("a slice"), field.number().expect("a server"));
+                    let (slice, server) =
+                        (field.index().expect("a slice"), field.number().expect("a server"));
                     let weight = field.number().expect("a weight");
-                    let owner = entry.names.get(&be).map(|name| (name.clone(), weight >= 1_000_000));
+                    let owner = entry.names.get(&server).map(|name| (name.clone(), weight >= 1_000_000));
                     *(if whole { &mut entry.next[slice] } else { &mut entry.owner[slice] }) = owner;
                 }
                 tag::DROP => {
@@ -340,9 +341,9 @@
                     }
                 }
                 Output::Record { ticket, lines, .. } => {
-                    let name = |be: usize| self.host.server(be).id.clone();
-                    let row = |&(s, be, weight): &(usize, Option<usize>, f64)| {
-                        (s, be.map(name), (weight * 1e6) as u64)
+                    let name = |server: usize| self.host.server(server).id.clone();
+                    let row = |&(s, server, weight): &(usize, Option<usize>, f64)| {
+                        (s, server.map(name), (weight * 1e6) as u64)
                     };
                     let lines = lines.iter().map(row).collect();
                     // Commits end in order; a disk is slow at times.
@@ -368,8 +369,9 @@
         match self.chance.u32(0..12) {
             // A server drains, goes, comes back.
             0..=4 => {
-                let be = self.chance.usize(0..SERVERS.len());
-                self.health[be] = [Health::Ready, Health::Draining, Health::Gone][self.chance.usize(0..3)];
+                let server = self.chance.usize(0..SERVERS.len());
+                self.health[server] =
+                    [Health::Ready, Health::Draining, Health::Gone][self.chance.usize(0..3)];
                 self.list();
             }
             // A stream breaks: both sides learn of it when they do, and what was under way is lost.
--- a/crates/lab/src/judge/tables.rs
+++ b/crates/lab/src/judge/tables.rs
@@ -157,8 +157,8 @@
             match (what, tag) {
                 (kind::WELCOME, tag::TERM) => stream.term = field.number()?,
                 (_, tag::SERVER) => {
-                    let be = field.number()?;
-                    stream.servers.insert(be, field.text()?.to_owned());
+                    let server = field.number()?;
+                    stream.servers.insert(server, field.text()?.to_owned());
                 }
                 (kind::READ, tag::CHARGE) => {
                     let (first, count, term) = (field.index()?, field.index()?, field.number()?);
@@ -172,7 +172,8 @@
                     let next = std::mem::take(&mut stream.next);
                     for (slice, term) in std::mem::take(&mut stream.charges) {
                         if self.charge(at, forwarder, slice, term, number) {
-                            let server = next.get(&slice).and_then(|be| stream.servers.get(be)).cloned();
+                            let server =
+                                next.get(&slice).and_then(|server| stream.servers.get(server)).cloned();
                             self.hold(at, forwarder, slice, server);
                         }
                     }
@@ -195,17 +196,17 @@
                     }
                 }
                 (kind::TABLE, tag::HELD) => {
-                    let (slice, be) = (field.index()?, field.number()?);
+                    let (slice, server) = (field.index()?, field.number()?);
                     if self.counts(forwarder, slice, number) {
-                        fresh.insert(slice, stream.servers.get(&be).cloned());
+                        fresh.insert(slice, stream.servers.get(&server).cloned());
                     }
                 }
                 (kind::TABLE, tag::LINE) => {
                     lines += 1;
-                    let (slice, be) = (field.index()?, field.number()?);
+                    let (slice, server) = (field.index()?, field.number()?);
                     if self.counts(forwarder, slice, number) {
                         fresh.remove(&slice);
-                        self.hold(at, forwarder, slice, stream.servers.get(&be).cloned());
+                        self.hold(at, forwarder, slice, stream.servers.get(&server).cloned());
                     }
                 }
                 (kind::TABLE, tag::DROP) => {
--- a/crates/lab/src/judge/tests.rs
+++ b/crates/lab/src/judge/tests.rs
@@ -52,10 +52,10 @@
     down(at, stream, Frame::new(kind::TABLE).numbers(tag::DROP, &[0]).numbers(tag::MARK, &[mark]))
 }
 
-fn grants(at: Time, stream: u64, be: u64, mark: u64) -> Event {
+fn grants(at: Time, stream: u64, server: u64, mark: u64) -> Event {
     let mut frame = Frame::new(kind::TABLE);
     frame.text(tag::SERVER, &[B], "b").text(tag::SERVER, &[A], "a");
-    down(at, stream, frame.numbers(tag::LINE, &[0, be, 1_000_000]).numbers(tag::MARK, &[mark]))
+    down(at, stream, frame.numbers(tag::LINE, &[0, server, 1_000_000]).numbers(tag::MARK, &[mark]))
 }
 
 fn listed(at: Time, states: &[(&str, &str, Time)]) -> Event {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -86,12 +86,12 @@
     while let Some((tag, mut field)) = body.field()? {
         match tag {
             tag::SERVER => {
-                let be = field.number()?;
-                told.names.insert(be, field.text()?.to_owned());
+                let server = field.number()?;
+                told.names.insert(server, field.text()?.to_owned());
             }
             tag::LINE => {
-                let (slice, be, whole) = (field.number()?, field.number()?, field.fraction()? >= 1.0);
-                told.lines.insert(slice, (be, whole));
+                let (slice, server, whole) = (field.number()?, field.number()?, field.fraction()? >= 1.0);
+                told.lines.insert(slice, (server, whole));
                 told.first_line = told.first_line.or(Some(now));
                 told.opened = if whole { Some(now) } else { told.opened };
             }
@@ -180,7 +180,7 @@
         let left: Vec<String> = without.iter().map(|n| format!("plan-{n}")).collect();
         wait("every slice is open at every forwarder", || {
             self.told.borrow().iter().all(|told| {
-                let good = |(be, whole): &(u64, bool)| *whole && !left.contains(&told.names[be]);
+                let good = |(server, whole): &(u64, bool)| *whole && !left.contains(&told.names[server]);
                 told.lines.len() == slices && told.lines.values().all(good)
             })
         })
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -41,27 +41,27 @@
     }
 
     pub fn index(&mut self, id: &str) -> usize {
-        let be = self.index.index(&id.to_owned());
-        self.listed.resize(self.listed.len().max(be + 1), false);
-        be
+        let server = self.index.index(&id.to_owned());
+        self.listed.resize(self.listed.len().max(server + 1), false);
+        server
     }
 
     /// The index of a host that a line of the store names, whether or not a list ever did.
     pub fn index_of_line(&mut self, id: &str) -> usize {
-        let be = self.index(id);
-        if !self.listed[be] && !self.gone.contains(&be) {
-            self.gone.push_back(be);
+        let server = self.index(id);
+        if !self.listed[server] && !self.gone.contains(&server) {
+            self.gone.push_back(server);
         }
-        be
+        server
     }
 
-    pub fn id(&self, be: usize) -> &str {
-        self.index.id(be).map_or("", String::as_str)
+    pub fn id(&self, server: usize) -> &str {
+        self.index.id(server).map_or("", String::as_str)
     }
 
     /// Indices in use.
     pub fn known(&self) -> usize {
-        (0..self.listed.len()).filter(|&be| self.index.id(be).is_some()).count()
+        (0..self.listed.len()).filter(|&server| self.index.id(server).is_some()).count()
     }
 
     pub fn listed(&self) -> usize {
@@ -96,7 +96,7 @@
                 }
             }
         }
-        kept.retain(|&be| self.listed[be]);
+        kept.retain(|&server| self.listed[server]);
         let mut listed = if scope == Scope::Changes { self.listed.clone() } else { Vec::new() };
         steward.list_begin(scope);
         for (id, health, claimed) in read {
@@ -104,26 +104,26 @@
             if health == Health::Gone && self.find(id).is_none() {
                 continue;
             }
-            let be = self.index(id);
-            listed.resize(listed.len().max(be + 1), false);
-            listed[be] = health != Health::Gone;
-            self.last.resize(self.last.len().max(be + 1), Entry::default());
-            let started = self.started(now, be, claimed);
-            self.last[be] = Entry { health, claimed, started };
-            steward.list_entry(be, health, started);
+            let server = self.index(id);
+            listed.resize(listed.len().max(server + 1), false);
+            listed[server] = health != Health::Gone;
+            self.last.resize(self.last.len().max(server + 1), Entry::default());
+            let started = self.started(now, server, claimed);
+            self.last[server] = Entry { health, claimed, started };
+            steward.list_entry(server, health, started);
         }
         listed.resize(self.listed.len(), false);
-        for be in kept.into_iter().filter(|_| scope != Scope::Changes) {
-            listed[be] = true;
-            steward.list_entry(be, self.last[be].health, self.last[be].started);
+        for server in kept.into_iter().filter(|_| scope != Scope::Changes) {
+            listed[server] = true;
+            steward.list_entry(server, self.last[server].health, self.last[server].started);
         }
         steward.list_end(scope);
         self.follows |= scope == Scope::Whole;
-        for (be, listed) in listed.into_iter().enumerate() {
-            if self.listed[be] && !listed && !self.gone.contains(&be) {
-                self.gone.push_back(be);
+        for (server, listed) in listed.into_iter().enumerate() {
+            if self.listed[server] && !listed && !self.gone.contains(&server) {
+                self.gone.push_back(server);
             }
-            self.listed[be] = listed;
+            self.listed[server] = listed;
         }
         unread
     }
@@ -131,8 +131,8 @@
     /// When a server started, by this process's clock. Guards against a wall clock that was stepped, here or elsewhere: a
     /// cold server would count as warm, or all as cold for as long as the step. What is told of a start in service is told
     /// within [`TOLD_WITHIN`], so another age than that is the clocks' difference, and it has started now.
-    fn started(&self, now: Time, be: usize, claimed: Time) -> Time {
-        let last = self.last[be];
+    fn started(&self, now: Time, server: usize, claimed: Time) -> Time {
+        let last = self.last[server];
         if claimed == 0 {
             return 0;
         }
@@ -150,14 +150,14 @@
     /// Lets the longest gone go, as far as nothing names them; `named` tells whether the host itself still does.
     pub fn sweep(&mut self, steward: &mut Steward, named: impl Fn(usize) -> bool) {
         let listed = std::mem::take(&mut self.listed);
-        self.gone.retain(|&be| !listed[be]);
+        self.gone.retain(|&server| !listed[server]);
         self.listed = listed;
         for _ in GONE..self.gone.len() {
-            let Some(be) = self.gone.pop_front() else { return };
-            if !named(be) && steward.forget(be) {
-                self.index.release(be);
+            let Some(server) = self.gone.pop_front() else { return };
+            if !named(server) && steward.forget(server) {
+                self.index.release(server);
             } else {
-                self.gone.push_back(be);
+                self.gone.push_back(server);
             }
         }
     }
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -336,9 +336,10 @@
         self.charge_changed = false;
         let orders = self.orders(now, Steward::next_order);
         let slices = &self.slices;
-        self.servers.sweep(&mut self.steward, |be| {
-            let ordered = |order: &Order| matches!(order, Order::SetLine { be: named, .. } if *named == be);
-            let row = |slice: &Slice| slice.row.is_some_and(|(named, _)| named == be);
+        self.servers.sweep(&mut self.steward, |server| {
+            let ordered =
+                |order: &Order| matches!(order, Order::SetLine { server: named, .. } if *named == server);
+            let row = |slice: &Slice| slice.row.is_some_and(|(named, _)| named == server);
             slices.iter().any(row) || orders.iter().any(|(order, _)| ordered(order))
         });
         self.push(orders);
--- a/crates/platform/src/session/charge.rs
+++ b/crates/platform/src/session/charge.rs
@@ -177,9 +177,9 @@
         let known = &mut self.slices[slice];
         (known.ownership, known.row) = (Ownership::Owned, row);
         self.steward.awaits_line(slice, false);
-        if let Some((be, weight)) = row {
+        if let Some((server, weight)) = row {
             self.charge_changed = true;
-            self.steward.on_record(now, slice, be, weight);
+            self.steward.on_record(now, slice, server, weight);
         }
     }
 
--- a/crates/platform/src/session/orders.rs
+++ b/crates/platform/src/session/orders.rs
@@ -30,8 +30,8 @@
     /// One order as the store reads it.
     pub(super) fn text(&self, order: &Order) -> String {
         let order = match order {
-            Order::SetLine { slice, be, weight } => {
-                json!({"verb": "share", "cluster": slice, "target": self.servers.id(*be), "rps": weight})
+            Order::SetLine { slice, server, weight } => {
+                json!({"verb": "share", "cluster": slice, "target": self.servers.id(*server), "rps": weight})
             }
             Order::DropLines { slice } => json!({"verb": "clear", "cluster": slice}),
             Order::Level { slice, kinds, share } => {
@@ -43,9 +43,9 @@
                 }
                 level
             }
-            Order::Withdraw { be, out } => {
+            Order::Withdraw { server, out } => {
                 let verb = if *out { "withdraw" } else { "restore" };
-                json!({"verb": verb, "target": self.servers.id(*be)})
+                json!({"verb": verb, "target": self.servers.id(*server)})
             }
             Order::Stamp { number } => json!({"verb": "mark", "nonce_out": number, "flag": 1}),
             Order::Watch | Order::Remind { .. } => Value::Null,
--- a/crates/platform/src/session/reports.rs
+++ b/crates/platform/src/session/reports.rs
@@ -22,14 +22,14 @@
                     return fields::fault("site", "a zone of the settings");
                 }
                 let target = self.servers.find(fields::text(report, "target")?);
-                let be = target.ok_or(Fault { field: "target", expected: "a host that is known" })?;
+                let server = target.ok_or(Fault { field: "target", expected: "a host that is known" })?;
                 let (count, failed) = (fields::number(report, "count")?, fields::number(report, "fail")?);
                 if failed > count {
                     return fields::fault("fail", "no more than count");
                 }
                 let took = fields::time(report, "mean")?;
                 fields::time(report, "over")?;
-                self.steward.traffic(now, be, count, failed, took, busy(&report["util"])?);
+                self.steward.traffic(now, server, count, failed, took, busy(&report["util"])?);
             }
             "SHARD" => {
                 let slice = fields::whole(report, "range", self.slices.len())?;
--- a/crates/platform/src/slices.rs
+++ b/crates/platform/src/slices.rs
@@ -141,7 +141,7 @@
 /// The slice and the line that an order leaves there, where it sets one or drops it.
 pub fn row_of(order: &Order) -> Option<(usize, Row)> {
     let row = match *order {
-        Order::SetLine { be, weight, .. } => Some((be, weight)),
+        Order::SetLine { server, weight, .. } => Some((server, weight)),
         Order::DropLines { .. } => None,
         _ => return None,
     };
--- a/crates/ravenspar/src/core.rs
+++ b/crates/ravenspar/src/core.rs
@@ -223,11 +223,11 @@
                     self.ran.lines += lines.len() as u64;
                     let row = |&(slice, owner, weight): &(usize, Option<usize>, f64)| SliceRow {
                         slice: slice as u32,
-                        owner: owner.map(|be| self.host.server(be).id.clone()),
+                        owner: owner.map(|server| self.host.server(server).id.clone()),
                         weight: (weight * 1e6).round() as u64,
                         mark,
                         term: self.host.term(slice),
-                        boot: owner.map_or(0, |be| self.host.boot(be)),
+                        boot: owner.map_or(0, |server| self.host.boot(server)),
                     };
                     let rows: Vec<SliceRow> = lines.iter().map(row).collect();
                     tracing::debug!(mark, lines = rows.len(), "lines to record");
--- a/crates/ravenspar/tests/common/mod.rs
+++ b/crates/ravenspar/tests/common/mod.rs
@@ -218,12 +218,13 @@
             match tag {
                 tag::TERM => self.term = field.number().expect("a term"),
                 tag::SERVER => {
-                    let be = field.number().expect("a server");
-                    self.names.insert(be, field.text().expect("an id").to_owned());
+                    let server = field.number().expect("a server");
+                    self.names.insert(server, field.text().expect("an id").to_owned());
                 }
                 tag::LINE | tag::HELD => {
-                    let (slice, be) = (field.number().expect("a slice"), field.number().expect("a server"));
-                    self.owners.insert(slice, be);
+                    let (slice, server) =
+                        (field.number().expect("a slice"), field.number().expect("a server"));
+                    self.owners.insert(slice, server);
                 }
                 tag::DROP => _ = self.owners.remove(&field.number().expect("a slice")),
                 tag::MARK | tag::END => {
--- a/crates/ravenspar/tests/program.rs
+++ b/crates/ravenspar/tests/program.rs
@@ -135,7 +135,7 @@
     let deaf = Proxy::dial(steward.address, 1, 1);
     dir.list(&["a"]);
     until("the slices of b have moved", &mut [&mut one], |all| {
-        all[0].owners.len() == 20_000 && all[0].owners.values().all(|be| all[0].names[be] == "a")
+        all[0].owners.len() == 20_000 && all[0].owners.values().all(|server| all[0].names[server] == "a")
     });
     // On a busy machine it may have been told of all before it had caught up and was joined.
     until("it is joined", &mut [&mut one], |all| all[0].echoes > 0);
--- a/crates/standin/src/forwarder/mod.rs
+++ b/crates/standin/src/forwarder/mod.rs
@@ -246,8 +246,8 @@
         let core = &mut *core;
         let now = core.clock.now();
         let owner = core.table.owner(slice).filter(|(_, now)| *now == address);
-        if let Some(be) = owner.and_then(|(be, _)| be) {
-            let met = core.met.entry((core.table.steward(slice), be)).or_default();
+        if let Some(server) = owner.and_then(|(server, _)| server) {
+            let met = core.met.entry((core.table.steward(slice), server)).or_default();
             met.tries += 1;
             met.util = util.or(met.util);
             met.took += if good { now - began } else { 0 };
@@ -293,9 +293,9 @@
         if level < 1.0 && (level <= 0.0 || self.share_of(req) >= level) {
             return Pick::Denied;
         }
-        let Some((be, address)) = self.table.owner(slice) else { return Pick::Wait };
+        let Some((server, address)) = self.table.owner(slice) else { return Pick::Wait };
         let away = self.away.get(&address).is_some_and(|&(_, until)| now < until);
-        if away || self.table.withdrawn(slice, be) {
+        if away || self.table.withdrawn(slice, server) {
             return Pick::Denied;
         }
         let unleased = now >= self.table.lease_until(slice);
--- a/crates/standin/src/forwarder/stream.rs
+++ b/crates/standin/src/forwarder/stream.rs
@@ -218,9 +218,9 @@
     }
     let mut frame = Frame::new(kind::REPORT);
     frame.numbers(tag::WINDOW, &[window.as_micros() as u64 / 100]);
-    for ((_, be), met) in met {
+    for ((_, server), met) in met {
         let took = met.took as u64 / (met.tries - met.failed).max(1);
-        let mut row = vec![be, met.tries, met.failed, took];
+        let mut row = vec![server, met.tries, met.failed, took];
         row.extend(met.util.map(millionths));
         frame.numbers(tag::MET, &row);
     }
--- a/crates/standin/src/forwarder/table.rs
+++ b/crates/standin/src/forwarder/table.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Owner {
     /// Its number on the stream of the steward whose line it is; none once that stream has another table.
-    be: Option<u64>,
+    server: Option<u64>,
     address: SocketAddr,
 }
 
@@ -131,7 +131,7 @@
             if self.slices[slice].steward == steward && !reading.slices.contains_key(&slice) {
                 self.leave(steward, slice);
                 // Numbers of servers are those of the new table from here on.
-                self.slices[slice].line.owner.iter_mut().for_each(|owner| owner.be = None);
+                self.slices[slice].line.owner.iter_mut().for_each(|owner| owner.server = None);
             }
         }
         let lease_until = self.stewards[steward].lease_until;
@@ -215,7 +215,7 @@
             return true;
         }
         let held = field.index().ok().and_then(|slice| self.slices.get(slice)?.line.owner);
-        held.is_none_or(|owner| tag == tag::LINE && field.number().ok() == owner.be)
+        held.is_none_or(|owner| tag == tag::LINE && field.number().ok() == owner.server)
     }
 
     /// The slice of a key, once there are slices.
@@ -231,9 +231,9 @@
     /// The server that owns a slice: its number at the steward in charge, and its address.
     pub fn owner(&self, slice: u64) -> Option<(Option<u64>, SocketAddr)> {
         let entry = self.slices.get(slice as usize)?;
-        let Owner { be, address } = entry.line.owner?;
-        let newest = be.and_then(|be| self.stewards.get(entry.steward)?.servers.get(&be));
-        Some((be, newest.copied().unwrap_or(address)))
+        let Owner { server, address } = entry.line.owner?;
+        let newest = server.and_then(|server| self.stewards.get(entry.steward)?.servers.get(&server));
+        Some((server, newest.copied().unwrap_or(address)))
     }
 
     /// The share of a kind that is let in: the lower of the slice's level and that of all, each the newest set.
@@ -253,9 +253,9 @@
     }
 
     /// Whether the steward in charge of a slice has withdrawn a server.
-    pub fn withdrawn(&self, slice: u64, be: Option<u64>) -> bool {
+    pub fn withdrawn(&self, slice: u64, server: Option<u64>) -> bool {
         let out = self.stewards.get(self.steward(slice)).map(|steward| &steward.out);
-        be.is_some_and(|be| out.is_some_and(|out| out.contains(&be)))
+        server.is_some_and(|server| out.is_some_and(|out| out.contains(&server)))
     }
 
     pub fn writes(&self, kind: u64) -> bool {
@@ -266,8 +266,8 @@
 impl Line {
     /// The rest of a line behind its slice: server, weight.
     fn take(&mut self, field: &mut Numbers, servers: &BTreeMap<u64, SocketAddr>) -> Result<(), Fault> {
-        let (be, weight) = (field.number()?, field.fraction()?);
-        let owner = servers.get(&be).map(|&address| Owner { be: Some(be), address });
+        let (server, weight) = (field.number()?, field.fraction()?);
+        let owner = servers.get(&server).map(|&address| Owner { server: Some(server), address });
         self.owner = owner.filter(|_| weight > 0.0);
         self.reads_only = weight < 1.0;
         Ok(())
@@ -276,14 +276,14 @@
 
 impl Steward {
     fn take(&mut self, tag: u8, mut field: Numbers) -> Result<(), Fault> {
-        let be = field.number()?;
+        let server = field.number()?;
         if tag == tag::ADDRESS {
-            self.servers.extend(field.text()?.parse().ok().map(|address| (be, address)));
+            self.servers.extend(field.text()?.parse().ok().map(|address| (server, address)));
             return Ok(());
         }
-        self.out.retain(|&other| other != be);
+        self.out.retain(|&other| other != server);
         if field.number()? != 0 {
-            self.out.push(be);
+            self.out.push(server);
         }
         Ok(())
     }
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -47,7 +47,7 @@
     /// Grants a slice. A weight below 1 stays on record with it: open to reads alone.
     SetLine {
         slice: usize,
-        be: usize,
+        server: usize,
         weight: f64,
     },
     DropLines {
@@ -60,7 +60,7 @@
         share: f64,
     },
     Withdraw {
-        be: usize,
+        server: usize,
         out: bool,
     },
     /// Ask every joined proxy to answer with this number.
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -21,7 +21,7 @@
 const NEVER: Time = Time::MIN / 2;
 
 #[derive(Clone, Debug, Default)]
-struct Be {
+struct Server {
     seen: bool,
     listed: bool,
     withdrawn: bool,
@@ -129,11 +129,12 @@
 /// How long a server counts as full after it was last busy or late.
 const STRAIN_LASTS: Time = 6 * SECOND;
 
-impl Be {
-    fn new() -> Be {
+impl Server {
+    fn new() -> Server {
         let (granted, suspect_until, strained, named) = (NEVER, NEVER, NEVER, NEVER);
-        let new = Be { granted, suspect_until, strained, named, level: 1.0, present: 1.0, ..Be::default() };
-        Be { capacity: f64::INFINITY, budget: f64::INFINITY, ..new }
+        let new =
+            Server { granted, suspect_until, strained, named, level: 1.0, present: 1.0, ..Server::default() };
+        Server { capacity: f64::INFINITY, budget: f64::INFINITY, ..new }
     }
 
     /// Tries since `span` ago, and how many of them were good.
@@ -172,7 +173,7 @@
 pub struct Steward {
     cfg: Settings,
     rng: fastrand::Rng,
-    bes: Vec<Be>,
+    servers: Vec<Server>,
     proxies: Vec<Proxy>,
     slices: Vec<Slice>,
     turns: VecDeque<Turn>,
@@ -254,11 +255,11 @@
         self.cfg.time(name).unwrap_or(0)
     }
 
-    fn be(&mut self, be: usize) -> &mut Be {
-        if self.bes.len() <= be {
-            self.bes.resize(be + 1, Be::new());
+    fn server(&mut self, server: usize) -> &mut Server {
+        if self.servers.len() <= server {
+            self.servers.resize(server + 1, Server::new());
         }
-        &mut self.bes[be]
+        &mut self.servers[server]
     }
 
     fn proxy(&mut self, proxy: usize) -> &mut Proxy {
@@ -309,7 +310,7 @@
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.bes.len()).filter(|&be| self.bes[be].health == Health::Ready)
+        (0..self.servers.len()).filter(|&server| self.servers[server].health == Health::Ready)
     }
 
     /// The guide's strategy tick.
@@ -327,10 +328,11 @@
         };
         // Standing tables are the proxies' own: a steward only sees to it that nothing goes to what left.
         let bare = self.slices.is_empty() && self.ready().next().is_some();
-        let turned = |be: &Be| be.seen && be.withdrawn == (be.health == Health::Ready);
-        let leavers = |be: &Be| bare && turned(be) && (!restrict || be.health != Health::Ready);
+        let turned = |server: &Server| server.seen && server.withdrawn == (server.health == Health::Ready);
+        let leavers =
+            |server: &Server| bare && turned(server) && (!restrict || server.health != Health::Ready);
         let closing = self.slices.iter().filter(|slice| self.is_open(slice)).count();
-        let urgent = lost + closing + self.bes.iter().filter(|be| leavers(be)).count();
+        let urgent = lost + closing + self.servers.iter().filter(|server| leavers(server)).count();
         self.hurry |= closing > 0;
         let (room, rest) = self.room(now, urgent);
         let rest = if restrict { 0 } else { rest };
@@ -380,25 +382,29 @@
                 if !quiet && (!reads || taken_over) {
                     continue;
                 }
-                let Some(be) = self.fewest(now, s) else { continue };
-                self.slices[s].owner = Some(be);
-                let brings = self.rate_at(be, s);
-                let entry = &mut self.bes[be];
+                let Some(server) = self.fewest(now, s) else { continue };
+                self.slices[s].owner = Some(server);
+                let brings = self.rate_at(server, s);
+                let entry = &mut self.servers[server];
                 (entry.granted, entry.held, entry.load) = (now, entry.held + 1, entry.load + brings);
-                self.bes[be].level = self.bes[be].level.min(self.cap(be));
+                self.servers[server].level = self.servers[server].level.min(self.cap(server));
                 self.slices[s].levels = [1.0; KINDS];
                 // Guards a cold server against what proxies held while the slice had no owner: a level of 0
                 // stops that, and the next turn opens.
-                wanted = Some([0.0; KINDS]).filter(|_| self.bes[be].present < 1.0);
-                orders.push(Order::SetLine { slice: s, be, weight: if quiet { 1.0 } else { READS_ONLY } });
+                wanted = Some([0.0; KINDS]).filter(|_| self.servers[server].present < 1.0);
+                orders.push(Order::SetLine {
+                    slice: s,
+                    server,
+                    weight: if quiet { 1.0 } else { READS_ONLY },
+                });
             } else if quiet && slice.state == State::Settling {
-                orders.extend(slice.owner.map(|be| Order::SetLine { slice: s, be, weight: 1.0 }));
+                orders.extend(slice.owner.map(|server| Order::SetLine { slice: s, server, weight: 1.0 }));
             }
             let wanted = wanted.unwrap_or_else(|| self.wanted(s, quiet));
             // Guards the channel: levels alone cost a head at each proxy, so they wait for a tick or a turn that
             // goes anyway, unless they open a kind or keep a cold server from too much.
             let opens = (0..KINDS).any(|k| wanted[k] > 0.0 && self.slices[s].levels[k] <= 0.0);
-            let warm = self.slices[s].owner.is_none_or(|be| self.bes[be].present >= 1.0);
+            let warm = self.slices[s].owner.is_none_or(|server| self.servers[server].present >= 1.0);
             let early = self.slices[s].state == State::Owned && now - self.leveled < Self::TICK;
             if early && warm && !opens && !self.hurry && orders.is_empty() {
                 continue;
@@ -426,9 +432,9 @@
                 self.slices[s].quiet = None;
             }
         }
-        for (be, entry) in self.bes.iter_mut().enumerate().filter(|(_, entry)| leavers(entry)) {
+        for (server, entry) in self.servers.iter_mut().enumerate().filter(|(_, entry)| leavers(entry)) {
             entry.withdrawn = !entry.withdrawn;
-            orders.push(Order::Withdraw { be, out: entry.withdrawn });
+            orders.push(Order::Withdraw { server, out: entry.withdrawn });
         }
         // A proxy that rejoined with an answer still due gets a fresh mark.
         let due = |slice: &Slice| {
--- a/crates/steward/src/rebalance/admission.rs
+++ b/crates/steward/src/rebalance/admission.rs
@@ -1,6 +1,6 @@
 //! Admission: the share of requests that is let in, by what servers get done.
 
-use super::{Be, Steward, BUSY, KINDS, LATE, NEW_KEYS};
+use super::{Server, Steward, BUSY, KINDS, LATE, NEW_KEYS};
 use crate::{Time, SECOND};
 
 /// A server that gets less than this part of its tries done, and was busy, turns the rest away as it is full.
@@ -38,11 +38,12 @@
 
 impl Steward {
     /// How hard a server works: above 1 it has too much.
-    pub(super) fn strain(&self, be: usize, now: Time) -> Option<f64> {
+    pub(super) fn strain(&self, server: usize, now: Time) -> Option<f64> {
         // A cold server can't wait for a tick's worth of reports.
-        let span = if self.bes[be].present < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
-        let recent = || self.bes[be].tries.iter().filter(|t| now - t.at < span);
-        let (count, good) = self.bes[be].met(now, span);
+        let span =
+            if self.servers[server].present < 1.0 { self.span() - Self::TICK / 2 } else { self.span() };
+        let recent = || self.servers[server].tries.iter().filter(|t| now - t.at < span);
+        let (count, good) = self.servers[server].met(now, span);
         if count <= 0.0 {
             return None;
         }
@@ -55,7 +56,7 @@
         }
         let took = recent().map(|t| (t.count - t.failed) * t.took as f64).sum::<f64>() / good.max(1.0);
         // A full server turns reqs away at once and answers the rest late.
-        let is_full = good < DONE_BELOW_FULL * count && self.bes[be].jammed(now);
+        let is_full = good < DONE_BELOW_FULL * count && self.servers[server].jammed(now);
         let full = if is_full { count / good.max(1.0) } else { 0.0 };
         let busy = if util.is_nan() { 0.0 } else { BUSY_STRAIN };
         let late = took / (LATE * self.target);
@@ -66,56 +67,56 @@
     pub(super) fn levels(&mut self, now: Time, tick: bool) {
         let span = self.span();
         let a_second = SECOND as f64 / span as f64;
-        let done: f64 = self.bes.iter().map(|be| be.met(now, span).1).sum();
+        let done: f64 = self.servers.iter().map(|server| server.met(now, span).1).sum();
         self.done = self.done.max(done * a_second / self.ready().count().max(1) as f64);
         let shares = self.cfg.text("family_info.admit") == Some("ratio");
-        for be in 0..self.bes.len() {
+        for server in 0..self.servers.len() {
             // Between ticks only a cold server's level is looked at, and only lowered: clients' repeats can
             // push it over within a tick.
-            if !tick && self.bes[be].present >= 1.0 {
+            if !tick && self.servers[server].present >= 1.0 {
                 continue;
             }
-            let strain = self.strain(be, now);
-            let (tried, good) = self.bes[be].met(now, span);
-            let level = self.bes[be].level;
+            let strain = self.strain(server, now);
+            let (tried, good) = self.servers[server].met(now, span);
+            let level = self.servers[server].level;
             // Straight to what it gets done, less a fifth to empty its queue: steps add up while reports lag.
             // One at which nothing was tried for a whole span is idle: it is its level alone that keeps reqs away.
             let level = match strain.unwrap_or(0.0) {
                 strain if strain > 1.0 => {
                     let part = (1.0 / strain).max(LEAST_OF_DONE);
-                    let done = part * good * a_second / self.bes[be].load.max(NEXT_TO_NOTHING);
+                    let done = part * good * a_second / self.servers[server].load.max(NEXT_TO_NOTHING);
                     done.min(FALLING_LEVEL * level)
                 }
                 strain if strain > KEPT_STRAIN => level,
                 strain => level / strain.max(LEAST_RISING_STRAIN),
             };
-            let level = if tick { level } else { level.min(self.bes[be].level) };
-            let cap = self.cap(be);
-            let be = &mut self.bes[be];
-            self.hurry |= be.present < 1.0 && be.load > 0.0 && level < SUDDEN_FALL * be.level;
+            let level = if tick { level } else { level.min(self.servers[server].level) };
+            let cap = self.cap(server);
+            let server = &mut self.servers[server];
+            self.hurry |= server.present < 1.0 && server.load > 0.0 && level < SUDDEN_FALL * server.level;
             if let Some(strain) = strain {
-                be.capacity = tried * a_second / strain.max(LEAST_STRAIN);
+                server.capacity = tried * a_second / strain.max(LEAST_STRAIN);
             }
             if shares {
-                be.level = level.clamp(LEAST_LEVEL, 1.0).min(cap);
+                server.level = level.clamp(LEAST_LEVEL, 1.0).min(cap);
             }
         }
     }
 
     /// The share of its reqs that a server could well take with one slice more.
-    pub(super) fn share_with(&self, be: usize, slice: usize) -> f64 {
-        let &Be { budget, capacity, load, .. } = &self.bes[be];
+    pub(super) fn share_with(&self, server: usize, slice: usize) -> f64 {
+        let &Server { budget, capacity, load, .. } = &self.servers[server];
         // One not heard of yet counts as two average ones, half used: a single one was taken for endless.
         let known =
             if capacity.is_finite() { USED_CAPACITY * capacity } else { UNHEARD_CAPACITY * self.full };
-        budget.min(known) / (load + NEW_KEYS * self.rate_at(be, slice)).max(NEXT_TO_NOTHING)
+        budget.min(known) / (load + NEW_KEYS * self.rate_at(server, slice)).max(NEXT_TO_NOTHING)
     }
 
     /// The share of each request kind that a slice should let in: the dearest credit first, the cheapest gets
     /// what is left. Kinds that write are closed until the slice is quiet.
     pub(super) fn wanted(&self, slice: usize, quiet: bool) -> [f64; KINDS] {
         let rates = self.slices[slice].rates;
-        let level = self.slices[slice].owner.map_or(1.0, |be| self.bes[be].level);
+        let level = self.slices[slice].owner.map_or(1.0, |server| self.servers[server].level);
         let mut left = level * rates.iter().sum::<f64>();
         let mut wanted = [1.0; KINDS];
         for &k in &self.kinds {
@@ -131,7 +132,7 @@
     }
 
     /// The share of its reqs that keeps a cold server within its budget.
-    pub(super) fn cap(&self, be: usize) -> f64 {
-        (self.bes[be].budget / self.bes[be].load.max(NEXT_TO_NOTHING)).min(1.0)
+    pub(super) fn cap(&self, server: usize) -> f64 {
+        (self.servers[server].budget / self.servers[server].load.max(NEXT_TO_NOTHING)).min(1.0)
     }
 }
--- a/crates/steward/src/rebalance/demand.rs
+++ b/crates/steward/src/rebalance/demand.rs
@@ -13,16 +13,16 @@
         let from = self.cfg.number("safety.cold_from").unwrap_or(1.0);
         let ramp = self.time("safety.cold_s").max(1) as f64;
         let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
-        let seen = self.bes.iter().filter(|be| be.seen).count().max(1) as f64;
+        let seen = self.servers.iter().filter(|server| server.seen).count().max(1) as f64;
         // A quarter of what would push a cold server over, as its keys are new to it and reports lag. Full
         // capacity: the most servers got done on average, or usually get.
         self.full = self.done.max(self.usual / stewards / seen);
         let part = 0.25 * self.cfg.number("safety.fall_multiple").unwrap_or(1.0) * self.full;
-        for be in &mut self.bes {
-            let ramped = from + (1.0 - from) * (now - be.boot) as f64 / ramp;
-            be.present = if be.boot == 0 { 1.0 } else { ramped.clamp(from, 1.0) };
-            be.budget = if be.present < 1.0 { part * be.present } else { f64::INFINITY };
-            (be.held, be.load) = (0, 0.0);
+        for server in &mut self.servers {
+            let ramped = from + (1.0 - from) * (now - server.boot) as f64 / ramp;
+            server.present = if server.boot == 0 { 1.0 } else { ramped.clamp(from, 1.0) };
+            server.budget = if server.present < 1.0 { part * server.present } else { f64::INFINITY };
+            (server.held, server.load) = (0, 0.0);
         }
         self.even = self.slices.iter().filter(|slice| slice.mine).count() / self.ready().count().max(1);
         let reported = std::mem::take(&mut self.reported);
@@ -30,9 +30,9 @@
             if reported {
                 self.slices[s].rates = self.rates(s);
             }
-            if let Some(be) = self.slices[s].owner.filter(|_| self.slices[s].mine) {
-                self.bes[be].held += 1;
-                self.bes[be].load += self.rate_at(be, s);
+            if let Some(server) = self.slices[s].owner.filter(|_| self.slices[s].mine) {
+                self.servers[server].held += 1;
+                self.servers[server].load += self.rate_at(server, s);
             }
         }
     }
@@ -58,10 +58,10 @@
 
     /// What a slice brings a server. Guards a cold one against low counts: from the few proxies back when a
     /// steward has just started, or of writes denied while a slice settles, whose clients all come at once.
-    pub(super) fn rate_at(&self, be: usize, slice: usize) -> f64 {
+    pub(super) fn rate_at(&self, server: usize, slice: usize) -> f64 {
         let young = self.now - self.started < 2 * self.span();
-        let closed = self.slices[slice].owner == Some(be) && self.slices[slice].state != State::Owned;
-        let blind = (young || closed) && self.bes[be].present < 1.0;
+        let closed = self.slices[slice].owner == Some(server) && self.slices[slice].state != State::Owned;
+        let blind = (young || closed) && self.servers[server].present < 1.0;
         let even = self.usual / self.slices.len() as f64;
         self.rate(slice).max(if blind { even } else { 0.0 })
     }
--- a/crates/steward/src/rebalance/handoff.rs
+++ b/crates/steward/src/rebalance/handoff.rs
@@ -1,6 +1,6 @@
 //! Hand-overs: which slices have to leave their servers, and when a revoke is answered by all.
 
-use super::{Be, Slice, State, Steward, KINDS};
+use super::{Server, Slice, State, Steward, KINDS};
 use crate::{Health, Time};
 
 impl Steward {
@@ -35,8 +35,8 @@
     }
 
     pub(super) fn is_owed(&self, slice: &Slice) -> bool {
-        let left = |be: usize| self.bes[be].health != Health::Ready;
-        slice.mine && (slice.unclear || slice.owner.is_some_and(|be| slice.stopped || left(be)))
+        let left = |server: usize| self.servers[server].health != Health::Ready;
+        slice.mine && (slice.unclear || slice.owner.is_some_and(|server| slice.stopped || left(server)))
     }
 
     /// Whether slices have to leave servers, or writes have to be closed.
@@ -53,17 +53,20 @@
     /// Slices that are to leave their owners, the ones that can't wait first, and how many those are.
     pub(super) fn leaving(&mut self, now: Time) -> (Vec<usize>, usize) {
         // A slice mid-hand-over has no owner and ignores new moves.
-        let held_by = |fit: &dyn Fn(&Slice, &Be) -> bool| {
-            let leaves =
-                |slice: &Slice| slice.mine && slice.owner.is_some_and(|be| fit(slice, &self.bes[be]));
+        let held_by = |fit: &dyn Fn(&Slice, &Server) -> bool| {
+            let leaves = |slice: &Slice| {
+                slice.mine && slice.owner.is_some_and(|server| fit(slice, &self.servers[server]))
+            };
             (0..self.slices.len()).filter(|&s| leaves(&self.slices[s])).collect::<Vec<usize>>()
         };
         let mut leaving: Vec<usize> = self.owed().collect();
         let urgent = leaving.len();
         // Many suspects at once point to a bad view rather than bad servers: then nothing moves.
-        let ready = |be: &Be| be.health == Health::Ready;
-        if self.ready().filter(|&be| !self.trusted(be, now)).count() * 4 <= self.ready().count() {
-            leaving.extend(held_by(&|slice, be| !slice.stopped && ready(be) && now < be.suspect_until));
+        let ready = |server: &Server| server.health == Health::Ready;
+        if self.ready().filter(|&server| !self.trusted(server, now)).count() * 4 <= self.ready().count() {
+            leaving.extend(held_by(&|slice, server| {
+                !slice.stopped && ready(server) && now < server.suspect_until
+            }));
         }
         // In step with the reports where they come as seldom as ticks.
         let early = if self.heard == now { self.time("family_info.cycle_s") / 2 } else { 0 };
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -1,6 +1,6 @@
 //! What the host hands in: these only update what is known.
 
-use super::{keep, Be, Heat, Slice, State, Steward, Tries, BUSY, KINDS, LATE, UNKNOWN_LEVEL};
+use super::{keep, Heat, Server, Slice, State, Steward, Tries, BUSY, KINDS, LATE, UNKNOWN_LEVEL};
 use crate::{Health, Scope, Time, SECOND};
 
 /// Reports kept of a server: some seconds of them from every zone.
@@ -20,12 +20,12 @@
         self.news = true;
         // A server absent from a complete list is gone; those still there follow at once.
         if scope != Scope::Changes {
-            self.bes.iter_mut().for_each(|be| be.listed = false);
+            self.servers.iter_mut().for_each(|server| server.listed = false);
         }
     }
 
-    pub fn list_entry(&mut self, be: usize, health: Health, boot: Time) {
-        let entry = self.be(be);
+    pub fn list_entry(&mut self, server: usize, health: Health, boot: Time) {
+        let entry = self.server(server);
         (entry.seen, entry.listed) = (true, health != Health::Gone);
         if !entry.listed {
             return; // closed by `list_end`, as are those that a whole list lacks
@@ -34,7 +34,7 @@
         let restarted = boot > entry.boot && entry.health == Health::Ready;
         (entry.missing, entry.health, entry.boot) = (false, health, boot.max(entry.boot));
         if restarted {
-            let held = self.slices.iter_mut().filter(|slice| slice.owner == Some(be));
+            let held = self.slices.iter_mut().filter(|slice| slice.owner == Some(server));
             held.for_each(|slice| slice.stopped = true);
         }
     }
@@ -45,19 +45,19 @@
         }
         self.watching = true;
         let lax = self.cfg.flag("safety.only_draining_binds");
-        for be in self.bes.iter_mut().filter(|be| !be.listed) {
-            be.missing = lax && be.health == Health::Ready;
-            be.health = if be.missing { Health::Ready } else { Health::Gone };
+        for server in self.servers.iter_mut().filter(|server| !server.listed) {
+            server.missing = lax && server.health == Health::Ready;
+            server.health = if server.missing { Health::Ready } else { Health::Gone };
         }
     }
 
     /// Lets go of a server, so that its index may become another's; not while anything names it.
-    pub fn forget(&mut self, be: usize) -> bool {
-        let gone = |be: &Be| be.health == Health::Gone && !be.listed && !be.withdrawn;
-        let named = self.slices.iter().any(|slice| slice.owner == Some(be)) || !self.out.is_empty();
-        let forgotten = !named && self.bes.get(be).is_none_or(gone);
+    pub fn forget(&mut self, server: usize) -> bool {
+        let gone = |server: &Server| server.health == Health::Gone && !server.listed && !server.withdrawn;
+        let named = self.slices.iter().any(|slice| slice.owner == Some(server)) || !self.out.is_empty();
+        let forgotten = !named && self.servers.get(server).is_none_or(gone);
         if forgotten {
-            *self.be(be) = Be::new();
+            *self.server(server) = Server::new();
         }
         forgotten
     }
@@ -144,16 +144,16 @@
         self.is_open(&self.slices[slice])
     }
 
-    pub fn on_record(&mut self, now: Time, slice: usize, be: usize, weight: f64) {
+    pub fn on_record(&mut self, now: Time, slice: usize, server: usize, weight: f64) {
         self.news = true;
         let settled = now + self.time("family_info.settle_s");
-        let entry = self.be(be);
+        let entry = self.server(server);
         (entry.start, entry.named) = (entry.start + 1, now);
         if !entry.seen {
             (entry.missing, entry.health) = (true, Health::Ready);
         }
         if let Some(entry) = self.slices.get_mut(slice) {
-            entry.owner = Some(be);
+            entry.owner = Some(server);
             // Guards against a steward that starts over while a slice settles: the store resets the levels
             // that kept writes from the new owner, but the line's weight still tells.
             (entry.state, entry.quiet) =
@@ -166,16 +166,24 @@
         if let Some(entry) = self.slices.get_mut(slice) {
             entry.mine = false;
             if let Some(owner) = entry.owner.take() {
-                self.bes[owner].start = self.bes[owner].start.saturating_sub(1);
+                self.servers[owner].start = self.servers[owner].start.saturating_sub(1);
             }
         }
     }
 
-    pub fn traffic(&mut self, now: Time, be: usize, count: f64, failed: f64, took: Time, util: Option<f64>) {
+    pub fn traffic(
+        &mut self,
+        now: Time,
+        server: usize,
+        count: f64,
+        failed: f64,
+        took: Time,
+        util: Option<f64>,
+    ) {
         (self.news, self.heard) = (true, now);
         let late = took as f64 > LATE * self.target;
         let idle = self.time("limits.idle_close_s").max(1) as f64;
-        let entry = self.be(be);
+        let entry = self.server(server);
         if late || util.is_some_and(|util| util >= BUSY) {
             entry.strained = now;
         }
--- a/crates/steward/src/rebalance/placement.rs
+++ b/crates/steward/src/rebalance/placement.rs
@@ -1,23 +1,29 @@
 //! Placement: the server that a slice goes to, and slices that go for balance.
 
-use super::{Be, State, Steward};
+use super::{Server, State, Steward};
 use crate::Time;
 
 impl Steward {
     /// The server to grant a slice to: the one with the fewest slices of this steward among those fit for it.
     pub(super) fn fewest(&self, now: Time, slice: usize) -> Option<usize> {
         // A started server gets what its budget holds, and past that one slice a tick.
-        let warm = |be: usize| self.bes[be].present >= 1.0 || now - self.bes[be].granted >= Self::TICK;
+        let warm = |server: usize| {
+            self.servers[server].present >= 1.0 || now - self.servers[server].granted >= Self::TICK
+        };
         // Exception: a server that would have too much with it is passed over.
         // A cold one holds no more than its present part of the slices, as slices that look idle may wake up.
-        let part = |be: &Be| be.present >= 1.0 || be.held as f64 <= be.present * self.even as f64;
-        let able = |be: usize| self.share_with(be, slice) >= 1.0 && part(&self.bes[be]);
+        let part = |server: &Server| {
+            server.present >= 1.0 || server.held as f64 <= server.present * self.even as f64
+        };
+        let able = |server: usize| self.share_with(server, slice) >= 1.0 && part(&self.servers[server]);
         let pick = |fit: &dyn Fn(usize) -> bool| {
-            self.ready().filter(|&be| fit(be)).min_by_key(|&be| (self.bes[be].held, be))
+            self.ready()
+                .filter(|&server| fit(server))
+                .min_by_key(|&server| (self.servers[server].held, server))
         };
         // Never empties the fleet: a doubtful server is better than none.
-        pick(&|be| self.trusted(be, now) && !self.bes[be].ill && able(be))
-            .or_else(|| pick(&|be| warm(be) && self.trusted(be, now)))
+        pick(&|server| self.trusted(server, now) && !self.servers[server].ill && able(server))
+            .or_else(|| pick(&|server| warm(server) && self.trusted(server, now)))
             .or_else(|| pick(&warm))
             .or_else(|| pick(&|_| true))
     }
@@ -28,37 +34,38 @@
         const THRESHOLD: isize = 2;
         const IN_FLIGHT: usize = 3;
         let moving = self.slices.iter().filter(|slice| slice.mine && slice.state != State::Owned).count();
-        let gain = |be: usize| self.bes[be].held as isize - self.bes[be].start as isize;
-        let fit: Vec<usize> = self.ready().filter(|&be| self.trusted(be, now)).collect();
+        let gain = |server: usize| self.servers[server].held as isize - self.servers[server].start as isize;
+        let fit: Vec<usize> = self.ready().filter(|&server| self.trusted(server, now)).collect();
         // Exception: after an enlargement each server that holds nothing may be getting a slice, and an
         // eighth of a large fleet may: three at a time would take minutes. A quarter measured no better.
-        let empty = fit.iter().filter(|&&be| self.bes[be].held == 0).count();
+        let empty = fit.iter().filter(|&&server| self.servers[server].held == 0).count();
         let free = IN_FLIGHT.max(empty).max(fit.len() / 8).saturating_sub(moving);
-        let owned = |be: usize| {
+        let owned = |server: usize| {
             (0..self.slices.len()).filter(move |&s| {
                 let slice = &self.slices[s];
-                slice.mine && slice.owner == Some(be) && slice.state == State::Owned
+                slice.mine && slice.owner == Some(server) && slice.state == State::Owned
             })
         };
         // Exception: a server that has too much gives its hottest slice that another can well take.
         // So does one that fails many reqs without being full: lower levels would not help it.
-        let ill = |be: usize| if self.bes[be].ill { 1.5 } else { 0.0 };
-        let strain = |be: usize| self.strain(be, now).unwrap_or(0.0).max(ill(be));
-        let mut strained: Vec<usize> = fit.iter().copied().filter(|&be| strain(be) > 1.0).collect();
+        let ill = |server: usize| if self.servers[server].ill { 1.5 } else { 0.0 };
+        let strain = |server: usize| self.strain(server, now).unwrap_or(0.0).max(ill(server));
+        let mut strained: Vec<usize> = fit.iter().copied().filter(|&server| strain(server) > 1.0).collect();
         strained.sort_by(|&a, &b| strain(b).total_cmp(&strain(a)));
         let mut moves = Vec::new();
-        for be in strained.into_iter().take(free) {
+        for server in strained.into_iter().take(free) {
             // Where it already denies much, another that would deny much less will do.
-            let least = (1.5 * self.bes[be].level).min(1.0);
-            let takes = |to: usize, s: usize| !self.bes[to].ill && self.share_with(to, s) >= least;
-            let fits = |&s: &usize| fit.iter().any(|&to| to != be && takes(to, s));
-            moves.extend(owned(be).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
+            let least = (1.5 * self.servers[server].level).min(1.0);
+            let takes = |to: usize, s: usize| !self.servers[to].ill && self.share_with(to, s) >= least;
+            let fits = |&s: &usize| fit.iter().any(|&to| to != server && takes(to, s));
+            moves.extend(owned(server).filter(fits).max_by(|&a, &b| self.rate(a).total_cmp(&self.rate(b))));
         }
-        let below = fit.iter().copied().min_by_key(|&be| (gain(be), be));
+        let below = fit.iter().copied().min_by_key(|&server| (gain(server), server));
         // Guards against a slice that goes from a server and, by fewest slices held, straight back, each tick again: servers
         // whose starts differ can have gained some and still hold the fewest.
-        let evens_out = |&be: &usize| fit.iter().any(|&to| self.bes[to].held + 1 < self.bes[be].held);
-        let above = fit.iter().copied().filter(evens_out).max_by_key(|&be| (gain(be), be));
+        let evens_out =
+            |&server: &usize| fit.iter().any(|&to| self.servers[to].held + 1 < self.servers[server].held);
+        let above = fit.iter().copied().filter(evens_out).max_by_key(|&server| (gain(server), server));
         if let (Some(below), Some(above)) = (below, above) {
             let uneven = gain(below) < 0 && gain(above) > 0 && gain(above) - gain(below) >= THRESHOLD;
             if uneven && moves.len() < free {
--- a/crates/steward/src/rebalance/suspicion.rs
+++ b/crates/steward/src/rebalance/suspicion.rs
@@ -29,8 +29,8 @@
         let accepted = self.cfg.number("family_info.conns_least").unwrap_or(f64::INFINITY);
         let stewards = self.cfg.number("balancers").unwrap_or(1.0).max(1.0);
         let crowded = |kept: f64| proxies * (1.0 - (-kept * stewards / proxies).exp()) >= accepted;
-        for be in &mut self.bes {
-            let recent: Vec<&Tries> = be.tries.iter().filter(|t| now - t.at < span).collect();
+        for server in &mut self.servers {
+            let recent: Vec<&Tries> = server.tries.iter().filter(|t| now - t.at < span).collect();
             let count = |of: &[&Tries]| of.iter().map(|t| t.count).sum::<f64>();
             let failing =
                 |of: &[&Tries], part| of.iter().map(|t| t.failed - part * t.count).sum::<f64>() >= 0.0;
@@ -38,26 +38,26 @@
             // work stays. Gone is what mostly fails in the newest reports, or is silent for long.
             // Harm: a real death is believed only once reports agree, a second or two later.
             let newest = &recent[recent.len().saturating_sub(NEWEST_REPORTS)..];
-            let silent = recent.is_empty() && now - be.named >= 2 * span;
-            if be.missing && (silent || !recent.is_empty() && failing(newest, FAILING_GONE)) {
-                be.health = Health::Gone;
+            let silent = recent.is_empty() && now - server.named >= 2 * span;
+            if server.missing && (silent || !recent.is_empty() && failing(newest, FAILING_GONE)) {
+                server.health = Health::Gone;
             }
             // Guards against taking a jam for a death: a full server fails everything too, but was busy or
             // late just before. Its level falls first; moving its slices would only jam the next one.
             // Nor a full door: whoever has a connection is still served, and moved slices would bring a crowd to the next.
-            let full = be.jammed(now) || crowded(be.kept) && !failing(&recent, 1.0);
+            let full = server.jammed(now) || crowded(server.kept) && !failing(&recent, 1.0);
             let told = recent.len() >= 2 && count(&recent) >= ENOUGH_TRIES && !full;
-            be.ill = told && failing(&recent, FAILING_ILL);
+            server.ill = told && failing(&recent, FAILING_ILL);
             // Where more proxies come than a server accepts, a door may be full by other stewards' slices, unseen from
             // here: then a death is that nothing at all succeeds.
             let dead = if proxies > accepted { 1.0 } else { FAILING_DEAD };
             if told && failing(&recent, dead) {
-                be.suspect_until = now + SUSPICION;
+                server.suspect_until = now + SUSPICION;
             }
         }
     }
 
-    pub(super) fn trusted(&self, be: usize, now: Time) -> bool {
-        now >= self.bes[be].suspect_until
+    pub(super) fn trusted(&self, server: usize, now: Time) -> bool {
+        now >= self.servers[server].suspect_until
     }
 }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -5,7 +5,7 @@
 const SETTLE: Time = 5 * SECOND;
 
 /// A steward of some slices, all owned by server 0 of `bes` ready ones, with `proxies` joined.
-fn steward(slices: usize, bes: usize, proxies: usize) -> Steward {
+fn steward(slices: usize, servers: usize, proxies: usize) -> Steward {
     let mut cfg = Settings::default();
     for (name, value) in [
         ("family_info.write_lease_s", "4"),
@@ -29,7 +29,7 @@
     cfg.set("family_info.proxy_count", &proxies.to_string());
     let mut steward = Steward::new(0, 7, cfg).expect("all settings are there");
     steward.list_begin(Scope::Whole);
-    (0..bes).for_each(|be| steward.list_entry(be, Health::Ready, 0));
+    (0..servers).for_each(|server| steward.list_entry(server, Health::Ready, 0));
     steward.list_end(Scope::Whole);
     (0..proxies).for_each(|proxy| steward.joined(proxy, 0.0));
     for slice in 0..slices {
@@ -39,9 +39,9 @@
     steward
 }
 
-fn list(steward: &mut Steward, be: usize, health: Health, boot: Time) {
+fn list(steward: &mut Steward, server: usize, health: Health, boot: Time) {
     steward.list_begin(Scope::Changes);
-    steward.list_entry(be, health, boot);
+    steward.list_entry(server, health, boot);
     steward.list_end(Scope::Changes);
 }
 
@@ -136,11 +136,11 @@
 fn a_dropped_server_keeps_its_slices_while_it_works_where_only_a_drain_binds() {
     let mut steward = steward(1, 2, 1);
     steward.cfg.set("safety.only_draining_binds", "true");
-    steward.bes[0].tries = tries(SECOND, 10.0, 1.0, SECOND / 10, None);
+    steward.servers[0].tries = tries(SECOND, 10.0, 1.0, SECOND / 10, None);
     list(&mut steward, 0, Health::Gone, 0);
     steward.suspect(SECOND);
     assert_eq!(steward.leaving(SECOND).0, []);
-    steward.bes[0].tries = tries(SECOND, 10.0, 9.0, SECOND / 10, None);
+    steward.servers[0].tries = tries(SECOND, 10.0, 9.0, SECOND / 10, None);
     steward.suspect(SECOND);
     assert_eq!(steward.leaving(SECOND).0, [0]);
 }
@@ -235,7 +235,7 @@
     let mut steward = steward(1, 2, 1);
     settle(&mut steward, 19 * SECOND);
     let grant = [
-        Order::SetLine { slice: 0, be: 0, weight: 0.5 },
+        Order::SetLine { slice: 0, server: 0, weight: 0.5 },
         Order::Level { slice: Some(0), kinds: 2, share: 0.0 },
         Order::Stamp { number: 1 },
     ];
@@ -250,7 +250,7 @@
     steward.given(SECOND, 0);
     settle(&mut steward, 19 * SECOND);
     assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE - 1), []);
-    let reads = Order::SetLine { slice: 0, be: 0, weight: 0.5 };
+    let reads = Order::SetLine { slice: 0, server: 0, weight: 0.5 };
     assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE)[0], reads);
 }
 
@@ -259,7 +259,7 @@
     let mut steward = steward(1, 2, 1);
     settle(&mut steward, 19 * SECOND);
     assert_eq!(orders(&mut steward, 18 * SECOND + 1), []);
-    assert_eq!(orders(&mut steward, 19 * SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
+    assert_eq!(orders(&mut steward, 19 * SECOND)[0], Order::SetLine { slice: 0, server: 0, weight: 1.0 });
 }
 
 #[test]
@@ -270,7 +270,7 @@
     steward.slices[0].levels[1] = 0.0;
     assert_eq!(orders(&mut steward, 9 * SECOND - 1), []);
     let open = [
-        Order::SetLine { slice: 0, be: 1, weight: 1.0 },
+        Order::SetLine { slice: 0, server: 1, weight: 1.0 },
         Order::Level { slice: Some(0), kinds: 2, share: 1.0 },
         Order::Stamp { number: 1 },
     ];
@@ -307,7 +307,7 @@
     for now in [SECOND + LEASE, 2 * SECOND + LEASE, SECOND + LEASE + SETTLE - 1] {
         assert_eq!(orders(&mut steward, now), []);
     }
-    let grant = Order::SetLine { slice: 0, be: 0, weight: 1.0 };
+    let grant = Order::SetLine { slice: 0, server: 0, weight: 1.0 };
     assert_eq!(orders(&mut steward, SECOND + LEASE + SETTLE)[0], grant);
 }
 
@@ -327,7 +327,7 @@
     list(&mut steward, 0, Health::Gone, 0);
     assert_eq!(orders(&mut steward, SECOND), []);
     list(&mut steward, 0, Health::Ready, SECOND);
-    assert_eq!(orders(&mut steward, SECOND)[0], Order::SetLine { slice: 0, be: 0, weight: 1.0 });
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::SetLine { slice: 0, server: 0, weight: 1.0 });
 }
 
 #[test]
@@ -336,9 +336,9 @@
     steward.slices[1].owner = Some(1);
     settle(&mut steward, 0);
     assert_eq!(fewest(&mut steward, SECOND, 0), Some(2));
-    steward.bes[2].suspect_until = 2 * SECOND;
+    steward.servers[2].suspect_until = 2 * SECOND;
     assert_eq!(fewest(&mut steward, SECOND, 0), Some(0));
-    steward.bes.iter_mut().for_each(|be| be.suspect_until = 2 * SECOND);
+    steward.servers.iter_mut().for_each(|server| server.suspect_until = 2 * SECOND);
     assert_eq!(fewest(&mut steward, SECOND, 0), Some(2), "never empties the fleet");
 }
 
@@ -355,8 +355,8 @@
 #[test]
 fn a_started_server_gets_one_slice_a_tick_past_its_budget() {
     let mut steward = steward(4, 2, 1);
-    (steward.bes[0].capacity, steward.bes[1].boot, steward.done) = (0.0, 1, 10.0);
-    steward.bes[1].granted = SECOND;
+    (steward.servers[0].capacity, steward.servers[1].boot, steward.done) = (0.0, 1, 10.0);
+    steward.servers[1].granted = SECOND;
     assert_eq!(fewest(&mut steward, 2 * SECOND, 0), Some(1), "it has room");
     steward.heat(SECOND, 0, 0, 10.0, SECOND);
     assert_eq!(fewest(&mut steward, 2 * SECOND, 0), Some(0));
@@ -366,7 +366,7 @@
 #[test]
 fn a_cold_server_holds_no_more_idle_slices_than_its_present_part() {
     let mut steward = steward(20, 2, 1);
-    (steward.bes[1].boot, steward.bes[1].granted, steward.done) = (1, SECOND, 10.0);
+    (steward.servers[1].boot, steward.servers[1].granted, steward.done) = (1, SECOND, 10.0);
     (0..2).for_each(|s| steward.slices[s].owner = Some(1));
     // Two of ten, at a fifth of its capacity.
     assert_eq!(fewest(&mut steward, 1 + SECOND / 10, 9), Some(1));
@@ -377,7 +377,7 @@
 #[test]
 fn a_cold_server_is_let_in_within_its_budget() {
     let mut steward = steward(1, 1, 1);
-    (steward.bes[0].boot, steward.done) = (1, 10.0);
+    (steward.servers[0].boot, steward.done) = (1, 10.0);
     steward.heat(0, 0, 0, 40.0, SECOND);
     // 0.25 x 2.5 x 0.2 x 10 a second of the 40 that come.
     assert!((cap(&mut steward, 1) - 0.03125).abs() < 1e-6);
@@ -387,7 +387,7 @@
 #[test]
 fn what_proxies_held_is_stopped_at_a_grant_to_a_cold_server_over_its_budget() {
     let mut steward = steward(1, 1, 1);
-    (steward.bes[0].boot, steward.done) = (1, 10.0);
+    (steward.servers[0].boot, steward.done) = (1, 10.0);
     steward.heat(0, 0, 0, 2.0, SECOND);
     settle(&mut steward, 0);
     assert_eq!(orders(&mut steward, 1)[1], Order::Level { slice: Some(0), kinds: 3, share: 0.0 });
@@ -397,13 +397,13 @@
 #[test]
 fn a_cold_server_that_falls_behind_is_cut_between_ticks() {
     let mut steward = steward(1, 1, 1);
-    (steward.bes[0].boot, steward.done, steward.tick) = (1, 1000.0, SECOND);
+    (steward.servers[0].boot, steward.done, steward.tick) = (1, 1000.0, SECOND);
     steward.heat(SECOND, 0, 0, 10.0, SECOND);
-    steward.bes[0].tries = tries(SECOND, 10.0, 9.0, 3 * SECOND, Some(1.0));
+    steward.servers[0].tries = tries(SECOND, 10.0, 9.0, 3 * SECOND, Some(1.0));
     steward.reported = true;
     steward.tally(SECOND);
     steward.levels(SECOND, false);
-    assert!(steward.bes[0].level < 0.5 && steward.hurry);
+    assert!(steward.servers[0].level < 0.5 && steward.hurry);
 }
 
 #[test]
@@ -413,7 +413,7 @@
     steward.reported = true;
     steward.tally(0);
     assert_eq!(steward.rate(0), 10.0);
-    steward.bes[0].boot = 1;
+    steward.servers[0].boot = 1;
     // All four slices are there: 0.25 x 2.5 x 0.2 of the 20 a second that are usual at each of two servers.
     assert!((cap(&mut steward, 1) - 0.0625).abs() < 1e-6);
 }
@@ -423,7 +423,7 @@
     let mut steward = steward(4, 2, 2);
     steward.joined(0, 20.0);
     steward.heat(0, 0, 0, 1.0, SECOND);
-    steward.bes[0].boot = 1;
+    steward.servers[0].boot = 1;
     steward.reported = true;
     steward.tally(0);
     assert_eq!((steward.rate_at(0, 0), steward.rate_at(1, 0)), (10.0, 1.0));
@@ -438,11 +438,11 @@
 #[test]
 fn a_dead_server_is_suspected_and_a_jammed_one_is_not() {
     let mut steward = steward(1, 8, 1);
-    steward.bes[0].tries = tries(SECOND, 5.0, 5.0, 0, None);
+    steward.servers[0].tries = tries(SECOND, 5.0, 5.0, 0, None);
     steward.suspect(SECOND);
     assert!(!steward.trusted(0, SECOND));
-    steward.bes[1].tries = tries(SECOND, 5.0, 5.0, 0, None);
-    steward.bes[1].strained = SECOND;
+    steward.servers[1].tries = tries(SECOND, 5.0, 5.0, 0, None);
+    steward.servers[1].strained = SECOND;
     steward.suspect(SECOND);
     assert!(steward.trusted(1, SECOND));
 }
@@ -459,7 +459,7 @@
         let now = 24 * SECOND;
         (0..4).for_each(|_| steward.traffic(now, 0, 25.0, failed, SECOND / 10, Some(0.2)));
         steward.suspect(now);
-        (!steward.trusted(0, now), steward.bes[0].ill)
+        (!steward.trusted(0, now), steward.servers[0].ill)
     };
     assert_eq!(at(2_400, "1", "150", 24.5), (false, false));
     assert_eq!(at(2_400, "1", "300", 24.5), (false, true), "others' slices may fill it: ill, but not dead");
@@ -472,38 +472,38 @@
 #[test]
 fn a_server_that_fails_a_part_at_once_keeps_its_level_and_gives_slices_away() {
     let mut steward = steward(3, 2, 1);
-    steward.bes[0].tries = tries(SECOND, 10.0, 4.0, SECOND / 10, None);
+    steward.servers[0].tries = tries(SECOND, 10.0, 4.0, SECOND / 10, None);
     steward.suspect(SECOND);
-    assert!(steward.bes[0].ill && steward.trusted(0, SECOND));
+    assert!(steward.servers[0].ill && steward.trusted(0, SECOND));
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
     (0..3).for_each(|s| steward.heat(SECOND, s, 0, 2.0, SECOND));
-    (steward.reported, steward.bes[1].capacity) = (true, 100.0);
+    (steward.reported, steward.servers[1].capacity) = (true, 100.0);
     steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND).len(), 1);
     assert_eq!(fewest(&mut steward, SECOND, 0), Some(1));
-    steward.bes[0].strained = SECOND;
+    steward.servers[0].strained = SECOND;
     steward.suspect(SECOND);
-    assert!(!steward.bes[0].ill, "a jam is no illness");
+    assert!(!steward.servers[0].ill, "a jam is no illness");
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain > 1.0));
 }
 
 #[test]
 fn many_suspects_at_once_are_a_bad_view() {
     let mut steward = steward(2, 8, 1);
-    steward.bes[0].suspect_until = 9 * SECOND;
+    steward.servers[0].suspect_until = 9 * SECOND;
     assert_eq!(steward.leaving(1).0, [0, 1]);
-    steward.bes.iter_mut().for_each(|be| be.suspect_until = 9 * SECOND);
+    steward.servers.iter_mut().for_each(|server| server.suspect_until = 9 * SECOND);
     assert_eq!(steward.leaving(1).0, []);
 }
 
 #[test]
 fn strain_asks_for_late_answers_besides_busy_cores() {
     let mut steward = steward(1, 2, 1);
-    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(1.0));
+    steward.servers[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(1.0));
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 0.9), "its level may rise");
-    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(0.5));
+    steward.servers[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(0.5));
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain < 1.0));
-    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(1.0));
+    steward.servers[0].tries = tries(SECOND, 10.0, 0.0, 3 * SECOND, Some(1.0));
     assert!(steward.strain(0, SECOND).is_some_and(|strain| strain > 2.0));
 }
 
@@ -511,17 +511,17 @@
 #[test]
 fn a_level_that_keeps_everything_away_is_back_within_four_ticks() {
     let mut steward = steward(1, 1, 1);
-    steward.bes[0].level = 0.1;
+    steward.servers[0].level = 0.1;
     let ticks = (1..=10).find(|tick| {
         steward.levels(tick * Steward::TICK, true);
-        steward.bes[0].level >= 1.0
+        steward.servers[0].level >= 1.0
     });
     assert_eq!(ticks, Some(4));
     // One that is heard of and half busy has no more than it bears.
-    steward.bes[0].level = 0.1;
-    steward.bes[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(0.68));
+    steward.servers[0].level = 0.1;
+    steward.servers[0].tries = tries(SECOND, 10.0, 0.0, SECOND / 10, Some(0.68));
     steward.levels(SECOND, true);
-    assert!((steward.bes[0].level - 0.125).abs() < 1e-9, "{}", steward.bes[0].level);
+    assert!((steward.servers[0].level - 0.125).abs() < 1e-9, "{}", steward.servers[0].level);
 }
 
 #[test]
@@ -529,11 +529,11 @@
     let mut steward = steward(1, 1, 1);
     steward.heat(0, 0, 0, 10.0, SECOND);
     steward.heat(0, 0, 1, 10.0, SECOND);
-    steward.bes[0].level = 0.75;
+    steward.servers[0].level = 0.75;
     steward.reported = true;
     steward.tally(SECOND);
     assert_eq!(steward.wanted(0, true)[..2], [0.5, 1.0]);
-    steward.bes[0].level = 0.25;
+    steward.servers[0].level = 0.25;
     assert_eq!(steward.wanted(0, true)[..2], [0.0, 0.5]);
     assert_eq!(steward.wanted(0, false)[1], 0.0, "writes stay closed while settling");
 }
@@ -543,7 +543,7 @@
     let level = |levels: f64, boot: Time| {
         let mut steward = steward(1, 1, 1);
         steward.heat(SECOND, 0, 0, 10.0, SECOND);
-        (steward.bes[0].level, steward.bes[0].boot) = (0.5, boot);
+        (steward.servers[0].level, steward.servers[0].boot) = (0.5, boot);
         steward.slices[0].levels[0] = levels;
         (steward.leveled, steward.tick) = (SECOND, SECOND);
         orders(&mut steward, 2 * SECOND).len()
@@ -553,7 +553,7 @@
     assert_eq!(level(1.0, 1), 2, "a cold server is spared at once");
     let mut steward = steward(1, 1, 1);
     steward.heat(2 * SECOND, 0, 0, 10.0, SECOND);
-    steward.bes[0].level = 0.25;
+    steward.servers[0].level = 0.25;
     steward.leveled = SECOND;
     assert_eq!(orders(&mut steward, 3 * SECOND).len(), 2, "a tick later");
 }
@@ -562,9 +562,9 @@
 fn a_strained_server_gives_a_slice_that_another_has_room_for() {
     let mut steward = steward(3, 2, 1);
     (0..3).for_each(|s| steward.heat(SECOND, s, 0, 2.0 + s as f64, SECOND));
-    steward.bes[0].tries = tries(SECOND, 10.0, 5.0, 3 * SECOND, Some(1.0));
-    steward.bes[0].capacity = 1.0;
-    steward.bes[1].capacity = 5.5;
+    steward.servers[0].tries = tries(SECOND, 10.0, 5.0, 3 * SECOND, Some(1.0));
+    steward.servers[0].capacity = 1.0;
+    steward.servers[1].capacity = 5.5;
     steward.reported = true;
     steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND), [1], "the hottest that fits");
@@ -576,7 +576,7 @@
 fn a_slice_does_not_go_from_a_server_straight_back_to_it() {
     let mut steward = steward(4, 2, 1);
     steward.slices[3].owner = Some(1);
-    (steward.bes[0].start, steward.bes[1].start) = (4, 0);
+    (steward.servers[0].start, steward.servers[1].start) = (4, 0);
     steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND), []);
     // It goes where that evens something out.
@@ -592,7 +592,7 @@
     steward.reported = true;
     steward.tally(SECOND);
     assert_eq!(steward.imbalance(SECOND), []);
-    (steward.bes[0].start, steward.bes[1].start) = (1, 2);
+    (steward.servers[0].start, steward.servers[1].start) = (1, 2);
     assert_eq!(steward.imbalance(SECOND), [0]);
 }
 
@@ -684,9 +684,9 @@
 fn without_slices_leavers_are_withdrawn_and_let_in_again() {
     let mut steward = steward(0, 2, 1);
     list(&mut steward, 0, Health::Draining, 0);
-    assert_eq!(orders(&mut steward, SECOND)[0], Order::Withdraw { be: 0, out: true });
+    assert_eq!(orders(&mut steward, SECOND)[0], Order::Withdraw { server: 0, out: true });
     list(&mut steward, 0, Health::Ready, 2 * SECOND);
-    assert_eq!(orders(&mut steward, 3 * SECOND)[0], Order::Withdraw { be: 0, out: false });
+    assert_eq!(orders(&mut steward, 3 * SECOND)[0], Order::Withdraw { server: 0, out: false });
 }
 
 #[test]
@@ -771,11 +771,14 @@
 #[test]
 fn a_server_is_forgotten_once_nothing_names_it_and_its_index_starts_anew() {
     let mut steward = steward(1, 2, 1);
-    steward.bes[0].boot = SECOND;
+    steward.servers[0].boot = SECOND;
     assert!(!steward.forget(0));
     list(&mut steward, 0, Health::Gone, 0);
     assert!(!steward.forget(0), "it still owns a slice");
     assert_eq!(orders(&mut steward, 1)[0], Order::DropLines { slice: 0 });
     assert!(steward.forget(0) && steward.forget(7));
-    assert_eq!((steward.bes[0].boot, steward.bes[0].seen, steward.bes[0].health), (0, false, Health::Gone));
+    assert_eq!(
+        (steward.servers[0].boot, steward.servers[0].seen, steward.servers[0].health),
+        (0, false, Health::Gone)
+    );
 }
