A party that joins as the process ends keeps what it was read to ask

Cause: listener.rs handed the connection, with its buffer, from the stranger's task to a new one by way of the listener's task. At the end of the process that task is gone, and what was on its way with it.

Change: the same task greets and collects; the listener is told which one has joined, for which zone.

--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -22,6 +22,13 @@
 /// A party that has not joined by then is closed, as the platform allows.
 const GREETING: Duration = Duration::from_millis(1_000);
 
+/// How long an answer to a stranger may take, whether it is the system that refuses the write or the party that takes nothing in.
+/// With the greeting's second and the last word it is closed within the 3 s that the platform allows.
+const STRANGERS_ANSWER: Duration = Duration::from_millis(1_500);
+
+/// The same for a collector, which nobody has to be rid of.
+const COLLECTORS_ANSWER: Duration = Duration::from_secs(5);
+
 /// Connections kept for one zone: its collector may come again before the connection before is known to be dead.
 const FOR_ZONE: usize = 4;
 
@@ -83,8 +90,25 @@
     }
 }
 
-/// Hears a stranger until it joins or is turned away.
-async fn greet(mut party: Party, zones: Arc<[String]>, joined: mpsc::Sender<(usize, Party)>) {
+/// A stranger that has become a collector.
+struct Joined {
+    task: tokio::task::Id,
+    zone: usize,
+    heard: Arc<Heartbeat>,
+}
+
+/// What the tasks of connections have in common.
+#[derive(Clone)]
+struct Core {
+    zones: Arc<[String]>,
+    events: mpsc::Sender<Event>,
+    joined: mpsc::Sender<Joined>,
+    began: Instant,
+}
+
+/// Hears a stranger until it joins or is turned away. The same task hears the collector from then on: guards against a
+/// party that is on its way to another task, with requests that were read, as the process ends.
+async fn greet(mut party: Party, core: Core) {
     let by = Instant::now() + GREETING;
     loop {
         let frame = match timeout_at(by, party.next()).await {
@@ -92,16 +116,16 @@
             Ok(Next::Ended) => return,
             Err(_) | Ok(Next::Unreadable) => return party.turn_away().await,
         };
-        match hear(&frame, false, &zones) {
+        match hear(&frame, false, &core.zones) {
             // What came in time is answered; one that pings without end is no collector all the same.
-            Ok(Heard::Ping) if party.pong().await && Instant::now() < by => {}
+            Ok(Heard::Ping) if party.pong(STRANGERS_ANSWER).await && Instant::now() < by => {}
             Ok(Heard::Source(zone)) => {
                 party.is_collector();
-                // Nobody joins a steward that is about to end.
-                if let Err(refused) = joined.send((zone, party)).await {
-                    refused.0 .1.turn_away().await;
-                }
-                return;
+                let heard = Heartbeat::new(core.began);
+                let joined = Joined { task: tokio::task::id(), zone, heard: heard.clone() };
+                // At the end of the process nobody counts collectors any more.
+                let _ = core.joined.send(joined).await;
+                return collect(party, &core, &heard).await;
             }
             _ => return party.turn_away().await,
         }
@@ -109,7 +133,7 @@
 }
 
 /// Passes on what a collector reports, until what it says can't be read any more.
-async fn collect(mut party: Party, zones: Arc<[String]>, events: mpsc::Sender<Event>, heard: Arc<Heartbeat>) {
+async fn collect(mut party: Party, core: &Core, heard: &Heartbeat) {
     let ending = party.ending().clone();
     loop {
         let frame = match party.next().await {
@@ -117,16 +141,16 @@
             Next::Ended if ending.is_cancelled() => return,
             Next::Ended | Next::Unreadable => break,
         };
-        match hear(&frame, true, &zones) {
+        match hear(&frame, true, &core.zones) {
             Ok(Heard::Report(report)) => {
                 heard.beat();
                 // A report is owed no answer; signs of life that were read behind it are.
                 tokio::select! {
                     () = ending.cancelled() => {}
-                    _ = events.send(Event::Report(report)) => {}
+                    _ = core.events.send(Event::Report(report)) => {}
                 }
             }
-            Ok(Heard::Ping) if party.pong().await => {}
+            Ok(Heard::Ping) if party.pong(COLLECTORS_ANSWER).await => {}
             _ => break,
         }
     }
@@ -196,23 +220,24 @@
     let mut strangers = VecDeque::new();
     let mut endings = Endings::default();
     let mut collectors: Vec<Vec<_>> = zones.iter().map(|_| Vec::new()).collect();
-    let began = Instant::now();
-    let (joined, mut joining) = mpsc::channel::<(usize, Party)>(16);
+    let (joined, mut joining) = mpsc::channel(16);
+    let core = Core { zones, events, joined, began: Instant::now() };
     loop {
         tokio::select! {
             biased;
-            Some((zone, party)) = joining.recv() => {
-                let heard = Heartbeat::new(began);
-                let ending = party.ending().clone();
-                let task = parties.spawn(collect(party, zones.clone(), events.clone(), heard.clone()));
-                collectors[zone].push((Connection { task, ending }, heard));
-                bound_zone(&mut collectors[zone], &mut endings);
+            Some(Joined { task, zone, heard }) = joining.recv() => {
+                let place = strangers.iter().position(|stranger: &Connection| stranger.task.id() == task);
+                // One that was asked to end meanwhile is none.
+                if let Some(collector) = place.and_then(|place| strangers.remove(place)) {
+                    collectors[zone].push((collector, heard));
+                    bound_zone(&mut collectors[zone], &mut endings);
+                }
             }
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
                     let ending = parties.ending.child_token();
                     let party = Party::new(socket, ending.clone());
-                    let task = parties.spawn(greet(party, zones.clone(), joined.clone()));
+                    let task = parties.spawn(greet(party, core.clone()));
                     strangers.push_back(Connection { task, ending });
                     bound(&mut strangers, most, &mut endings);
                 }
--- a/crates/platform-net/src/listener/party.rs
+++ b/crates/platform-net/src/listener/party.rs
@@ -13,7 +13,7 @@
 
 use crate::patient::Patient;
 
-/// How long the last word to a party may take, and a sign of life.
+/// How long the last word to a party may take.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
 /// What a party says next.
@@ -76,9 +76,9 @@
         }
     }
 
-    /// Answers a sign of life. Returns whether it went out.
-    pub async fn pong(&mut self) -> bool {
-        let sent = timeout(LAST_WORD, self.framed.send(Bytes::from_static(PONG))).await;
+    /// Answers a sign of life. Returns whether it went out in time.
+    pub async fn pong(&mut self, within: Duration) -> bool {
+        let sent = timeout(within, self.framed.send(Bytes::from_static(PONG))).await;
         matches!(sent, Ok(Ok(())))
     }
 
--- a/crates/ravenspar/tests/platform/end.rs
+++ b/crates/ravenspar/tests/platform/end.rs
@@ -91,30 +91,69 @@
     Lost(usize),
 }
 
-/// Asks for signs of life in bursts until the connection is over. The end of a stream with nothing left unread, and with
-/// answers due, is a loss; a reset says that something was left unread.
-async fn asks_until_the_end(mut peer: TcpStream, burst: usize) -> End {
-    let ping = frame(r#"{"msg":"PING"}"#);
+/// Waits for so many answers. Fails with how the connection ended, where it did: the end of a stream with nothing left unread,
+/// and with answers due, is a loss; a reset says that something was left unread.
+async fn answered_or_unread(peer: &mut TcpStream, due: usize) -> Result<(), End> {
     let pong = frame(r#"{"msg":"PONG"}"#).len();
-    let asked = ping.repeat(burst);
+    let mut left = due * pong;
+    let mut answers = vec![0; left];
+    while left > 0 {
+        match peer.read(&mut answers).await {
+            Err(_) => return Err(End::Kept),
+            Ok(0) => {
+                // What arrives after the close is answered by a reset.
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
+                return Err(if is_unread { End::Kept } else { End::Lost(left.div_ceil(pong)) });
+            }
+            Ok(read) => left -= read.min(left),
+        }
+    }
+    Ok(())
+}
+
+/// Asks for signs of life in bursts until the connection is over.
+async fn asks_until_the_end(mut peer: TcpStream, burst: usize) -> End {
+    let asked = frame(r#"{"msg":"PING"}"#).repeat(burst);
     loop {
         if peer.write_all(&asked).await.is_err() {
             return End::Kept;
         }
-        let mut left = burst * pong;
-        let mut answers = vec![0; left];
-        while left > 0 {
-            match peer.read(&mut answers).await {
-                Err(_) => return End::Kept,
-                Ok(0) => {
-                    // What arrives after the close is answered by a reset.
-                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                    let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
-                    return if is_unread { End::Kept } else { End::Lost(left.div_ceil(pong)) };
+        if let Err(end) = answered_or_unread(&mut peer, burst).await {
+            return end;
+        }
+    }
+}
+
+/// A party that joins as the process ends: what it has asked behind its joining was read with it, and lost on the way between
+/// two tasks (soak 5040).
+#[tokio::test]
+async fn signs_of_life_behind_a_joining_that_meets_the_end_are_answered() {
+    for round in 0..10 {
+        let (_relay, _discovery, _, mut steward) = at_work().await;
+        let address = steward.address.clone();
+        let mut parties = tokio::task::JoinSet::new();
+        for _ in 0..120 {
+            let address = address.clone();
+            parties.spawn(async move {
+                let source = frame(r#"{"msg":"SOURCE","site":"a"}"#);
+                loop {
+                    let Ok(mut party) = TcpStream::connect(&address).await else { return End::Kept };
+                    if party.write_all(&[&source[..], &frame(r#"{"msg":"PING"}"#)].concat()).await.is_err() {
+                        return End::Kept;
+                    }
+                    let ended = answered_or_unread(&mut party, 1).await;
+                    if ended != Ok(()) {
+                        return ended.err().unwrap_or(End::Kept);
+                    }
                 }
-                Ok(read) => left -= read.min(left),
-            }
+            });
         }
+        tokio::time::sleep(std::time::Duration::from_millis(20 + 3 * round)).await;
+        steward.signal("-TERM").await;
+        assert_eq!(steward.ended().await.code(), Some(0));
+        let ends = parties.join_all().await;
+        assert!(ends.iter().all(|end| *end == End::Kept), "round {round}: {ends:?}");
     }
 }
 
