--- a/crates/drill/src/wire/tests.rs
+++ b/crates/drill/src/wire/tests.rs
@@ -46,13 +46,13 @@
 fn bad_lines_are_named_and_the_rest_of_the_batch_goes_on() {
     for (line, complaint) in [
         ("GIVEN i=steward-3 active=1", "GIVEN: field map_id is missing"),
-        ("GIVEN i=steward-3 map_id=x active=1", "GIVEN: field map_id can't server read: x"),
+        ("GIVEN i=steward-3 map_id=x active=1", "GIVEN: field map_id can't be read: x"),
         ("GIVEN i=steward-3 map_id=2 active=1", "GIVEN: field map_id is out of range: 2"),
-        ("GIVEN i=steward-3 map_id=1 active=maybe", "GIVEN: field active can't server read: maybe"),
-        ("GIVEN i=other map_id=1 active=1", "GIVEN: field i can't server read: other"),
+        ("GIVEN i=steward-3 map_id=1 active=maybe", "GIVEN: field active can't be read: maybe"),
+        ("GIVEN i=other map_id=1 active=1", "GIVEN: field i can't be read: other"),
         ("JOINED i=steward-9 client_lb=1", "JOINED: steward-9 was never started"),
         ("STOP i=steward-9", "STOP: steward-9 was never started"),
-        ("JOINED i=steward-3 client_lb=70000", "JOINED: field client_lb can't server read: 70000"),
+        ("JOINED i=steward-3 client_lb=70000", "JOINED: field client_lb can't be read: 70000"),
         ("WHAT i=steward-3", "WHAT: unknown message"),
         ("M host=1 health=healthy", "M: no SNAPSHOT_ROWS before it"),
         ("SNAPSHOT_ROWS sheet=16 hosts=0", "SNAPSHOT_ROWS: field sheet is out of range: 16"),
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -65,7 +65,7 @@
     }
     say(format_args!(
         "\n{days} days from seed {seed}, {:.1} min played: {faults} faults, {writes} writes, {moves} hand-overs, {refused} \
-         fields of lower terms at forwarders; {} days broke a rule or could not server played{}",
+         fields of lower terms at forwarders; {} days broke a rule or could not be played{}",
         seconds / 60.0,
         broken.len(),
         if broken.is_empty() { String::new() } else { format!(": seeds {broken:?} in {}", keep.display()) }
@@ -82,7 +82,7 @@
         let said = match (&report, kept) {
             (Ok(_), true) => "kept",
             (Ok(report), false) => report.lines().find(|line| line.contains("BROKEN")).unwrap_or("BROKEN"),
-            (Err(_), _) => "could not server played",
+            (Err(_), _) => "could not be played",
         };
         say(format_args!("| {seed} | {seconds:.0} | {said} |"));
         if !kept {
@@ -99,7 +99,7 @@
         let rules = stage::rules(dir);
         let events = ravenspar_standin::capture::read(&path);
         let (Ok((_, rules)), Ok(events)) = (rules, events) else {
-            say(format_args!("| {seed} | {seconds:.0} | | | | could not server played |"));
+            say(format_args!("| {seed} | {seconds:.0} | | | | could not be played |"));
             self.broken.push(seed);
             return false;
         };
