A test of an answer that the system refuses for most of a second

Rules for system calls that fail by chance, and the library's place, go into a file of their own for the soak to use; the harness can start a steward without waiting until it serves.

--- a/crates/ravenspar/tests/faults/main.rs
+++ b/crates/ravenspar/tests/faults/main.rs
@@ -7,13 +7,14 @@
 #[allow(dead_code)]
 mod harness;
 mod record;
+mod schedule;
 mod storm;
 
-use std::path::PathBuf;
-
 use harness::*;
 use ravenspar_standin::platform::{Discovery, Relay};
+use schedule::library;
 use serde_json::Value;
+use tokio::io::AsyncWriteExt;
 
 /// Errors by their numbers.
 const EINTR: i32 = 4;
@@ -29,14 +30,6 @@
 const ETIMEDOUT: i32 = 110;
 const EHOSTUNREACH: i32 = 113;
 
-/// The library to preload, which is built with the tests.
-fn library() -> PathBuf {
-    let own = std::env::current_exe().expect("a test has a path");
-    let beside = own.parent().expect("a folder").join("libravenspar_faults.so");
-    assert!(beside.exists(), "{}", beside.display());
-    beside
-}
-
 struct Faulty {
     relay: Relay,
     discovery: Discovery,
@@ -162,6 +155,22 @@
     }
 }
 
+/// The system has no buffers for most of a second. An answer was given up after 0.2 s, and its connection closed with the request
+/// read and not answered (soak 5037).
+#[tokio::test]
+async fn a_sign_of_life_is_answered_though_the_answer_is_refused_for_most_of_a_second() {
+    let faulty = Faulty::start(&format!("send {ENOBUFS} 500 1300 1")).await;
+    let (mut stranger, mut collector) = (faulty.steward.connect().await, faulty.steward.connect().await);
+    collector.write_all(&frame(r#"{"msg":"SOURCE","site":"a"}"#)).await.expect("taken in");
+    while faulty.delivered(&format!("send Error({ENOBUFS})")) == 0 {
+        assert!(alive(&mut collector).await, "a collector");
+    }
+    assert!(alive(&mut collector).await, "a collector");
+    drop(stranger);
+    stranger = faulty.steward.connect().await;
+    assert!(alive(&mut stranger).await, "a stranger");
+}
+
 /// A read that a signal interrupts, or that finds no memory for a moment, ended its connection, with whatever was read before
 /// and not answered yet.
 #[tokio::test]
--- a/crates/ravenspar/tests/faults/storm.rs
+++ b/crates/ravenspar/tests/faults/storm.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::harness::*;
+use crate::schedule::schedule;
 use crate::Faulty;
 
 const SLICES: u64 = 60;
@@ -49,27 +50,6 @@
     }
 }
 
-/// Rules for the library that is preloaded: calls that fail now and then for as long as the storm lasts.
-fn schedule(chance: &mut Rng) -> String {
-    const CALLS: [(&str, &[&str]); 6] = [
-        ("accept4", &["24", "103", "105"]),
-        ("socket", &["24", "105"]),
-        ("connect", &["99", "101", "110", "113"]),
-        ("recv", &["short", "4", "104"]),
-        ("send", &["short", "4", "104", "105"]),
-        ("epoll_wait", &["4"]),
-    ];
-    let end = LENGTH.as_millis() as u64;
-    let mut rules = String::new();
-    for _ in 0..chance.usize(0..4) {
-        let (call, faults) = CALLS[chance.usize(0..CALLS.len())];
-        let (from, every) = (chance.u64(200..end), chance.u64(1..40));
-        let to = end.min(from + chance.u64(FAULT));
-        rules += &format!("{call} {} {from} {to} {every}\n", faults[chance.usize(0..faults.len())]);
-    }
-    rules + &format!("realtime {} {}\n", chance.i64(-3_600..3_600), chance.u64(0..end))
-}
-
 /// One fault, for its time.
 async fn befall(relay: &Relay, discovery: &Discovery, steward: &Steward, chance: &mut Rng) {
     let span = Duration::from_millis(chance.u64(FAULT));
@@ -183,7 +163,8 @@
             *row = Some((SERVERS[*slice as usize % SERVERS.len()].to_owned(), 1.0));
         }
     });
-    let mut faulty = Faulty::start_with(relay, discovery, &schedule(&mut chance), settings).await;
+    let mut faulty =
+        Faulty::start_with(relay, discovery, &schedule(&mut chance, LENGTH, FAULT), settings).await;
     keep_log(&mut faulty.steward, seed);
     let over = std::cell::Cell::new(false);
     let storm = async {
--- a/crates/ravenspar/tests/platform/harness.rs
+++ b/crates/ravenspar/tests/platform/harness.rs
@@ -64,6 +64,15 @@
 
     /// With more in its environment.
     pub async fn start_in(config: &Value, more: &str, environment: &[(&str, &Path)]) -> Steward {
+        let mut steward = Steward::spawn(config, more, environment);
+        let line = steward.logged("serving").await;
+        let listen = line.split(' ').find_map(|word| word.strip_prefix("listen="));
+        steward.address = listen.expect("it says where it listens").to_owned();
+        steward
+    }
+
+    /// The same, which may not serve yet, at the address that the configuration says.
+    pub fn spawn(config: &Value, more: &str, environment: &[(&str, &Path)]) -> Steward {
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("written");
@@ -78,11 +87,8 @@
             .spawn()
             .expect("it starts");
         let log = Some(BufReader::new(child.stderr.take().expect("a log")).lines());
-        let mut steward = Steward { child, log, address: String::new(), config: path, _dir: dir };
-        let line = steward.logged("serving").await;
-        let listen = line.split(' ').find_map(|word| word.strip_prefix("listen="));
-        steward.address = listen.expect("it says where it listens").to_owned();
-        steward
+        let address = config["listen"].as_str().unwrap_or_default().to_owned();
+        Steward { child, log, address, config: path, _dir: dir }
     }
 
     async fn next_line(&mut self) -> Option<String> {
