A slice that is given behind a revoke, before the sign of life, is revoked again

Cause: slices.rs, compare, took whatever a subscription tells before its first sign of life for older than an order written to it.

Change: what a subscription tells of a slice says whether a call had named its line before; then the slice is unclear, whichever line is told. Why it holds: what is told before any such call was written can't lie behind it; what is told after may, and is revoked.

Test: a session test, red on the code before (the grant came with no revoke).

--- a/crates/platform/src/session/charge.rs
+++ b/crates/platform/src/session/charge.rs
@@ -9,7 +9,7 @@
 use crate::fields::{self, Fault};
 use crate::news::{News, Sizes, SIGN_OF_LIFE};
 use crate::slices::{row_of, Crossing, Ownership, Row, Told};
-use crate::subscription::{Snapshot, Subscription};
+use crate::subscription::{Snapshot, Standing, Subscription};
 
 /// News that lag may be that old: silence is borne for 2.2 s, and some.
 const LAG: Time = 5 * SECOND;
@@ -115,7 +115,8 @@
         let mut said = now - LAG;
         if let Some(snapshot) = self.subscription.snapshot() {
             said = snapshot.earliest;
-            let first = snapshot.slices.insert(slice, None).is_none();
+            let standing = Standing { row: None, after_order: self.slices[slice].is_line_ordered_since() };
+            let first = snapshot.slices.insert(slice, standing).is_none();
             // Told as standing: held against what was known once all of it is there. Its levels are not told: the store has
             // reset them if it took the slice away and gave it back in the gap.
             if first && known {
@@ -165,7 +166,7 @@
     fn line(&mut self, now: Time, slice: usize, row: Row) {
         let told = self.subscription.snapshot().and_then(|snapshot| snapshot.slices.get_mut(&slice));
         if let Some(told) = told {
-            *told = row;
+            told.row = row;
         }
         if self.slices[slice].ownership == Ownership::AwaitsLine {
             self.settle_line(now, slice, row);
@@ -235,8 +236,9 @@
                 (Ownership::NotOwned, _) => {}
                 (_, None) => self.take(slice),
                 (Ownership::AwaitsLine | Ownership::Unclear, Some(_)) => {}
-                (Ownership::Owned, Some(&row)) => {
-                    let told = known.compare(row, snapshot.earliest, pending);
+                (Ownership::Owned, Some(&standing)) => {
+                    let row = standing.row;
+                    let told = known.compare(standing, snapshot.earliest, pending);
                     let settled = known.row == row && !pending;
                     match (told, row) {
                         (Told::AsKnown, None) if !long => {}
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -717,6 +717,32 @@
     assert!(longest <= 3, "{longest} messages within the window");
 }
 
+/// Found by the soak (5105): a slice is another steward's as a subscription begins. A revoke of it counts as taken and changes
+/// nothing. Then the slice is given back, with its line, before the first sign of life. It was taken for what stood before the
+/// revoke, so the slice counted as revoked, and went from one server to another directly ("slice 29 is moved with no revoke").
+#[test]
+fn a_slice_given_after_a_revoke_and_before_the_sign_of_life_is_revoked_again() {
+    let mut met = Met::new(1, 1);
+    met.news_lost();
+    met.begin();
+    met.joins(0);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    met.later(SECOND / 2);
+    assert_eq!(met.poll(), None, "decisions stand still from here on");
+    met.later(SECOND / 2);
+    let revoke = met.poll().expect("the revoke");
+    assert_eq!(verbs(&revoke), ["clear", "mark"]);
+    met.answer(2);
+    met.answers(0, mark(&revoke));
+    met.given(0, Some("A"));
+    met.news("ping", json!({}));
+    met.live = true;
+    let next = met.run(SECOND / 2);
+    assert_eq!(verbs(&next).first(), Some(&"clear"), "{next:?}");
+    met.answers(0, met.session_mark(&next, &revoke));
+    assert_eq!(grants(&met.run(7 * SECOND)), ["B"]);
+}
+
 /// The only proxy comes back just before a revoke is carried out, and reads the former owner; then the process stands still.
 /// When it goes on, the first line that it hears is older than the call. That ended the wait for something heard, the proxy's
 /// lease had run out by what was known, and the hand-over was over with nobody asked.
--- a/crates/platform/src/slices.rs
+++ b/crates/platform/src/slices.rs
@@ -3,6 +3,7 @@
 use ravenspar_steward::{Order, Time, SECOND};
 
 use crate::calls::slice_of;
+use crate::subscription::Standing;
 
 /// The line of a slice's table: server and weight.
 pub type Row = Option<(usize, f64)>;
@@ -108,18 +109,31 @@
         self.possible.clear();
     }
 
+    /// A call that names its line was written since the present subscription began.
+    pub fn is_line_ordered_since(&self) -> bool {
+        self.line_ordered_since
+    }
+
     /// How a line that is told as standing goes with what was known and ordered. `earliest` is when it can be from;
     /// `pending` says that an order for its line is not settled.
-    pub fn compare(&self, told: Row, earliest: Time, pending: bool) -> Told {
-        if self.ownership == Ownership::Unclear || told == self.row {
+    pub fn compare(&self, told: Standing, earliest: Time, pending: bool) -> Told {
+        if self.ownership == Ownership::Unclear {
+            return Told::AsKnown;
+        }
+        // Guards against a slice that was another steward's when the order was carried out, which changed nothing, and that was
+        // given since, with its line or by the other's revoke without one.
+        if told.after_order {
+            return Told::Unclear;
+        }
+        if told.row == self.row {
             return Told::AsKnown;
         }
-        if !self.possible.contains(&told) {
+        if !self.possible.contains(&told.row) {
             let crossed = self.crossing(earliest) == Crossing::Line;
             return if crossed { Told::Unclear } else { Told::Otherwise };
         }
         // An order that is not settled is sent again; one that was written to this subscription's store and carried out
-        // came after what is told.
+        // came after what had been told.
         if pending || self.line_ordered_since {
             Told::AsKnown
         } else {
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -27,7 +27,16 @@
     /// When its first line was heard: what it tells as standing is from then at the latest.
     pub began: Time,
     pub proxies: BTreeSet<usize>,
-    pub slices: BTreeMap<usize, Row>,
+    pub slices: BTreeMap<usize, Standing>,
+}
+
+/// What it tells of one slice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    pub row: Row,
+    /// A call that names its line was written to this subscription's store before the slice was told: the slice may have been given
+    /// after the call was carried out, and without it.
+    pub after_order: bool,
 }
 
 impl Subscription {
