A soak of several stewards as processes, judged by what crossed the sockets

Need: storms asked for drains of one steward, with nobody on a connection at its end.

Change: crates/ravenspar/tests/soak: three to five stewards on one store, 40 to 240 proxies under a channel's limits, take-overs and slices given back, releases with signals in series, kills, cuts, stops, half-written configurations, call and news troubles, preloaded system-call faults, clients that use their connections to the end, a crowd in every third run. The judge is pure and has a test for each rule; load on cold servers is not modelled, so of the five rules that one is not judged.

Runs beside builds.

--- /dev/null
+++ b/crates/ravenspar/tests/soak/clients.rs
@@ -0,0 +1,106 @@
+//! Who connects to a steward: collectors and peers that use their connections until these are over, and a crowd.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::harness::frame;
+
+/// What clients know of a steward.
+#[derive(Clone)]
+pub struct Address {
+    pub at: String,
+    /// It is killed with no word: nothing is owed.
+    pub killed: Rc<Cell<bool>>,
+}
+
+/// Connects again and again, and asks for signs of life on each connection until that is over, a collector with reports
+/// between. `lost` is told of requests that were read and not answered.
+pub async fn ask_on(address: Address, collects: bool, mut chance: Rng, lost: impl Fn(usize)) {
+    loop {
+        sleep(Duration::from_millis(chance.u64(5..60))).await;
+        let Ok(mut peer) = TcpStream::connect(&address.at).await else { continue };
+        let _ = peer.set_nodelay(true);
+        if collects && peer.write_all(&frame(r#"{"msg":"SOURCE","site":"a"}"#)).await.is_err() {
+            continue;
+        }
+        let unanswered = ask_until_the_end(&mut peer, collects, &mut chance).await;
+        if !address.killed.get() {
+            lost(unanswered);
+        }
+    }
+}
+
+/// Returns how many requests were read and not answered.
+async fn ask_until_the_end(peer: &mut TcpStream, collects: bool, chance: &mut Rng) -> usize {
+    let ping = frame(r#"{"msg":"PING"}"#);
+    let report = frame(
+        r#"{"msg":"LOAD","site":"a","target":"s0","count":4,"fail":0,"mean":4.0,"over":500.0,"util":{"util":0.1}}"#,
+    );
+    // A PONG and a NACK are of one length.
+    let answer = frame(r#"{"msg":"PONG"}"#).len();
+    loop {
+        let asked = chance.usize(1..40);
+        let mut bytes = Vec::new();
+        for _ in 0..asked {
+            if collects && chance.u8(0..4) == 0 {
+                bytes.extend_from_slice(&report);
+            }
+            bytes.extend_from_slice(&ping);
+        }
+        if peer.write_all(&bytes).await.is_err() {
+            return 0;
+        }
+        let mut heard = Vec::new();
+        while heard.len() < asked * answer {
+            match peer.read_buf(&mut heard).await {
+                Err(_) => return 0,
+                Ok(0) => return unanswered(peer, &heard, asked * answer).await / answer,
+                Ok(_) => {}
+            }
+        }
+        // Turned away: it has had its word.
+        if heard.windows(4).any(|word| word == b"NACK") {
+            return 0;
+        }
+        sleep(Duration::from_millis(chance.u64(0..30))).await;
+    }
+}
+
+/// Bytes of answers that are due at the end of a stream; none where it tells that something was left unread.
+async fn unanswered(peer: &TcpStream, heard: &[u8], due: usize) -> usize {
+    if heard.windows(4).any(|word| word == b"NACK") {
+        return 0;
+    }
+    // What arrives after the close is answered by a reset.
+    sleep(Duration::from_millis(50)).await;
+    match peer.take_error() {
+        Ok(None) => due.saturating_sub(heard.len()),
+        _ => 0,
+    }
+}
+
+/// Parties that are of no use, up to the end: silent, with half a message, with floods that read no answer.
+pub async fn crowd(address: Address, size: usize, mut chance: Rng) {
+    let mut parties = Vec::new();
+    loop {
+        parties.retain(|_| chance.u8(0..40) != 0);
+        while parties.len() < size {
+            let Ok(mut party) = TcpStream::connect(&address.at).await else { break };
+            let said = match chance.u8(0..4) {
+                0 => Vec::new(),
+                1 => frame(r#"{"msg":"PING"}"#)[..9].to_vec(),
+                2 => frame(r#"{"msg":"PING"}"#).repeat(200),
+                _ => frame(r#"{"msg":"SOURCE","site":"nowhere"}"#),
+            };
+            let _ = party.write_all(&said).await;
+            parties.push(party);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
--- /dev/null
+++ b/crates/ravenspar/tests/soak/main.rs
@@ -0,0 +1,249 @@
+//! The soak: several stewards as processes on one store, with clients that use their connections to the end, releases, signals
+//! in series, crowds, system calls that fail and the relay's troubles, all by chance from a seed. Judged by what crossed the
+//! sockets.
+//!
+//! CI plays a few seeds. `RAVENSPAR_SOAK=5000..5050 cargo test -p ravenspar --test soak -- --nocapture` plays others, a line
+//! each, and leaves each process's log in `target/tmp`; a seed alone (`7..8`) plays the same again, as far as real time
+//! allows. `RAVENSPAR_SOAK_LOG=trace` has every message in the logs.
+
+mod clients;
+#[path = "../platform/harness.rs"]
+#[allow(dead_code)]
+mod harness;
+mod judge;
+mod judge_tests;
+mod member;
+mod relay;
+#[path = "../faults/schedule.rs"]
+mod schedule;
+mod store;
+
+use std::cell::RefCell;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use ravenspar_standin::platform::Discovery;
+use tokio::task::{spawn_local, JoinSet, LocalSet};
+use tokio::time::{interval, sleep, Instant};
+
+use judge::Limits;
+use member::{Member, Soak, SERIES};
+use relay::CALL_FAULTS;
+use store::{server_name, Sizes, Store, SETTLE};
+
+const SERVERS: usize = 8;
+pub const MESSAGES: usize = 20;
+pub const WINDOW: Duration = Duration::from_secs(10);
+
+/// How long troubles begin.
+const LENGTH: Duration = Duration::from_secs(9);
+
+/// How long one lasts at most, in milliseconds.
+const TROUBLE: Range<u64> = 50..1_500;
+
+/// The longest that a slice may stand at a server that drains, in the troubles too: the longest of them, two silent
+/// subscriptions to notice, and what the channel asks for.
+const OWED: Duration = Duration::from_secs(7);
+
+/// The same for a slice without a server: the five seconds that sites allow, the four that the page grants where the relay
+/// breaks off its news, a start's second, and the longest trouble.
+const UNSERVED: Duration = Duration::from_millis(11_500);
+
+/// From the end of all troubles until every slice is served: what is owed at most, twice a lease and a settling, and a full
+/// channel for each of its parts.
+const RECOVERED: Duration = Duration::from_secs(25);
+
+async fn start(seed: u64, chance: &mut Rng) -> std::io::Result<(Soak, Vec<Rc<Member>>)> {
+    let proxies = [40, 80, 240][chance.usize(..3)];
+    let sizes = Sizes { stewards: chance.usize(3..=5), proxies, slices: 60, servers: SERVERS };
+    let limits = Limits {
+        settle: SETTLE,
+        waiting: sizes.waiting(),
+        messages: MESSAGES,
+        window: WINDOW,
+        owed: OWED,
+        unserved: UNSERVED,
+        ready: Duration::from_secs(10),
+    };
+    let store = Rc::new(RefCell::new(Store::new(sizes, limits, chance.fork())));
+    let soak = Soak { seed, began: Instant::now(), store, sizes, faults: LENGTH };
+    spawn_local(advance(soak.clone()));
+    let mut members = Vec::new();
+    for number in 0..sizes.stewards {
+        let servers: Vec<String> = (0..SERVERS).map(server_name).collect();
+        let names: Vec<&str> = servers.iter().map(String::as_str).collect();
+        let discovery = Discovery::start(&names).await?;
+        members.push(Member::start(number, soak.clone(), discovery).await?);
+    }
+    Ok((soak, members))
+}
+
+async fn advance(soak: Soak) {
+    let mut tick = interval(Duration::from_millis(10));
+    loop {
+        tick.tick().await;
+        let now = soak.now();
+        soak.store.borrow_mut().advance(now);
+    }
+}
+
+/// Collectors and peers of each steward, and a crowd at one of them in every third run.
+fn connect_clients(soak: &Soak, members: &[Rc<Member>], chance: &mut Rng) {
+    const CLIENTS: usize = 6;
+    const CROWD: Range<usize> = 100..240;
+    for member in members {
+        for client in 0..CLIENTS {
+            let (soak, number) = (soak.clone(), member.number);
+            let lost = move |requests| {
+                let now = soak.now();
+                soak.store.borrow_mut().judge.unanswered(now, number, requests);
+            };
+            spawn_local(clients::ask_on(member.address.clone(), client % 3 == 0, chance.fork(), lost));
+        }
+    }
+    if soak.seed.is_multiple_of(3) {
+        let crowded = &members[chance.usize(..members.len())];
+        spawn_local(clients::crowd(crowded.address.clone(), chance.usize(CROWD), chance.fork()));
+    }
+}
+
+/// Servers drain two to five at a time, and come back.
+async fn drains(soak: Soak, members: Vec<Rc<Member>>, mut chance: Rng) {
+    loop {
+        for _ in 0..chance.usize(2..=5) {
+            // The last two stay, so that there is always somewhere to go.
+            let server = chance.usize(..SERVERS - 2);
+            let drains = chance.u8(0..3) != 0;
+            soak.store.borrow_mut().draining[server] = drains;
+            let state = if drains { "leaving" } else { "active" };
+            members.iter().for_each(|member| member.discovery.set(&server_name(server), state));
+        }
+        sleep(Duration::from_millis(chance.u64(300..2_000))).await;
+    }
+}
+
+/// One trouble of one steward, for its time.
+async fn befall(member: &Member, chance: &mut Rng) {
+    let span = Duration::from_millis(chance.u64(TROUBLE));
+    let soak = &member.soak;
+    match chance.u8(0..14) {
+        0..=2 => member.release(SERIES[chance.usize(..SERIES.len())]).await,
+        3 => member.kill(Duration::from_millis(chance.u64(0..3_000))).await,
+        4 => member.cut(2 * span).await,
+        5 => member.stop(span).await,
+        6 => member.hangups().await,
+        7 => member.relay.end_news(),
+        8 => {
+            member.relay.way.borrow_mut().silent = true;
+            sleep(span).await;
+            member.relay.way.borrow_mut().silent = false;
+        }
+        9 | 10 => {
+            let some = (0..chance.usize(1..8)).map(|_| CALL_FAULTS[chance.usize(..CALL_FAULTS.len())]);
+            member.relay.way.borrow_mut().faults.extend(some);
+        }
+        11 => {
+            let some = some_proxies(soak, chance);
+            some.clone().for_each(|proxy| soak.store.borrow_mut().set_mute(proxy, true));
+            sleep(span).await;
+            some.for_each(|proxy| soak.store.borrow_mut().set_mute(proxy, false));
+        }
+        _ => {
+            let some = some_proxies(soak, chance);
+            some.clone().for_each(|proxy| soak.store.borrow_mut().leave(member.number, proxy));
+            sleep(span / 2).await;
+            some.for_each(|proxy| soak.store.borrow_mut().join(member.number, proxy));
+        }
+    }
+}
+
+fn some_proxies(soak: &Soak, chance: &mut Rng) -> Range<usize> {
+    let first = chance.usize(..soak.sizes.proxies);
+    first..(first + chance.usize(1..=soak.sizes.proxies / 2)).min(soak.sizes.proxies)
+}
+
+async fn troubles(member: Rc<Member>, end: Instant, mut chance: Rng) {
+    while Instant::now() < end {
+        sleep(Duration::from_millis(chance.u64(0..1_500))).await;
+        befall(&member, &mut chance).await;
+    }
+}
+
+/// Waits until no drain is owed and every slice is served.
+async fn recovered(soak: &Soak) -> bool {
+    let by = Instant::now() + RECOVERED;
+    while Instant::now() < by {
+        if soak.store.borrow().lacking() == (0, 0) {
+            return true;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Plays one seed; returns what was broken, and the longest that a drain was owed.
+async fn play(seed: u64) -> (Vec<String>, Duration) {
+    let mut chance = Rng::with_seed(seed);
+    let (soak, members) = start(seed, &mut chance).await.expect("stand-ins and processes");
+    connect_clients(&soak, &members, &mut chance);
+    let draining = spawn_local(drains(soak.clone(), members.clone(), chance.fork()));
+    let end = Instant::now() + LENGTH;
+    let mut befalling = JoinSet::new();
+    for member in &members {
+        befalling.spawn_local(troubles(member.clone(), end, chance.fork()));
+    }
+    befalling.join_all().await;
+    draining.abort();
+    let is_recovered = recovered(&soak).await;
+    let now = soak.now();
+    if !is_recovered {
+        let lacking = soak.store.borrow().lacking();
+        let what = format!("not recovered: {} drains owed, {} slices not served", lacking.0, lacking.1);
+        soak.store.borrow_mut().judge.broken(now, what);
+    }
+    for member in &members {
+        member.finish().await;
+    }
+    // What clients were not answered is told a moment after the close.
+    sleep(Duration::from_millis(200)).await;
+    let judge = &soak.store.borrow().judge;
+    (judge.breaks().to_vec(), judge.longest_owed)
+}
+
+fn seeds() -> Range<u64> {
+    const IN_CI: Range<u64> = 40..48;
+    let asked = std::env::var("RAVENSPAR_SOAK").ok();
+    let asked = asked.as_deref().and_then(|asked| asked.split_once(".."));
+    let asked = asked.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    asked.unwrap_or(IN_CI)
+}
+
+/// Each on a thread of its own, so that one's stand-ins don't keep another's waiting.
+fn play_alone(seed: u64) -> (Vec<String>, Duration) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, play(seed))
+}
+
+#[test]
+fn several_stewards_keep_the_rules_through_troubles_releases_and_crowds() {
+    /// Soaks beside each other.
+    const AT_ONCE: usize = 2;
+    let next = std::sync::Mutex::new(seeds());
+    let failed = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| loop {
+                let Some(seed) = next.lock().expect("a seed").next() else { return };
+                let (breaks, owed) = play_alone(seed);
+                println!("soak {seed}: drains owed for {} ms at most, broken: {breaks:?}", owed.as_millis());
+                if !breaks.is_empty() {
+                    failed.lock().expect("a list").push((seed, breaks));
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("a list");
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- /dev/null
+++ b/crates/ravenspar/tests/soak/relay.rs
@@ -0,0 +1,191 @@
+//! The relay at one steward's address: it carries calls out at the store, tells its news, and has troubles of its own.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use serde_json::{json, Value};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, Instant};
+use tokio_util::codec::{Framed, LinesCodec};
+
+use crate::store::Store;
+
+/// What goes wrong with one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// Not carried out, and not answered.
+    Lost,
+    /// Carried out, and not answered.
+    Unanswered,
+    /// Carried out, and the connection breaks.
+    Broken,
+    /// Carried out, and the answer can't be read.
+    Spoilt,
+    /// Turned away.
+    Throttled,
+}
+
+pub const CALL_FAULTS: [CallFault; 5] =
+    [CallFault::Lost, CallFault::Unanswered, CallFault::Broken, CallFault::Spoilt, CallFault::Throttled];
+
+/// The state of a steward's way to the relay.
+#[derive(Default)]
+pub struct Way {
+    /// Nothing passes, and nothing is said of that.
+    pub cut: bool,
+    /// Subscriptions, those that stand and new ones, tell nothing.
+    pub silent: bool,
+    /// Subscriptions up to this number are over.
+    pub ended: u64,
+    subscriptions: u64,
+    pub faults: VecDeque<CallFault>,
+    /// The highest number of a call: one that is read after a later one was waited for too long to be carried out.
+    latest: u64,
+}
+
+#[derive(Clone)]
+pub struct Relay {
+    pub address: SocketAddr,
+    pub way: Rc<RefCell<Way>>,
+}
+
+impl Relay {
+    pub async fn start(steward: usize, store: Rc<RefCell<Store>>) -> std::io::Result<Relay> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let relay = Relay { address: listener.local_addr()?, way: Rc::default() };
+        let way = relay.way.clone();
+        spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                spawn_local(serve(socket, steward, store.clone(), way.clone()));
+            }
+        });
+        Ok(relay)
+    }
+
+    /// Cuts off whoever reads the news.
+    pub fn end_news(&self) {
+        let mut way = self.way.borrow_mut();
+        way.ended = way.subscriptions;
+    }
+
+    /// Another process of the steward counts its calls from 1.
+    pub fn forget_calls(&self) {
+        self.way.borrow_mut().latest = 0;
+    }
+}
+
+type Lines = Framed<TcpStream, LinesCodec>;
+
+async fn serve(socket: TcpStream, steward: usize, store: Rc<RefCell<Store>>, way: Rc<RefCell<Way>>) {
+    let _ = socket.set_nodelay(true);
+    let mut lines = Framed::new(socket, LinesCodec::new());
+    while let Some(Ok(line)) = lines.next().await {
+        if way.borrow().cut {
+            continue;
+        }
+        let call: Value = serde_json::from_str(&line).unwrap_or_default();
+        if call["method"] == "subscribe" {
+            return tell(lines, &call["id"], steward, store, way).await;
+        }
+        let Some(answer) = carry_out(&call, steward, &store, &way) else { return };
+        if let Some(answer) = answer {
+            if lines.send(answer.to_string()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// The answer, if there is one; `None` where the connection breaks.
+fn carry_out(
+    call: &Value,
+    steward: usize,
+    store: &RefCell<Store>,
+    way: &RefCell<Way>,
+) -> Option<Option<Value>> {
+    let id = call["id"].as_u64().unwrap_or(0);
+    let mut way = way.borrow_mut();
+    if id < way.latest {
+        return Some(None);
+    }
+    way.latest = id;
+    let fault = way.faults.pop_front();
+    let carried_out = || {
+        let orders = call["params"]["changes"].as_array().cloned().unwrap_or_default();
+        store.borrow_mut().carry_out(steward, &orders)
+    };
+    match fault {
+        None => Some(Some(json!({"jsonrpc": "2.0", "id": id, "result": {"ok_count": carried_out()}}))),
+        Some(CallFault::Lost) => Some(None),
+        Some(CallFault::Throttled) => Some(Some(
+            json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32000, "message": "Throttling"}}),
+        )),
+        Some(CallFault::Unanswered) => {
+            carried_out();
+            Some(None)
+        }
+        Some(CallFault::Broken) => {
+            carried_out();
+            None
+        }
+        Some(CallFault::Spoilt) => {
+            carried_out();
+            Some(Some(json!({"jsonrpc": "2.0", "id": id, "result": {"ok_count": "all"}})))
+        }
+    }
+}
+
+async fn tell(
+    mut lines: Lines,
+    id: &Value,
+    steward: usize,
+    store: Rc<RefCell<Store>>,
+    way: Rc<RefCell<Way>>,
+) {
+    const SIGN_OF_LIFE: Duration = Duration::from_secs(1);
+    let number = {
+        let mut way = way.borrow_mut();
+        way.subscriptions += 1;
+        way.subscriptions
+    };
+    // What a subscription that fell silent did not tell it never tells.
+    let mut dead = false;
+    store.borrow_mut().subscribe(steward, id);
+    let mut tick = interval(Duration::from_millis(5));
+    let mut sign = Instant::now() + Duration::from_millis(fastrand::u64(100..1_000));
+    loop {
+        tick.tick().await;
+        let (is_over, is_last) = {
+            let way = way.borrow();
+            dead |= way.silent || way.cut;
+            (way.ended >= number, way.subscriptions == number)
+        };
+        if is_over || !is_last {
+            break;
+        }
+        if dead {
+            continue;
+        }
+        if Instant::now() >= sign {
+            sign += SIGN_OF_LIFE;
+            store.borrow_mut().sign_of_life(steward);
+        }
+        loop {
+            let line = store.borrow_mut().next_news(steward);
+            let Some(line) = line else { break };
+            if lines.send(line).await.is_err() {
+                return;
+            }
+        }
+    }
+    if way.borrow().subscriptions == number {
+        store.borrow_mut().unsubscribe(steward);
+    }
+    // A connection that is not read any more ends a moment later.
+    sleep(Duration::from_millis(5)).await;
+}
