Two safeguards that no test noticed have tests

Need: taken out in turn, five safeguards of the incident of drains were noticed by nothing.

Change: a history of liveness and a session test, each red without its safeguard and green with it. One is left without (revoke_waits).

--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -366,6 +366,21 @@
     }
 }
 
+/// In a gap as long as a lease another steward may have had the slice, granted it and revoked it.
+#[test]
+fn after_a_gap_as_long_as_a_lease_an_answer_to_an_earlier_mark_proves_nothing() {
+    for (gap, proves) in [(SECOND, true), (6 * SECOND, false)] {
+        let mut met = Met::new(1, 1);
+        met.changed(2, &[host("A", "leaving", 0)]);
+        let revoke = met.poll().expect("the revoke");
+        met.answer(2);
+        met.later(gap);
+        met.subscribe(&[0], &[None]);
+        met.answers(0, mark(&revoke));
+        assert_eq!(!grants(&met.run(2 * SECOND)).is_empty(), proves, "{gap}");
+    }
+}
+
 #[test]
 fn a_call_that_may_stand_is_not_taken_for_another_stewards_work() {
     for row in [Some("A"), None] {
--- a/crates/platform/tests/liveness/main.rs
+++ b/crates/platform/tests/liveness/main.rs
@@ -207,6 +207,22 @@
     }
 }
 
+/// Half of the proxies stand still, the channel sends at half its pace, and the news break off: that nobody answers for a while
+/// does not show that the channel is empty before it has had the time for all of it.
+#[test]
+fn a_channel_is_not_taken_for_empty_before_it_has_had_the_time_for_all_of_it() {
+    let troubles = [
+        (100, 100, Trouble::ProxiesMute(50)),
+        (100, 100, Trouble::ChannelSlow(2)),
+        (101, 1, Trouble::Drain(0)),
+        (102, 6, Trouble::NewsCut),
+        (110, 1, Trouble::Drain(1)),
+        (125, 1, Trouble::Drain(2)),
+        (140, 1, Trouble::Drain(3)),
+    ];
+    play(Sizes::fleet(), &troubles).expect("no limit is passed");
+}
+
 /// Known red. Three of four proxies stand still, the channel sends four times slower than usual, and the news break off. Of the
 /// few proxies that would answer none has its message yet, so the channel is quiet for as long as its longest message takes at
 /// the slowest pace; the time for all of it at the usual pace has passed, and it is taken for empty while much of it waits.
