Whether anybody has answered a hand-over is worked out once a decision

Need: with 2,400 proxies and hundreds of hand-overs, each decision looked through all proxies for each of them.

Change: the highest answered mark is found once.

--- a/crates/steward/src/rebalance/handoff.rs
+++ b/crates/steward/src/rebalance/handoff.rs
@@ -8,6 +8,7 @@
     pub(super) fn settle(&mut self, now: Time) {
         let lease = self.time("family_info.write_lease_s");
         let settle = self.time("family_info.settle_s");
+        let answered = self.proxies.iter().map(|proxy| proxy.answered).max().unwrap_or(0);
         for slice in self.slices.iter_mut().filter(|slice| slice.mine) {
             let State::HandingOff { mark, waiting } = &mut slice.state else { continue };
             // Looked at together: guards against a proxy whose lease has run out by what is known, and that is told to have
@@ -18,8 +19,7 @@
                 let broke = !proxy.joined && now >= proxy.down.max(slice.given) + lease;
                 proxy.answered >= *mark || broke
             });
-            let is_shown = self.proxies.iter().any(|proxy| proxy.answered >= *mark);
-            if is_over && is_shown {
+            if is_over && answered >= *mark {
                 slice.state = State::Settling;
                 // A slice that was open to reads alone has had no write since the earlier hand-over.
                 slice.quiet = Some(slice.quiet.unwrap_or(now + settle));
