Peers, connections and decoded messages have the field's names

Mechanical, no change of behaviour: in platform-net and the frames of platform a party is a peer, the tasks of all of them are connections, a stranger is an unidentified peer, Patient is Retrying, hear and Heard are decode and Message, as the table of names in the architecture asks.

--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -3,9 +3,9 @@
 mod discovery;
 mod lines;
 mod listener;
-mod patient;
 mod process;
 mod relay;
+mod retrying;
 mod serve;
 mod tasks;
 
--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -1,6 +1,6 @@
-//! The steward's own address: strangers until they have said who they are, collectors from then on.
+//! The steward's own address: unidentified peers until they have said who they are, collectors from then on.
 
-mod party;
+mod peer;
 
 use std::collections::VecDeque;
 use std::future::Future;
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ravenspar_platform::{hear, Heard};
+use ravenspar_platform::{decode, Message};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -17,14 +17,14 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Event;
-use party::{Next, Party};
+use peer::{Next, Peer};
 
-/// A party that has not joined by then is closed, as the platform allows.
+/// A peer that has not joined by then is closed, as the platform allows.
 const GREETING: Duration = Duration::from_millis(1_000);
 
-/// How long an answer to a stranger may take, whether it is the system that refuses the write or the party that takes nothing in.
+/// How long an answer to an unidentified peer may take, whether it is the system that refuses the write or the peer that takes nothing in.
 /// With the greeting's second and the last word it is closed within the 3 s that the platform allows.
-const STRANGERS_ANSWER: Duration = Duration::from_millis(1_500);
+const GREETING_ANSWER: Duration = Duration::from_millis(1_500);
 
 /// The same for a collector, which nobody has to be rid of.
 const COLLECTORS_ANSWER: Duration = Duration::from_secs(5);
@@ -32,11 +32,11 @@
 /// Connections kept for one zone: its collector may come again before the connection before is known to be dead.
 const FOR_ZONE: usize = 4;
 
-/// Descriptors that strangers never take: for collectors, relay, discovery, files and what the runtime needs.
+/// Descriptors that unidentified peers never take: for collectors, relay, discovery, files and what the runtime needs.
 const KEPT_FREE: usize = 96;
 
-/// Parties that are to end and have not yet: past that the first of them is cut off, whatever it is owed. Guards the
-/// descriptors against parties that take in no answer.
+/// Connections that are to end and have not yet: past that the first of them is cut off, whatever it is owed. Guards the
+/// descriptors against connections that take in no answer.
 const ENDING: usize = 32;
 
 /// What the steward listens with.
@@ -46,17 +46,18 @@
     pub events: mpsc::Sender<Event>,
     /// Descriptors that the process may hold.
     pub sockets: usize,
-    pub parties: Parties,
+    /// All connections' tasks.
+    pub connections: Connections,
 }
 
 /// The tasks of all connections, which end by themselves once they are asked to: what was read of a connection is answered.
 #[derive(Clone, Default)]
-pub struct Parties {
+pub struct Connections {
     tasks: TaskTracker,
     ending: CancellationToken,
 }
 
-impl Parties {
+impl Connections {
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
         self.tasks.spawn(task).abort_handle()
     }
@@ -90,7 +91,7 @@
     }
 }
 
-/// A stranger that has become a collector.
+/// An unidentified peer that has become a collector.
 struct Joined {
     task: tokio::task::Id,
     zone: usize,
@@ -106,43 +107,43 @@
     began: Instant,
 }
 
-/// Hears a stranger until it joins or is turned away. The same task hears the collector from then on: guards against a
-/// party that is on its way to another task, with requests that were read, as the process ends.
-async fn greet(mut party: Party, core: Core) {
+/// Serves an unidentified peer until it joins or is turned away. The same task serves the collector from then on: guards against a
+/// peer that is on its way to another task, with requests that were read, as the process ends.
+async fn greet(mut peer: Peer, core: Core) {
     let by = Instant::now() + GREETING;
     loop {
-        let frame = match timeout_at(by, party.next()).await {
+        let frame = match timeout_at(by, peer.next()).await {
             Ok(Next::Frame(frame)) => frame,
             Ok(Next::Ended) => return,
-            Err(_) | Ok(Next::Unreadable) => return party.turn_away().await,
+            Err(_) | Ok(Next::Unreadable) => return peer.turn_away().await,
         };
-        match hear(&frame, false, &core.zones) {
+        match decode(&frame, false, &core.zones) {
             // What came in time is answered; one that pings without end is no collector all the same.
-            Ok(Heard::Ping) if party.pong(STRANGERS_ANSWER).await && Instant::now() < by => {}
-            Ok(Heard::Source(zone)) => {
-                party.is_collector();
+            Ok(Message::Ping) if peer.pong(GREETING_ANSWER).await && Instant::now() < by => {}
+            Ok(Message::Source(zone)) => {
+                peer.is_collector();
                 let heard = Heartbeat::new(core.began);
                 let joined = Joined { task: tokio::task::id(), zone, heard: heard.clone() };
                 // At the end of the process nobody counts collectors any more.
                 let _ = core.joined.send(joined).await;
-                return collect(party, &core, &heard).await;
+                return collect(peer, &core, &heard).await;
             }
-            _ => return party.turn_away().await,
+            _ => return peer.turn_away().await,
         }
     }
 }
 
 /// Passes on what a collector reports, until what it says can't be read any more.
-async fn collect(mut party: Party, core: &Core, heard: &Heartbeat) {
-    let ending = party.ending().clone();
+async fn collect(mut peer: Peer, core: &Core, heard: &Heartbeat) {
+    let ending = peer.ending().clone();
     loop {
-        let frame = match party.next().await {
+        let frame = match peer.next().await {
             Next::Frame(frame) => frame,
             Next::Ended if ending.is_cancelled() => return,
             Next::Ended | Next::Unreadable => break,
         };
-        match hear(&frame, true, &core.zones) {
-            Ok(Heard::Report(report)) => {
+        match decode(&frame, true, &core.zones) {
+            Ok(Message::Report(report)) => {
                 heard.beat();
                 // A report is owed no answer; signs of life that were read behind it are.
                 tokio::select! {
@@ -150,11 +151,11 @@
                     _ = core.events.send(Event::Report(report)) => {}
                 }
             }
-            Ok(Heard::Ping) if party.pong(COLLECTORS_ANSWER).await => {}
+            Ok(Message::Ping) if peer.pong(COLLECTORS_ANSWER).await => {}
             _ => break,
         }
     }
-    party.turn_away().await;
+    peer.turn_away().await;
 }
 
 /// When a collector last reported, or joined.
@@ -175,7 +176,7 @@
     }
 }
 
-/// Ends those that have been quiet the longest, past [`FOR_ZONE`]: by age alone, parties that claim to be a zone's
+/// Ends those that have been quiet the longest, past [`FOR_ZONE`]: by age alone, peers that claim to be a zone's
 /// collector and say nothing would throw out the one that reports.
 fn bound_zone(collectors: &mut Vec<(Connection, Arc<Heartbeat>)>, endings: &mut Endings) {
     collectors.retain(|(connection, _)| !connection.task.is_finished());
@@ -187,10 +188,10 @@
 }
 
 /// Ends the oldest that are still there, past so many.
-fn bound(strangers: &mut VecDeque<Connection>, most: usize, endings: &mut Endings) {
-    strangers.retain(|connection| !connection.task.is_finished());
-    while strangers.len() > most {
-        strangers.pop_front().into_iter().for_each(|oldest| endings.end(oldest));
+fn bound(unidentified: &mut VecDeque<Connection>, most: usize, endings: &mut Endings) {
+    unidentified.retain(|connection| !connection.task.is_finished());
+    while unidentified.len() > most {
+        unidentified.pop_front().into_iter().for_each(|oldest| endings.end(oldest));
     }
 }
 
@@ -215,9 +216,9 @@
 
 /// Never returns while the core lives.
 pub async fn open(with: Listener) {
-    let Listener { listener, zones, events, sockets, parties } = with;
+    let Listener { listener, zones, events, sockets, connections } = with;
     let most = sockets.saturating_sub(KEPT_FREE + FOR_ZONE * zones.len()).max(16);
-    let mut strangers = VecDeque::new();
+    let mut unidentified = VecDeque::new();
     let mut endings = Endings::default();
     let mut collectors: Vec<Vec<_>> = zones.iter().map(|_| Vec::new()).collect();
     let (joined, mut joining) = mpsc::channel(16);
@@ -226,29 +227,29 @@
         tokio::select! {
             biased;
             Some(Joined { task, zone, heard }) = joining.recv() => {
-                let place = strangers.iter().position(|stranger: &Connection| stranger.task.id() == task);
+                let place = unidentified.iter().position(|peer: &Connection| peer.task.id() == task);
                 // One that was asked to end meanwhile is none.
-                if let Some(collector) = place.and_then(|place| strangers.remove(place)) {
+                if let Some(collector) = place.and_then(|place| unidentified.remove(place)) {
                     collectors[zone].push((collector, heard));
                     bound_zone(&mut collectors[zone], &mut endings);
                 }
             }
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    let ending = parties.ending.child_token();
-                    let party = Party::new(socket, ending.clone());
-                    let task = parties.spawn(greet(party, core.clone()));
-                    strangers.push_back(Connection { task, ending });
-                    bound(&mut strangers, most, &mut endings);
+                    let ending = connections.ending.child_token();
+                    let peer = Peer::new(socket, ending.clone());
+                    let task = connections.spawn(greet(peer, core.clone()));
+                    unidentified.push_back(Connection { task, ending });
+                    bound(&mut unidentified, most, &mut endings);
                 }
                 Err(error) if is_of_the_connection(&error) => {
                     tracing::debug!(%error, "a connection is gone before it is taken");
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
                 Err(error) => {
-                    // Out of descriptors, for one: the strangers go, and the next ones wait a moment.
+                    // Out of descriptors, for one: unidentified peers go, and the next ones wait a moment.
                     tracing::warn!(%error, "no connection can be taken");
-                    bound(&mut strangers, most / 2, &mut endings);
+                    bound(&mut unidentified, most / 2, &mut endings);
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             },
--- a/crates/platform-net/src/listener/party.rs
+++ b/crates/platform-net/src/listener/peer.rs
@@ -11,12 +11,12 @@
 use tokio_util::codec::{Decoder, Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-use crate::patient::Patient;
+use crate::retrying::Retrying;
 
-/// How long the last word to a party may take.
+/// How long the last word to a peer may take.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
-/// What a party says next.
+/// What a peer says next.
 pub enum Next {
     Frame(BytesMut),
     /// It has ended, or it is to end and all that was read of it is handed out.
@@ -25,16 +25,16 @@
     Unreadable,
 }
 
-pub struct Party {
-    framed: Framed<Patient<TcpStream>, LengthDelimitedCodec>,
+pub struct Peer {
+    framed: Framed<Retrying<TcpStream>, LengthDelimitedCodec>,
     ending: CancellationToken,
 }
 
-impl Party {
-    /// A party of which nothing is known, until `ending`.
-    pub fn new(socket: TcpStream, ending: CancellationToken) -> Party {
+impl Peer {
+    /// A peer of which nothing is known, until `ending`.
+    pub fn new(socket: TcpStream, ending: CancellationToken) -> Peer {
         let _ = socket.set_nodelay(true);
-        Party { framed: Framed::new(Patient::new(socket), codec(MOST_GREETING)), ending }
+        Peer { framed: Framed::new(Retrying::new(socket), codec(MOST_GREETING)), ending }
     }
 
     /// It is a collector from here on, and its messages may be long.
@@ -48,7 +48,7 @@
     }
 
     /// The next frame. Loses nothing where it is dropped half-way. Whoever takes a frame answers it before the next one, so that a
-    /// party that is to end has no request read and unanswered.
+    /// peer that is to end has no request read and unanswered.
     pub async fn next(&mut self) -> Next {
         if self.ending.is_cancelled() {
             return self.next_read();
@@ -82,7 +82,7 @@
         matches!(sent, Ok(Ok(())))
     }
 
-    /// Says that the party is of no use here, and closes.
+    /// Says that the peer is of no use here, and closes.
     pub async fn turn_away(mut self) {
         let ending = self.ending.clone();
         let word = async {
--- a/crates/platform-net/src/patient.rs
+++ b/crates/platform-net/src/retrying.rs
@@ -21,15 +21,15 @@
 
 /// The socket, and the pauses that its reads and writes make after a refusal. How long to go on is the caller's, by a
 /// deadline.
-pub struct Patient<S> {
+pub struct Retrying<S> {
     socket: S,
     read_pause: Option<Pin<Box<Sleep>>>,
     write_pause: Option<Pin<Box<Sleep>>>,
 }
 
-impl<S> Patient<S> {
-    pub fn new(socket: S) -> Patient<S> {
-        Patient { socket, read_pause: None, write_pause: None }
+impl<S> Retrying<S> {
+    pub fn new(socket: S) -> Retrying<S> {
+        Retrying { socket, read_pause: None, write_pause: None }
     }
 }
 
@@ -51,16 +51,16 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Patient<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for Retrying<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
-        let Patient { socket, read_pause, .. } = self.get_mut();
+        let Retrying { socket, read_pause, .. } = self.get_mut();
         try_again(read_pause, cx, |cx| Pin::new(&mut *socket).poll_read(cx, buffer))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Patient<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Retrying<S> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        let Patient { socket, write_pause, .. } = self.get_mut();
+        let Retrying { socket, write_pause, .. } = self.get_mut();
         try_again(write_pause, cx, |cx| Pin::new(&mut *socket).poll_write(cx, bytes))
     }
 
@@ -69,7 +69,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let Patient { socket, write_pause, .. } = self.get_mut();
+        let Retrying { socket, write_pause, .. } = self.get_mut();
         try_again(write_pause, cx, |cx| Pin::new(&mut *socket).poll_write_vectored(cx, slices))
     }
 
@@ -78,7 +78,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        let Patient { socket, write_pause, .. } = self.get_mut();
+        let Retrying { socket, write_pause, .. } = self.get_mut();
         try_again(write_pause, cx, |cx| Pin::new(&mut *socket).poll_flush(cx))
     }
 
--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use crate::listener::{self, Listener, Parties};
+use crate::listener::{self, Connections, Listener};
 use crate::tasks::Tasks;
 use crate::{discovery, process, relay, Event, EVENTS};
 
@@ -25,7 +25,7 @@
 /// call that is not answered takes 60 ms and its repetition as long.
 const LAST_CALLS: Duration = Duration::from_millis(500);
 
-/// After those, for answers to what was read of parties.
+/// After those, for answers to what was read of connections.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
 /// How long a start that fails is tried again; the platform waits 30 s for a steward.
@@ -80,13 +80,13 @@
     let (addresses, followed) = watch::channel(config.addresses);
     let (calls, to_call) = mpsc::channel(1);
     let (spoilt_news, again) = watch::channel(0);
-    let parties = Parties::default();
+    let connections = Connections::default();
     let with = Listener {
         listener,
         zones: session.zones().into(),
         events: events.clone(),
         sockets: config.sockets,
-        parties: parties.clone(),
+        connections: connections.clone(),
     };
     let (mut listening, mut tasks) = (Tasks::default(), Tasks::default());
     listening.spawn("listener", listener::open(with));
@@ -133,8 +133,8 @@
         wake = core.poll_last();
     }
     core.status();
-    // What a party was read to ask is answered; the rest stays unread, and the close tells it so.
-    parties.end(LAST_ANSWERS).await;
+    // What a peer was read to ask is answered; the rest stays unread, and the close tells it so.
+    connections.end(LAST_ANSWERS).await;
     Ok(())
 }
 
--- a/crates/platform/src/frames/tests.rs
+++ b/crates/platform/src/frames/tests.rs
@@ -35,9 +35,9 @@
 #[test]
 fn only_a_sign_of_life_and_a_collector_of_a_known_zone_are_heard_before_joining() {
     let zones = ["a".to_owned(), "b".to_owned()];
-    let hear = |frame: &str, joined| hear(frame.as_bytes(), joined, &zones);
-    assert_eq!(hear(r#"{"msg":"PING"}"#, false), Ok(Heard::Ping));
-    assert_eq!(hear(r#"{"msg":"SOURCE","site":"b"}"#, false), Ok(Heard::Source(1)));
+    let decode = |frame: &str, joined| decode(frame.as_bytes(), joined, &zones);
+    assert_eq!(decode(r#"{"msg":"PING"}"#, false), Ok(Message::Ping));
+    assert_eq!(decode(r#"{"msg":"SOURCE","site":"b"}"#, false), Ok(Message::Source(1)));
     for frame in [
         r#"{"msg":"SOURCE","site":"c"}"#,
         r#"{"msg":"SOURCE"}"#,
@@ -50,8 +50,8 @@
         "",
         "\u{0}",
     ] {
-        assert!(hear(frame, false).is_err(), "{frame}");
+        assert!(decode(frame, false).is_err(), "{frame}");
     }
-    assert!(matches!(hear(r#"{"msg":7}"#, true), Ok(Heard::Report(_))));
-    assert!(hear("not JSON", true).is_err());
+    assert!(matches!(decode(r#"{"msg":7}"#, true), Ok(Message::Report(_))));
+    assert!(decode("not JSON", true).is_err());
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,7 +17,7 @@
 pub use config::{Addresses, Config};
 pub use drains::Owed;
 pub use fields::Fault;
-pub use frames::{codec, hear, Heard, MOST_FRAME, MOST_GREETING, NACK, PONG};
+pub use frames::{codec, decode, Message, MOST_FRAME, MOST_GREETING, NACK, PONG};
 pub use hold::{Held, Hold};
 pub use news::SUBSCRIBE;
 pub use ravenspar_steward::{Time, SECOND};
