No connection closes with a request read and unanswered while sends are refused

Callers saw: PINGs that were read, and a FIN in place of their PONGs.

Cause, by the code and forced: reading went on until calls were settled and answers then had 0.1 s (serve.rs); Endings aborted the oldest task past 32; each PONG was a write of its own, with the greeting's time looked at between requests read together; what came after a NACK was read and dropped.

Change: answers are queued and flushed in one write before any further read; SIGTERM stops reading and calls and answers share 0.6 s; no task is aborted, a connection holds its place (a semaphore) until its answers are out, and new ones wait in the backlog; what was read behind the end, or comes for 200 ms after a NACK, is answered.

The judge of answered_or_unread is stricter than before: it counts PONGs, not bytes, so that a NACK answers nothing.

--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use ravenspar_platform::{decode, Message};
-use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,21 +22,14 @@
 /// A peer that has not joined by then is closed, as the platform allows.
 const GREETING: Duration = Duration::from_millis(1_000);
 
-/// How long an answer to an unidentified peer may take, whether it is the system that refuses the write or the peer that takes nothing in.
-/// With the greeting's second and the last word it is closed within the 3 s that the platform allows.
-const GREETING_ANSWER: Duration = Duration::from_millis(1_500);
-
-/// The same for a collector, which nobody has to be rid of.
-const COLLECTORS_ANSWER: Duration = Duration::from_secs(5);
-
 /// Connections kept for one zone: its collector may come again before the connection before is known to be dead.
 const FOR_ZONE: usize = 4;
 
 /// Descriptors that unidentified peers never take: for collectors, relay, discovery, files and what the runtime needs.
 const KEPT_FREE: usize = 96;
 
-/// Connections that are to end and have not yet: past that the first of them is cut off, whatever it is owed. Guards the
-/// descriptors against connections that take in no answer.
+/// Connections that may still owe answers after they were asked to end: past that the next ones wait in the backlog. Guards the
+/// descriptors against peers that take in no answer.
 const ENDING: usize = 32;
 
 /// What the steward listens with.
@@ -62,11 +55,15 @@
         self.tasks.spawn(task).abort_handle()
     }
 
-    /// Ends all connections, within this time.
-    pub async fn end(&self, within: Duration) {
+    /// Asks all connections to end: nothing more is read of them.
+    pub fn ask_to_end(&self) {
         self.ending.cancel();
         self.tasks.close();
-        let _ = timeout(within, self.tasks.wait()).await;
+    }
+
+    /// Waits until all have ended, until then at most.
+    pub async fn ended(&self, until: Instant) {
+        let _ = timeout_at(until, self.tasks.wait()).await;
     }
 }
 
@@ -76,21 +73,6 @@
     ending: CancellationToken,
 }
 
-/// Connections that were asked to end.
-#[derive(Default)]
-struct Endings(VecDeque<AbortHandle>);
-
-impl Endings {
-    fn end(&mut self, connection: Connection) {
-        connection.ending.cancel();
-        self.0.retain(|task| !task.is_finished());
-        self.0.push_back(connection.task);
-        if self.0.len() > ENDING {
-            self.0.pop_front().inspect(AbortHandle::abort);
-        }
-    }
-}
-
 /// An unidentified peer that has become a collector.
 struct Joined {
     task: tokio::task::Id,
@@ -114,44 +96,57 @@
     loop {
         let frame = match timeout_at(by, peer.next()).await {
             Ok(Next::Frame(frame)) => frame,
-            Ok(Next::Ended) => return,
+            Ok(Next::Ended | Next::Unanswerable) => return,
             Err(_) | Ok(Next::Unreadable) => return peer.turn_away().await,
         };
         match decode(&frame, false, &core.zones) {
-            // What came in time is answered; one that pings without end is no collector all the same.
-            Ok(Message::Ping) if peer.pong(GREETING_ANSWER).await && Instant::now() < by => {}
-            Ok(Message::Source(zone)) => {
-                peer.is_collector();
-                let heard = Heartbeat::new(core.began);
-                let joined = Joined { task: tokio::task::id(), zone, heard: heard.clone() };
-                // At the end of the process nobody counts collectors any more.
-                let _ = core.joined.send(joined).await;
-                return collect(peer, &core, &heard).await;
-            }
+            Ok(Message::Ping) if !peer.pong().await => return,
+            // One that pings without end is no collector all the same.
+            Ok(Message::Ping) if Instant::now() < by => {}
+            Ok(Message::Source(zone)) => return join(peer, zone, &core).await,
             _ => return peer.turn_away().await,
         }
     }
 }
 
-/// Passes on what a collector reports, until what it says can't be read any more.
+/// The peer is the collector of this zone from here on.
+async fn join(mut peer: Peer, zone: usize, core: &Core) {
+    peer.is_collector();
+    if !peer.answered().await {
+        return;
+    }
+    let heard = Heartbeat::new(core.began);
+    let joined = Joined { task: tokio::task::id(), zone, heard: heard.clone() };
+    // At the end of the process nobody counts collectors any more.
+    let _ = core.joined.send(joined).await;
+    collect(peer, core, &heard).await;
+}
+
+/// Passes on what a collector reports, until what it sends can't be read any more.
 async fn collect(mut peer: Peer, core: &Core, heard: &Heartbeat) {
     let ending = peer.ending().clone();
     loop {
         let frame = match peer.next().await {
             Next::Frame(frame) => frame,
+            Next::Unanswerable => return,
             Next::Ended if ending.is_cancelled() => return,
             Next::Ended | Next::Unreadable => break,
         };
         match decode(&frame, true, &core.zones) {
             Ok(Message::Report(report)) => {
                 heard.beat();
-                // A report is owed no answer; signs of life that were read behind it are.
+                // No answer waits for the core to take in a report.
+                if !peer.answered().await {
+                    return;
+                }
+                // A report is owed no answer; requests that were read behind it are.
                 tokio::select! {
                     () = ending.cancelled() => {}
                     _ = core.events.send(Event::Report(report)) => {}
                 }
             }
-            Ok(Message::Ping) if peer.pong(COLLECTORS_ANSWER).await => {}
+            Ok(Message::Ping) if !peer.pong().await => return,
+            Ok(Message::Ping) => {}
             _ => break,
         }
     }
@@ -176,25 +171,35 @@
     }
 }
 
-/// Ends those that have been quiet the longest, past [`FOR_ZONE`]: by age alone, peers that claim to be a zone's
+/// Asks those to end that have been quiet the longest, past [`FOR_ZONE`]: by age alone, peers that claim to be a zone's
 /// collector and say nothing would throw out the one that reports.
-fn bound_zone(collectors: &mut Vec<(Connection, Arc<Heartbeat>)>, endings: &mut Endings) {
+fn bound_zone(collectors: &mut Vec<(Connection, Arc<Heartbeat>)>) {
     collectors.retain(|(connection, _)| !connection.task.is_finished());
     while collectors.len() > FOR_ZONE {
         let quiet = |n: &usize| collectors[*n].1.us.load(Ordering::Relaxed);
         let Some(quietest) = (0..collectors.len()).min_by_key(quiet) else { return };
-        endings.end(collectors.remove(quietest).0);
+        collectors.remove(quietest).0.ending.cancel();
     }
 }
 
-/// Ends the oldest that are still there, past so many.
-fn bound(unidentified: &mut VecDeque<Connection>, most: usize, endings: &mut Endings) {
+/// Asks the oldest that are still there to end, past so many.
+fn bound(unidentified: &mut VecDeque<Connection>, most: usize) {
     unidentified.retain(|connection| !connection.task.is_finished());
     while unidentified.len() > most {
-        unidentified.pop_front().into_iter().for_each(|oldest| endings.end(oldest));
+        unidentified.pop_front().into_iter().for_each(|oldest| oldest.ending.cancel());
     }
 }
 
+/// Takes the next connection, once there is a place for it.
+async fn accept(
+    listener: &TcpListener,
+    places: &Arc<Semaphore>,
+) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let place = places.clone().acquire_owned().await.map_err(std::io::Error::other)?;
+    let (socket, _) = listener.accept().await?;
+    Ok((socket, place))
+}
+
 /// An error that the connection itself brings, as Linux passes those on, or that says nothing at all: the next one may be
 /// taken at once, and nobody has to go.
 fn is_of_the_connection(error: &std::io::Error) -> bool {
@@ -217,9 +222,10 @@
 /// Never returns while the core lives.
 pub async fn open(with: Listener) {
     let Listener { listener, zones, events, sockets, connections } = with;
-    let most = sockets.saturating_sub(KEPT_FREE + FOR_ZONE * zones.len()).max(16);
+    let for_zones = FOR_ZONE * zones.len();
+    let most = sockets.saturating_sub(KEPT_FREE + for_zones).max(16);
+    let places = Arc::new(Semaphore::new(most + for_zones + ENDING));
     let mut unidentified = VecDeque::new();
-    let mut endings = Endings::default();
     let mut collectors: Vec<Vec<_>> = zones.iter().map(|_| Vec::new()).collect();
     let (joined, mut joining) = mpsc::channel(16);
     let core = Core { zones, events, joined, began: Instant::now() };
@@ -231,16 +237,19 @@
                 // One that was asked to end meanwhile is none.
                 if let Some(collector) = place.and_then(|place| unidentified.remove(place)) {
                     collectors[zone].push((collector, heard));
-                    bound_zone(&mut collectors[zone], &mut endings);
+                    bound_zone(&mut collectors[zone]);
                 }
             }
-            accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => {
+            accepted = accept(&listener, &places) => match accepted {
+                Ok((socket, place)) => {
                     let ending = connections.ending.child_token();
-                    let peer = Peer::new(socket, ending.clone());
-                    let task = connections.spawn(greet(peer, core.clone()));
+                    let greeting = greet(Peer::new(socket, ending.clone()), core.clone());
+                    let task = connections.spawn(async move {
+                        greeting.await;
+                        drop(place);
+                    });
                     unidentified.push_back(Connection { task, ending });
-                    bound(&mut unidentified, most, &mut endings);
+                    bound(&mut unidentified, most);
                 }
                 Err(error) if is_of_the_connection(&error) => {
                     tracing::debug!(%error, "a connection is gone before it is taken");
@@ -249,7 +258,7 @@
                 Err(error) => {
                     // Out of descriptors, for one: unidentified peers go, and the next ones wait a moment.
                     tracing::warn!(%error, "no connection can be taken");
-                    bound(&mut unidentified, most / 2, &mut endings);
+                    bound(&mut unidentified, most / 2);
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             },
--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -21,12 +21,9 @@
     Failed(String),
 }
 
-/// After SIGTERM, for calls that are decided and not settled. The platform kills no sooner than 0.7 s after it, and a
-/// call that is not answered takes 60 ms and its repetition as long.
-const LAST_CALLS: Duration = Duration::from_millis(500);
-
-/// After those, for answers to what was read of connections.
-const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// After SIGTERM, for calls that are decided and not settled, and beside them for answers to what was read of peers. The
+/// platform kills no sooner than 0.7 s after it.
+const LAST_WORK: Duration = Duration::from_millis(600);
 
 /// How long a start that fails is tried again; the platform waits 30 s for a steward.
 const START: Duration = Duration::from_secs(5);
@@ -116,11 +113,12 @@
             () = tokio::time::sleep_until(wake) => {}
         }
     }
+    let end = Instant::now() + LAST_WORK;
     tracing::info!("asked to end");
-    // Nobody comes any more.
+    // Nobody comes any more, and nothing more is read: what is unread makes a close a reset, which tells the peer so.
     drop(listening);
+    connections.ask_to_end();
     core.take_all(inputs.try_recv().ok(), &mut inputs);
-    let end = Instant::now() + LAST_CALLS;
     let mut wake = core.poll();
     while !core.session.settled() && Instant::now() < end {
         tokio::select! {
@@ -133,8 +131,7 @@
         wake = core.poll_last();
     }
     core.status();
-    // What a peer was read to ask is answered; the rest stays unread, and the close tells it so.
-    connections.end(LAST_ANSWERS).await;
+    connections.ended(end).await;
     Ok(())
 }
 
--- a/crates/ravenspar/tests/faults/main.rs
+++ b/crates/ravenspar/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! The platform front as a process whose system calls fail in ways that Linux documents: it goes on, and whatever is owed
 //! is done once they work again. Each test asserts that the faults were delivered.
 
+mod answers;
 #[path = "../common/mod.rs"]
 mod common;
 #[path = "../platform/harness.rs"]
--- a/crates/ravenspar/tests/platform/end.rs
+++ b/crates/ravenspar/tests/platform/end.rs
@@ -2,7 +2,7 @@
 
 use ravenspar_standin::platform::Fault;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::harness::*;
@@ -82,36 +82,6 @@
     assert!(closed(&mut collector).await && closed(&mut stranger).await);
 }
 
-/// How a connection ended for a peer that went on asking for signs of life.
-#[derive(Debug, PartialEq)]
-enum End {
-    /// All that it had asked was answered, or was not read.
-    Kept,
-    /// So many were read and not answered.
-    Lost(usize),
-}
-
-/// Waits for so many answers. Fails with how the connection ended, where it did: the end of a stream with nothing left unread,
-/// and with answers due, is a loss; a reset says that something was left unread.
-async fn answered_or_unread(peer: &mut TcpStream, due: usize) -> Result<(), End> {
-    let pong = frame(r#"{"msg":"PONG"}"#).len();
-    let mut left = due * pong;
-    let mut answers = vec![0; left];
-    while left > 0 {
-        match peer.read(&mut answers).await {
-            Err(_) => return Err(End::Kept),
-            Ok(0) => {
-                // What arrives after the close is answered by a reset.
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
-                return Err(if is_unread { End::Kept } else { End::Lost(left.div_ceil(pong)) });
-            }
-            Ok(read) => left -= read.min(left),
-        }
-    }
-    Ok(())
-}
-
 /// Asks for signs of life in bursts until the connection is over.
 async fn asks_until_the_end(mut peer: TcpStream, burst: usize) -> End {
     let asked = frame(r#"{"msg":"PING"}"#).repeat(burst);
--- a/crates/ravenspar/tests/platform/harness.rs
+++ b/crates/ravenspar/tests/platform/harness.rs
@@ -220,3 +220,32 @@
     until(relay, |said| all_at(said, to)).await;
     relay.with(|said| kept_the_way(said));
 }
+
+/// How a connection ended for a peer that was owed answers.
+#[derive(Debug, PartialEq)]
+pub enum End {
+    /// All that it had asked was answered, or was not read.
+    Kept,
+    /// So many were read and not answered.
+    Lost(usize),
+}
+
+/// Waits for so many answers. Fails with how the connection ended, where it did: the end of a stream with nothing left unread,
+/// and with answers due, is a loss, also behind a NACK; a reset says that something was left unread.
+pub async fn answered_or_unread(peer: &mut TcpStream, due: usize) -> Result<(), End> {
+    let pongs = |said: &[u8]| said.windows(4).filter(|word| *word == b"PONG").count();
+    let mut said = Vec::new();
+    while pongs(&said) < due {
+        match peer.read_buf(&mut said).await {
+            Err(_) => return Err(End::Kept),
+            Ok(0) => {
+                // What arrives after the close is answered by a reset.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
+                return Err(if is_unread { End::Kept } else { End::Lost(due - pongs(&said)) });
+            }
+            Ok(_) => {}
+        }
+    }
+    Ok(())
+}
--- a/crates/ravenspar/tests/platform/listener.rs
+++ b/crates/ravenspar/tests/platform/listener.rs
@@ -1,5 +1,7 @@
 //! Strangers, and collectors.
 
+use std::time::Duration;
+
 use ravenspar_standin::platform::{Discovery, Relay};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
@@ -115,3 +117,48 @@
         assert!(closed(&mut party).await);
     }
 }
+
+/// The last requests of a peer's first second were read together, and its NACK came before their answers, or in place of them.
+#[tokio::test]
+async fn requests_around_the_end_of_the_first_second_are_answered_or_left_unread() {
+    let (_relay, _discovery, _, steward) = at_work().await;
+    let mut ends = tokio::task::JoinSet::new();
+    for n in 0..60 {
+        let mut peer = steward.connect().await;
+        let asked_at = tokio::time::Instant::now() + Duration::from_micros(980_000 + n * 500);
+        ends.spawn(async move {
+            tokio::time::sleep_until(asked_at).await;
+            let pings = frame(r#"{"msg":"PING"}"#).repeat(400);
+            peer.write_all(&pings).await.map_err(|_| End::Kept)?;
+            answered_or_unread(&mut peer, 400).await
+        });
+    }
+    let ends = ends.join_all().await;
+    assert!(ends.iter().all(|end| !matches!(end, Err(End::Lost(_)))), "{ends:?}");
+}
+
+/// A message that ends the connection does not take the requests with it that were read behind it, or that come before the close.
+#[tokio::test]
+async fn requests_behind_what_ends_a_connection_are_answered_or_left_unread() {
+    let (_relay, _discovery, _, steward) = at_work().await;
+    let pings = frame(r#"{"msg":"PING"}"#).repeat(3);
+    let source = frame(r#"{"msg":"SOURCE","site":"a"}"#);
+    let unknown = frame(r#"{"msg":"SOURCE","site":"nowhere"}"#);
+    let nack = Some(r#"{"msg":"NACK"}"#);
+    for before in [unknown.clone(), [source, frame("no JSON")].concat()] {
+        let mut peer = steward.connect().await;
+        peer.write_all(&[before, pings.clone()].concat()).await.expect("taken in");
+        assert_eq!(heard(&mut peer).await.as_deref(), nack);
+        assert_eq!(answered_or_unread(&mut peer, 3).await, Ok(()));
+    }
+    for _ in 0..20 {
+        let mut peer = steward.connect().await;
+        peer.write_all(&unknown).await.expect("taken in");
+        assert_eq!(heard(&mut peer).await.as_deref(), nack);
+        let ended = match peer.write_all(&pings).await {
+            Ok(()) => answered_or_unread(&mut peer, 3).await,
+            Err(_) => Err(End::Kept),
+        };
+        assert!(!matches!(ended, Err(End::Lost(_))), "{ended:?}");
+    }
+}
