The soak's connections belong to the process that they were made to

Seen: '10 requests read by steward 2 and not answered', once in five plays.

Cause: the soak's. A client looked 50 ms after its connection's end whether the steward 'is killed', and the next process's start had set that back: a kill with no word whose next process serves within 50 ms made an allowed loss a broken rule.

Change: each process has a flag of its own, a connection keeps its process's; one that was made while processes changed is not judged, and made again.

--- a/crates/ravenspar/tests/soak/clients.rs
+++ b/crates/ravenspar/tests/soak/clients.rs
@@ -1,6 +1,6 @@
 //! Who connects to a steward: collectors and peers that use their connections until these are over, and a crowd.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,12 +11,46 @@
 
 use crate::harness::frame;
 
+/// One life of a steward's process, as its clients know it.
+#[derive(Default)]
+pub struct Process {
+    /// It is killed with no word: nothing is owed.
+    killed: Cell<bool>,
+}
+
 /// What clients know of a steward.
 #[derive(Clone)]
 pub struct Address {
     pub at: String,
-    /// It is killed with no word: nothing is owed.
-    pub killed: Rc<Cell<bool>>,
+    process: Rc<RefCell<Rc<Process>>>,
+}
+
+impl Address {
+    pub fn new(at: String) -> Address {
+        Address { at, process: Rc::default() }
+    }
+
+    /// Another process takes the place of the one before.
+    pub fn next_process(&self) {
+        self.process.replace(Rc::default());
+    }
+
+    /// The present process is killed with no word.
+    pub fn killed(&self) {
+        self.process.borrow().killed.set(true);
+    }
+
+    fn process(&self) -> Rc<Process> {
+        self.process.borrow().clone()
+    }
+
+    /// Connects, and says to which process; `None` where that can't be told.
+    async fn connect(&self) -> Option<(TcpStream, Rc<Process>)> {
+        let process = self.process();
+        let peer = TcpStream::connect(&self.at).await.ok()?;
+        let _ = peer.set_nodelay(true);
+        Rc::ptr_eq(&process, &self.process()).then_some((peer, process))
+    }
 }
 
 /// Connects again and again, and asks for signs of life on each connection until that is over, a collector with reports
@@ -24,13 +58,13 @@
 pub async fn ask_on(address: Address, collects: bool, mut chance: Rng, lost: impl Fn(usize)) {
     loop {
         sleep(Duration::from_millis(chance.u64(5..60))).await;
-        let Ok(mut peer) = TcpStream::connect(&address.at).await else { continue };
-        let _ = peer.set_nodelay(true);
+        let Some((mut peer, process)) = address.connect().await else { continue };
         if collects && peer.write_all(&frame(r#"{"msg":"SOURCE","site":"a"}"#)).await.is_err() {
             continue;
         }
         let unanswered = ask_until_the_end(&mut peer, collects, &mut chance).await;
-        if !address.killed.get() {
+        // It belongs to the process that it was made to, whichever is there by now.
+        if !process.killed.get() {
             lost(unanswered);
         }
     }
--- a/crates/ravenspar/tests/soak/main.rs
+++ b/crates/ravenspar/tests/soak/main.rs
@@ -3,10 +3,11 @@
 //! sockets.
 //!
 //! CI plays a few seeds. `RAVENSPAR_SOAK=5000..5050 cargo test -p ravenspar --test soak -- --nocapture` plays others, a line
-//! each, and leaves each process's log in `target/tmp`; a seed alone (`7..8`) plays the same again, as far as real time
-//! allows. `RAVENSPAR_SOAK_LOG=trace` has every message in the logs.
+//! each, and leaves each process's log in a folder of the play's own in `target/tmp`; a seed alone (`7..8`) plays the same again,
+//! as far as real time allows. `RAVENSPAR_SOAK_LOG=trace` has every message in the logs.
 
 mod clients;
+mod clients_tests;
 #[path = "../platform/harness.rs"]
 #[allow(dead_code)]
 mod harness;
@@ -19,7 +20,9 @@
 mod store;
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::ops::Range;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,7 +71,8 @@
         ready: Duration::from_secs(10),
     };
     let store = Rc::new(RefCell::new(Store::new(sizes, limits, chance.fork())));
-    let soak = Soak { seed, began: Instant::now(), store, sizes, faults: LENGTH };
+    let folder = folder(seed)?;
+    let soak = Soak { seed, began: Instant::now(), store, sizes, faults: LENGTH, folder };
     spawn_local(advance(soak.clone()));
     let mut members = Vec::new();
     for number in 0..sizes.stewards {
@@ -80,6 +84,18 @@
     Ok((soak, members))
 }
 
+/// A new folder for a play of this seed: none overwrites another's logs.
+fn folder(seed: u64) -> std::io::Result<PathBuf> {
+    let mut play = 1;
+    loop {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}-{play}"));
+        match std::fs::create_dir(&folder) {
+            Err(error) if error.kind() == ErrorKind::AlreadyExists => play += 1,
+            made => return made.map(|()| folder),
+        }
+    }
+}
+
 async fn advance(soak: Soak) {
     let mut tick = interval(Duration::from_millis(10));
     loop {
@@ -248,7 +264,7 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Known red, at times: ten requests were read by steward 2 and not answered, 3.72 s into one of five plays. Not traced.
+/// Guards against requests that are taken for lost as a process is killed with no word and the next one is back at once.
 #[test]
 fn soak_5250_keeps_the_rules() {
     let (breaks, _) = play_alone(5250);
--- a/crates/ravenspar/tests/soak/member.rs
+++ b/crates/ravenspar/tests/soak/member.rs
@@ -35,6 +35,8 @@
     pub sizes: Sizes,
     /// How long system calls fail now and then, from a process's start.
     pub faults: Duration,
+    /// For this play's logs and schedules.
+    pub folder: PathBuf,
 }
 
 impl Soak {
@@ -84,7 +86,7 @@
             soak,
             relay,
             discovery: Rc::new(discovery),
-            address: Address { at, killed: Rc::default() },
+            address: Address::new(at),
             config,
             process: RefCell::new(None),
             starts: Cell::new(0),
@@ -100,9 +102,10 @@
     /// Starts a process, which may not serve yet.
     fn spawn(&self) -> Steward {
         self.relay.forget_calls();
+        self.address.next_process();
         let start = self.starts.replace(self.starts.get() + 1);
-        let name = format!("soak-{}-{}-{start}", self.soak.seed, self.number);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let name = format!("steward-{}-{start}", self.number);
+        let folder = self.soak.folder.clone();
         let rules = folder.join(format!("{name}.schedule"));
         let mut chance = Rng::with_seed(self.soak.seed * 1_000 + (self.number * 100 + start) as u64);
         let left = self.soak.faults.saturating_sub(self.soak.began.elapsed()).max(Duration::from_millis(300));
@@ -145,7 +148,6 @@
         let _ = timeout(harness::PATIENCE, ready).await;
         let now = self.soak.now();
         self.store().judge.ready(now, self.number, began.elapsed());
-        self.address.killed.set(false);
         self.store().steward_back(self.number);
         self.proxies_come();
     }
@@ -189,7 +191,7 @@
                 *self.process.borrow_mut() = Some(self.spawn());
                 sleep(Duration::from_millis(fastrand::u64(0..40))).await;
                 // Nobody asks anything yet, and a signal before it listens to any ends it by itself.
-                self.address.killed.set(true);
+                self.address.killed();
                 self.signal("-TERM").await;
                 let process = self.process.borrow_mut().take();
                 if let Some(mut process) = process {
@@ -223,7 +225,7 @@
 
     /// The process dies with no word, and starts again after a while.
     pub async fn kill(&self, away: Duration) {
-        self.address.killed.set(true);
+        self.address.killed();
         let process = self.process.borrow_mut().take();
         if let Some(mut process) = process {
             let _ = process.child.kill().await;
