A failed read ends a connection at once, and what it has not read stays unread

Callers saw: a FIN and no answer to requests sent on an open connection, within 0.2 s of its NACK.

Cause: a read's error was taken for bytes that make no frame, and a peer that sends such has the rest of what it sends read and dropped, so that its NACK arrives. Change: only the codec's own error counts as malformed; any other closes at once, and what is unread makes the close a reset.

--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -96,7 +96,7 @@
     loop {
         let frame = match timeout_at(by, peer.next()).await {
             Ok(Next::Frame(frame)) => frame,
-            Ok(Next::Ended | Next::Unanswerable) => return,
+            Ok(Next::Ended | Next::Broken) => return,
             Err(_) | Ok(Next::Unreadable) => return peer.turn_away().await,
         };
         match decode(&frame, false, &core.zones) {
@@ -128,7 +128,7 @@
     loop {
         let frame = match peer.next().await {
             Next::Frame(frame) => frame,
-            Next::Unanswerable => return,
+            Next::Broken => return,
             Next::Ended if ending.is_cancelled() => return,
             Next::Ended | Next::Unreadable => break,
         };
--- a/crates/platform-net/src/listener/peer.rs
+++ b/crates/platform-net/src/listener/peer.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use tokio_util::codec::{Decoder, Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, Framed, LengthDelimitedCodec, LengthDelimitedCodecError};
 use tokio_util::sync::CancellationToken;
 
 use crate::retrying::Retrying;
@@ -30,8 +30,8 @@
     Ended,
     /// What it sends can't be read any more.
     Unreadable,
-    /// It has not taken in its answers in time, or can't.
-    Unanswerable,
+    /// The connection is broken, or it has not taken in its answers in time.
+    Broken,
 }
 
 /// A connection. Answers are queued, and go out together before anything more is read: so no more than one read's requests are ever
@@ -68,14 +68,16 @@
             return next;
         }
         if !self.answered().await {
-            return Next::Unanswerable;
+            return Next::Broken;
         }
         tokio::select! {
             biased;
             () = self.ending.cancelled() => Next::Ended,
             frame = self.framed.next() => match frame {
                 Some(Ok(frame)) => Next::Frame(frame),
-                Some(Err(_)) => Next::Unreadable,
+                Some(Err(error)) if is_malformed(&error) => Next::Unreadable,
+                // What is unread stays so, and makes the close a reset.
+                Some(Err(_)) => Next::Broken,
                 None => Next::Ended,
             },
         }
@@ -140,7 +142,7 @@
                 Ok(Next::Frame(_)) => {}
                 Ok(Next::Unreadable) => return self.drain().await,
                 Ok(Next::Ended) => break,
-                Ok(Next::Unanswerable) => return,
+                Ok(Next::Broken) => return,
                 Err(_) => self.ending.cancel(),
             }
         }
@@ -180,6 +182,11 @@
     }
 }
 
+/// The bytes make no frame, as against a read that failed.
+fn is_malformed(error: &std::io::Error) -> bool {
+    error.get_ref().is_some_and(|error| error.is::<LengthDelimitedCodecError>())
+}
+
 fn is_ping(frame: &[u8]) -> bool {
     matches!(decode(frame, false, &[]), Ok(Message::Ping))
 }
--- a/crates/ravenspar/tests/faults/answers.rs
+++ b/crates/ravenspar/tests/faults/answers.rs
@@ -78,3 +78,24 @@
     peer.write_all(&pings(5)).await.expect("taken in");
     assert_eq!(answered_or_unread(&mut peer, 5).await, Ok(()));
 }
+
+/// A read that fails ends the connection. What came with it was read all the same and thrown away, where the peer had been turned
+/// away a moment before (soak 5250).
+#[tokio::test]
+async fn requests_are_left_unread_where_a_read_fails_behind_a_nack() {
+    let faulty = Faulty::start(&format!("recv {ECONNRESET} 0 20000 2")).await;
+    let unknown = frame(r#"{"msg":"SOURCE","site":"nowhere"}"#);
+    let (mut turned_away, mut ends) = (0, Vec::new());
+    while turned_away < 20 {
+        let mut peer = faulty.steward.connect().await;
+        if peer.write_all(&unknown).await.is_err() || heard(&mut peer).await.is_none() {
+            continue;
+        }
+        turned_away += 1;
+        if peer.write_all(&pings(3)).await.is_ok() {
+            ends.push(answered_or_unread(&mut peer, 3).await);
+        }
+    }
+    assert!(faulty.delivered(&format!("recv Error({ECONNRESET})")) >= 20);
+    assert_eq!(lost(ends), []);
+}
