A slice whose writes the store may have opened settles anew after a revoke

Cause, traced: while a slice settles at its server, open to reads alone, a revoke keeps the end of that settling, as it has had no write. Where the store takes it to another steward, or gives it back, or may have done so in a gap, it resets the levels, and writes reach the server until the closing is there. In the trace the slice was given back at 16.79 s, revoked at 20.20 and opened elsewhere at 21.82, a settling after it was given, and not a settling after the last write could be sent to its server (18.4).

Change: such a slice is marked (reopened) from its line's telling, or the gap, until writes open, and a revoke of it settles in full. Evidence: a_slice_whose_writes_the_store_may_have_opened_settles_anew_after_its_revoke, both ways in, red before (the settling ends 3 s early).

--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -108,6 +108,8 @@
     state: State,
     /// No write of an earlier owner is in hand from here on; `None` until every proxy has answered.
     quiet: Option<Time>,
+    /// It settles at its owner, and the store may have opened its writes for a while: some may be in hand there.
+    reopened: bool,
     /// Its owner restarted: whatever it held has stopped.
     stopped: bool,
     /// Its line may still be on its way to this steward: it is not granted.
@@ -348,6 +350,9 @@
             let slice = &mut self.slices[s];
             // What was open to reads alone keeps the end of its earlier settling in `quiet`.
             (slice.owner, slice.stopped, slice.unclear) = (None, false, false);
+            if std::mem::take(&mut slice.reopened) {
+                slice.quiet = None;
+            }
             slice.state = State::HandingOff { mark, waiting: (0..self.proxies.len()).collect() };
             orders.push(Order::DropLines { slice: s });
         }
@@ -430,6 +435,7 @@
             if quiet {
                 self.slices[s].state = State::Owned;
                 self.slices[s].quiet = None;
+                self.slices[s].reopened = false;
             }
         }
         for (server, entry) in self.servers.iter_mut().enumerate().filter(|(_, entry)| leavers(entry)) {
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -140,6 +140,7 @@
         let Some(entry) = self.slices.get_mut(slice) else { return false };
         let closed = entry.levels.iter_mut().filter(|level| **level < 1.0);
         closed.for_each(|level| *level = UNKNOWN_LEVEL);
+        entry.reopened |= entry.state == State::Settling && entry.owner.is_some();
         self.news = true;
         self.is_open(&self.slices[slice])
     }
@@ -156,6 +157,7 @@
             entry.owner = Some(server);
             // Guards against a steward that starts over while a slice settles: the store resets the levels
             // that kept writes from the new owner, but the line's weight still tells.
+            entry.reopened = weight < 1.0;
             (entry.state, entry.quiet) =
                 if weight < 1.0 { (State::Settling, Some(settled)) } else { (State::Owned, None) };
         }
--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -300,6 +300,32 @@
     assert_eq!(steward.slices[0].quiet, Some(SECOND + SETTLE));
 }
 
+/// The store had opened the writes of a slice that settles, and some may be in hand at its server: a revoke that kept the end of the
+/// earlier settling let the next server have writes beside them (split 614 of the bench).
+#[test]
+fn a_slice_whose_writes_the_store_may_have_opened_settles_anew_after_its_revoke() {
+    type Reset = fn(&mut Steward);
+    let given_while_settling: Reset = |steward| {
+        steward.given(SECOND, 0);
+        steward.on_record(SECOND, 0, 1, 0.5);
+    };
+    let reset_in_a_gap: Reset = |steward| {
+        settle(steward, 6 * SECOND);
+        (steward.slices[0].owner, steward.slices[0].levels[1]) = (Some(1), 0.0);
+        assert!(steward.levels_may_be_reset(0));
+    };
+    for reset in [given_while_settling, reset_in_a_gap] {
+        let mut steward = steward(1, 3, 1);
+        reset(&mut steward);
+        assert_eq!(orders(&mut steward, SECOND)[0], Order::Level { slice: Some(0), kinds: 2, share: 0.0 });
+        list(&mut steward, 1, Health::Draining, 0);
+        assert_eq!(orders(&mut steward, 3 * SECOND)[0], Order::DropLines { slice: 0 });
+        steward.installed(4 * SECOND, 0, 2);
+        steward.settle(4 * SECOND);
+        assert_eq!(steward.slices[0].quiet, Some(4 * SECOND + SETTLE));
+    }
+}
+
 #[test]
 fn an_empty_record_waits_one_lease_and_settles_before_its_grant() {
     let mut steward = steward(1, 2, 1);
