--- a/crates/steward/src/rebalance/tests.rs
+++ b/crates/steward/src/rebalance/tests.rs
@@ -300,6 +300,21 @@
     assert_eq!(steward.slices[0].quiet, Some(SECOND + SETTLE));
 }
 
+/// A host that writes a reply in parts hears answers to the first while the others wait.
+#[test]
+fn no_answer_counts_for_a_revoke_that_is_not_written_yet() {
+    let mut steward = steward(1, 2, 1);
+    list(&mut steward, 0, Health::Draining, 0);
+    assert_eq!(orders(&mut steward, SECOND), [Order::DropLines { slice: 0 }, Order::Stamp { number: 1 }]);
+    steward.revoke_waits(0);
+    steward.installed(2 * SECOND, 0, 1);
+    steward.settle(2 * SECOND);
+    assert!(handing_off(&steward.slices[0]), "the mark of another part was answered");
+    steward.revoke_written(0);
+    steward.settle(2 * SECOND);
+    assert_eq!(steward.slices[0].state, State::Settling);
+}
+
 /// The store had opened the writes of a slice that settles, and some may be in hand at its server: a revoke that kept the end of the
 /// earlier settling let the next server have writes beside them (split 614 of the bench).
 #[test]
