--- /dev/null
+++ b/crates/platform/src/session/tests/reports.rs
@@ -0,0 +1,113 @@
+//! Reports by the settings' names, and input of any kind.
+
+use super::*;
+
+#[test]
+fn reports_and_levels_bear_the_names_of_the_settings() {
+    let mut named = settings(1, 1);
+    named["classes"] = json!([{"name": "saldo, visão"}, {"name": "crédito já"}, {"name": "crédito_já"}]);
+    named["family_info"]["mutating"] = json!([false, true, false]);
+    named["azs"] = json!(["São Luís", "belém, doca 2"]);
+    let known = list(1, true, &[host("A", "active", 0), host("B", "active", 0)]);
+    let session = Session::new(START, 7, &named, &known).expect("good settings");
+    assert_eq!(session.zones(), ["São Luís", "belém, doca 2"]);
+    let mut met = Met { session, now: START, call: None, live: false };
+    met.subscribe(&[0], &[Some("A")]);
+    for name in ["saldo, visão", "crédito já", "crédito_já"] {
+        let mut report = shard();
+        report["lane"] = json!(name);
+        assert_eq!(met.session.handle_report(met.now, &report), Ok(()), "{name}");
+    }
+    met.run(10 * SECOND);
+    met.changed(2, &[host("A", "leaving", 0)]);
+    let revoke = met.poll().expect("the drain");
+    met.answer(2);
+    met.answers(0, mark(&revoke));
+    let grant = met.run(SECOND);
+    let closed = json!({"verb": "admit", "cluster": 0, "routes": ["crédito já"], "admit": 0.0, "policy": 0});
+    assert!(grant.contains(&closed), "the writing class alone, by its name: {grant:?}");
+}
+
+fn load() -> Value {
+    json!({"msg": "LOAD", "site": "a", "target": "A", "count": 4, "fail": 1, "mean": 41.7, "over": 1000.0,
+        "util": {"cpu_share": 0.61}})
+}
+
+fn shard() -> Value {
+    json!({"msg": "SHARD", "range": 0, "lane": "lookup", "count": 4, "fail": 5, "over": 1000.0})
+}
+
+#[test]
+fn each_field_of_a_report_that_is_missing_or_wrong_costs_that_report_alone() {
+    let mut met = Met::new(1, 1);
+    let bad =
+        [Value::Null, json!(-1), json!("1"), json!([]), json!(1e300), json!("no such name"), json!(true)];
+    for good in [load(), shard()] {
+        assert_eq!(met.session.handle_report(met.now, &good), Ok(()));
+        for field in good.as_object().expect("an object").keys() {
+            for value in &bad {
+                let mut spoilt = good.clone();
+                spoilt[field] = value.clone();
+                let absent = field == "util" && value.is_null();
+                let done = met.session.handle_report(met.now, &spoilt);
+                assert_eq!(done.is_ok(), absent, "{spoilt}");
+            }
+        }
+    }
+    for util in [json!({"cpu_share": -0.1}), json!({"cpu_share": "x"}), json!({"cpu_share": 61.0})] {
+        let mut spoilt = load();
+        spoilt["util"] = util;
+        assert!(met.session.handle_report(met.now, &spoilt).is_err(), "{spoilt}");
+    }
+    let spoilt = met.session.figures().spoilt;
+    assert_eq!(spoilt, (8 + 6) * bad.len() as u64 - 1 + 3);
+}
+
+fn anything() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        prop_oneof!["a", "A", "B", "lookup", "LOAD", "SHARD", ".{0,6}"].prop_map(Value::from),
+        (0u64..4).prop_map(Value::from),
+    ];
+    leaf.prop_recursive(2, 8, 4, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            prop::collection::btree_map("[a-z]{1,4}", inner, 0..4)
+                .prop_map(|map| Value::from(serde_json::Map::from_iter(map))),
+        ]
+    })
+}
+
+proptest! {
+    #[test]
+    fn no_input_panics(
+        fields in prop::collection::vec((0usize..16, anything()), 0..8),
+        methods in prop::collection::vec(0usize..7, 1..20),
+        bytes in prop::collection::vec(any::<u8>(), 0..64),
+    ) {
+        const NAMES: [&str; 16] = ["msg", "site", "target", "count", "fail", "mean", "over", "util", "range", "lane",
+            "id", "seq", "flag", "rps", "generation", "instances"];
+        const METHODS: [&str; 7] = ["SUBSCRIBE", "CLOSED", "ACK", "GRANT", "ROW", "ping", "other"];
+        let mut met = Met::new(2, 2);
+        let mut message = load();
+        message.as_object_mut().expect("an object").extend(shard().as_object().expect("an object").clone());
+        fields.into_iter().for_each(|(name, value)| message[NAMES[name]] = value);
+        for method in methods {
+            message["msg"] = if method % 2 == 0 { "LOAD".into() } else { message["msg"].clone() };
+            let _ = met.session.handle_report(met.now, &message);
+            let news = json!({"method": METHODS[method], "params": message});
+            let _ = met.session.handle_news(met.now, news.to_string().as_bytes());
+            let _ = met.session.handle_news(met.now, &bytes);
+            let _ = met.session.handle_list(met.now, message.to_string().as_bytes(), false);
+            let _ = met.session.handle_list(met.now, &bytes, true);
+            let _ = crate::frames::decode(&bytes, true, met.session.zones());
+            let _ = met.poll();
+            met.session.handle_answer(met.now, &bytes);
+            met.session.handle_answer(met.now, json!({"id": 1, "result": message}).to_string().as_bytes());
+            met.later(SECOND / 3);
+        }
+    }
+}
