Notifications, heartbeats and ownership have the field's names in the platform's session

Mechanical, by the table of names in the architecture: News is Notification, Given and Taken are Assigned and Withdrawn, a sign of life is a heartbeat, charge is ownership (session/charge.rs, its methods), what stands is reconciled. Names on the wire, in logs and in tests are as they were.

--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/notification.rs
@@ -1,4 +1,4 @@
-//! The store's news: what one line of it says.
+//! The store's notifications: what one line of them says.
 
 use ravenspar_steward::Time;
 use serde_json::Value;
@@ -8,16 +8,16 @@
 /// The call that asks for news.
 pub const SUBSCRIBE: &[u8] = br#"{"jsonrpc":"2.0","id":1,"method":"subscribe"}"#;
 
-/// Without a sign of life for so long, of which there is one a second, a subscription that tells other things is given up:
+/// Without a heartbeat for so long, of which there is one a second, a subscription that tells other things is given up:
 /// what stands is not known to be told whole before one has come.
-pub const SIGN_OF_LIFE: Time = 5 * ravenspar_steward::SECOND;
+pub const HEARTBEAT_WITHIN: Time = 5 * ravenspar_steward::SECOND;
 
-/// One line of the news.
+/// One line of the store's notifications.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
+pub enum Notification {
     /// The subscription is taken; what stands follows.
     Subscribed,
-    SignOfLife,
+    Heartbeat,
     /// A proxy has joined, with the requests a second that it usually gets.
     Joined {
         proxy: usize,
@@ -31,10 +31,10 @@
         proxy: usize,
         number: u16,
     },
-    Given {
+    Assigned {
         slice: usize,
     },
-    Taken {
+    Withdrawn {
         slice: usize,
     },
     /// The line of a slice's table: its server's name, and its weight.
@@ -54,32 +54,32 @@
     pub slices: usize,
 }
 
-impl News {
+impl Notification {
     /// Fails, with nothing learnt, where the line can't be used.
-    pub fn read(line: &[u8], sizes: Sizes) -> Result<News, Fault> {
+    pub fn read(line: &[u8], sizes: Sizes) -> Result<Notification, Fault> {
         let news: Value = serde_json::from_slice(line).unwrap_or_default();
         let of = &news["params"];
         let proxy = || fields::whole(of, "id", sizes.proxies);
         let slice = || fields::whole(of, "range", sizes.slices);
         Ok(match news["method"].as_str() {
-            None if news["result"] == true => News::Subscribed,
+            None if news["result"] == true => Notification::Subscribed,
             None => return fields::fault("result", "true"),
-            Some("ping") => News::SignOfLife,
+            Some("ping") => Notification::Heartbeat,
             Some("SUBSCRIBE") => {
-                News::Joined { proxy: proxy()?, usual: fields::number(of, "rps").unwrap_or(0.0) }
+                Notification::Joined { proxy: proxy()?, usual: fields::number(of, "rps").unwrap_or(0.0) }
             }
-            Some("CLOSED") => News::Left { proxy: proxy()? },
+            Some("CLOSED") => Notification::Left { proxy: proxy()? },
             Some("ACK") => {
-                News::Answered { proxy: proxy()?, number: fields::whole(of, "seq", 65_536)? as u16 }
+                Notification::Answered { proxy: proxy()?, number: fields::whole(of, "seq", 65_536)? as u16 }
             }
-            Some("GRANT") if fields::flag(of, "flag")? => News::Given { slice: slice()? },
-            Some("GRANT") => News::Taken { slice: slice()? },
-            Some("ROW") => News::Line {
+            Some("GRANT") if fields::flag(of, "flag")? => Notification::Assigned { slice: slice()? },
+            Some("GRANT") => Notification::Withdrawn { slice: slice()? },
+            Some("ROW") => Notification::Line {
                 slice: slice()?,
                 server: fields::text(of, "target")?.to_owned(),
                 weight: fields::number(of, "rps")?,
             },
-            Some(_) => News::Other,
+            Some(_) => Notification::Other,
         })
     }
 }
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -4,8 +4,8 @@
 //! what stands is known. So whatever the decisions take for proof (an answer, a joining, a lease run out) is looked at
 //! with all their orders in the store, and with whatever the store had to tell when it carried them out.
 
-mod charge;
 mod orders;
+mod ownership;
 mod reports;
 
 use ravenspar_steward::{Order, Scope, Settings, Steward, Time, Waiting, SECOND};
@@ -70,8 +70,8 @@
     unheard: bool,
     /// A slice was given since the last decision, or its line told. That can't wait: if it settles, its writes are open
     /// until they are closed, as the store resets levels.
-    charge_changed: bool,
-    /// Since when a slice is in charge whose line may still be on its way: no sign of life came after it.
+    ownership_changed: bool,
+    /// Since when a slice is owned whose line may still be on its way: no heartbeat came after it.
     untold: Option<Time>,
     /// Since when all lists were older than the one held.
     older: Option<Time>,
@@ -112,7 +112,7 @@
             retry: None,
             subscription: Subscription::Lost { since: now },
             unheard: false,
-            charge_changed: false,
+            ownership_changed: false,
             untold: None,
             older: None,
             figures: Figures::default(),
@@ -265,7 +265,7 @@
             Subscription::Lost { .. } => Some(Hold::SubscriptionLost),
             Subscription::Snapshot(_) => Some(Hold::Snapshot),
             Subscription::Live if !self.calls.settled() => Some(Hold::Call),
-            Subscription::Live if self.unheard && !self.charge_changed => Some(Hold::NothingHeard),
+            Subscription::Live if self.unheard && !self.ownership_changed => Some(Hold::NothingHeard),
             Subscription::Live => None,
         }
     }
@@ -276,7 +276,7 @@
         const MOMENT: Time = SECOND / 10;
         let since = self.holds.current().map_or(now, |held| held.since);
         // What stands is told for up to a second. Writes of what settles are open for as long.
-        let at_once = why == Hold::Snapshot && self.charge_changed;
+        let at_once = why == Hold::Snapshot && self.ownership_changed;
         let in_flight = matches!(self.calls.state(), CallState::InFlight(_));
         if !self.steward.is_restriction_due(now) || in_flight {
             return;
@@ -294,7 +294,7 @@
                 .for_each(|slice| self.steward.revoke_waits(slice));
         }
         // Without a line yet, or without room in the ledger: the same again with whatever is heard next, or soon.
-        self.charge_changed &= orders.is_empty();
+        self.ownership_changed &= orders.is_empty();
         self.retry = self.steward.is_restriction_due(now).then_some(now + MOMENT);
         self.push(orders);
     }
@@ -333,7 +333,7 @@
     }
 
     fn decide(&mut self, now: Time) {
-        self.charge_changed = false;
+        self.ownership_changed = false;
         let orders = self.orders(now, Steward::next_order);
         let slices = &self.slices;
         self.servers.sweep(&mut self.steward, |server| {
--- a/crates/platform/src/session/charge.rs
+++ b/crates/platform/src/session/ownership.rs
@@ -1,4 +1,4 @@
-//! The store's news: proxies, answers, and which slices are in this steward's charge.
+//! The store's news: proxies, answers, and which slices this steward owns.
 //!
 //! A new subscription tells what stands, and that is held against what was known. What is unclear of one slice is settled
 //! for that slice by itself: it is revoked, whichever line it has, and goes the ordinary way from there.
@@ -7,7 +7,7 @@
 
 use super::Session;
 use crate::fields::{self, Fault};
-use crate::news::{News, Sizes, SIGN_OF_LIFE};
+use crate::notification::{Notification, Sizes, HEARTBEAT_WITHIN};
 use crate::slices::{row_of, Crossing, Ownership, Row, Told};
 use crate::subscription::{Snapshot, Standing, Subscription};
 
@@ -18,26 +18,28 @@
     /// A line of the store's news. Fails, with nothing learnt from it, where another subscription is needed.
     pub fn handle_news(&mut self, now: Time, line: &[u8]) -> Result<(), Fault> {
         let sizes = Sizes { proxies: self.proxies.len(), slices: self.slices.len() };
-        let news = News::read(line, sizes)?;
-        if !matches!(news, News::SignOfLife | News::Subscribed) && self.lacks_sign_of_life(now) {
+        let notification = Notification::read(line, sizes)?;
+        if !matches!(notification, Notification::Heartbeat | Notification::Subscribed)
+            && self.lacks_heartbeat(now)
+        {
             return fields::fault("method", "a sign of life within 5 s");
         }
-        match news {
-            News::Subscribed => self.subscribed(now),
-            News::SignOfLife => self.sign_of_life(now),
-            News::Joined { proxy, usual } => self.joined(proxy, usual),
-            News::Left { proxy } => self.left(now, proxy),
-            News::Answered { proxy, number } => self.answered(now, proxy, number),
-            News::Given { slice } => self.given(now, slice),
-            News::Taken { slice } => {
+        match notification {
+            Notification::Subscribed => self.subscribed(now),
+            Notification::Heartbeat => self.heartbeat(now),
+            Notification::Joined { proxy, usual } => self.joined(proxy, usual),
+            Notification::Left { proxy } => self.left(now, proxy),
+            Notification::Answered { proxy, number } => self.answered(now, proxy, number),
+            Notification::Assigned { slice } => self.assigned(now, slice),
+            Notification::Withdrawn { slice } => {
                 self.subscription.snapshot().map(|snapshot| snapshot.slices.remove(&slice));
-                self.take(slice);
+                self.withdraw(slice);
             }
-            News::Line { slice, server, weight } => {
+            Notification::Line { slice, server, weight } => {
                 let row = Some((self.servers.index_of_line(&server), weight));
                 self.line(now, slice, row);
             }
-            News::Other => {}
+            Notification::Other => {}
         }
         self.figures.news_heard = Some(now);
         self.unheard = false;
@@ -47,13 +49,13 @@
         Ok(())
     }
 
-    /// Something waits for a sign of life, and none has come for too long.
-    fn lacks_sign_of_life(&self, now: Time) -> bool {
+    /// Something waits for a heartbeat, and none has come for too long.
+    fn lacks_heartbeat(&self, now: Time) -> bool {
         let since = match &self.subscription {
             Subscription::Snapshot(snapshot) => Some(snapshot.began),
             _ => self.untold,
         };
-        since.is_some_and(|since| now - since >= SIGN_OF_LIFE)
+        since.is_some_and(|since| now - since >= HEARTBEAT_WITHIN)
     }
 
     /// The news have broken off: until what stands is told anew, what was known holds.
@@ -109,7 +111,7 @@
         }
     }
 
-    fn given(&mut self, now: Time, slice: usize) {
+    fn assigned(&mut self, now: Time, slice: usize) {
         // One whose line was not told before a gap is as if it were given anew: its line may be another's since.
         let known = self.slices[slice].is_owned() && self.slices[slice].ownership != Ownership::AwaitsLine;
         let mut said = now - LAG;
@@ -120,18 +122,18 @@
             // Told as standing: held against what was known once all of it is there. Its levels are not told: the store has
             // reset them if it took the slice away and gave it back in the gap.
             if first && known {
-                self.charge_changed |= self.steward.levels_may_be_reset(now, slice);
+                self.ownership_changed |= self.steward.levels_may_be_reset(now, slice);
                 return;
             }
         }
-        self.take(slice);
+        self.withdraw(slice);
         self.untold.get_or_insert(now);
-        self.give(now, slice, said);
+        self.assign(now, slice, said);
     }
 
-    /// The store has put a slice into this steward's charge, and said so at this time or later.
-    fn give(&mut self, now: Time, slice: usize, said: Time) {
-        self.charge_changed = true;
+    /// The store has assigned a slice to this steward, and said so at this time or later.
+    fn assign(&mut self, now: Time, slice: usize, said: Time) {
+        self.ownership_changed = true;
         let known = &mut self.slices[slice];
         (known.ownership, known.row) = (Ownership::AwaitsLine, None);
         self.steward.given(now, slice);
@@ -143,9 +145,9 @@
         }
     }
 
-    /// The store has the slice in this steward's charge, with nobody knows which line.
-    fn give_unclear(&mut self, now: Time, slice: usize) {
-        self.give(now, slice, Time::MAX / 2);
+    /// The store has assigned the slice to this steward, with nobody knows which line.
+    fn assign_unclear(&mut self, now: Time, slice: usize) {
+        self.assign(now, slice, Time::MAX / 2);
         self.line_unclear(slice);
     }
 
@@ -154,7 +156,7 @@
         self.steward.line_unclear(slice);
     }
 
-    fn take(&mut self, slice: usize) {
+    fn withdraw(&mut self, slice: usize) {
         let known = &mut self.slices[slice];
         if known.is_owned() {
             (known.ownership, known.row) = (Ownership::NotOwned, None);
@@ -179,7 +181,7 @@
         (known.ownership, known.row) = (Ownership::Owned, row);
         self.steward.awaits_line(slice, false);
         if let Some((server, weight)) = row {
-            self.charge_changed = true;
+            self.ownership_changed = true;
             self.steward.on_record(now, slice, server, weight);
         }
     }
@@ -187,11 +189,11 @@
     /// The store has a slice otherwise than was known: it starts over.
     pub(super) fn start_over(&mut self, now: Time, slice: usize, row: Row) {
         let unclear = self.slices[slice].ownership == Ownership::Unclear;
-        self.take(slice);
+        self.withdraw(slice);
         if unclear {
-            self.give_unclear(now, slice);
+            self.assign_unclear(now, slice);
         } else {
-            self.give(now, slice, Time::MAX / 2);
+            self.assign(now, slice, Time::MAX / 2);
             self.settle_line(now, slice, row);
         }
     }
@@ -203,13 +205,13 @@
     }
 
     /// All that was given before this has been told with its line, as a rule: one that is told later still counts, until the
-    /// slice is ordered about. Guards against a sign of life between the two.
-    fn sign_of_life(&mut self, now: Time) {
+    /// slice is ordered about. Guards against a heartbeat between the two.
+    fn heartbeat(&mut self, now: Time) {
         self.untold = None;
         if let Subscription::Snapshot(snapshot) = &mut self.subscription {
             let snapshot = std::mem::take(snapshot);
             self.subscription = Subscription::Live;
-            self.stands(now, &snapshot);
+            self.reconcile(now, &snapshot);
         }
         for slice in 0..self.slices.len() {
             if self.slices[slice].ownership == Ownership::AwaitsLine {
@@ -219,7 +221,7 @@
     }
 
     /// All that stands has been told: it is held against what was known.
-    fn stands(&mut self, now: Time, snapshot: &Snapshot) {
+    fn reconcile(&mut self, now: Time, snapshot: &Snapshot) {
         for proxy in 0..self.proxies.len() {
             if self.proxies[proxy] && !snapshot.proxies.contains(&proxy) {
                 self.left(snapshot.began, proxy);
@@ -234,7 +236,7 @@
             let known = &self.slices[slice];
             match (known.ownership, snapshot.slices.get(&slice)) {
                 (Ownership::NotOwned, _) => {}
-                (_, None) => self.take(slice),
+                (_, None) => self.withdraw(slice),
                 (Ownership::AwaitsLine | Ownership::Unclear, Some(_)) => {}
                 (Ownership::Owned, Some(&standing)) => {
                     let row = standing.row;
@@ -248,8 +250,8 @@
                         (Told::Otherwise, None) => self.start_over_revoked(now, slice),
                         (Told::AsKnown, None) if settled => self.start_over_revoked(now, slice),
                         (Told::AsKnown | Told::Unclear, _) => {
-                            self.take(slice);
-                            self.give_unclear(now, slice);
+                            self.withdraw(slice);
+                            self.assign_unclear(now, slice);
                         }
                     }
                 }
--- a/crates/platform/src/slices.rs
+++ b/crates/platform/src/slices.rs
@@ -1,4 +1,4 @@
-//! What is known of each slice: whether this steward is in charge of it, and which line the store has.
+//! What is known of each slice: whether this steward owns it, and which line the store has.
 
 use ravenspar_steward::{Order, Time, SECOND};
 
@@ -8,7 +8,7 @@
 /// The line of a slice's table: server and weight.
 pub type Row = Option<(usize, f64)>;
 
-/// Whether a slice is in this steward's charge, and how well its line is known.
+/// Whether this steward owns a slice, and how well its line is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Ownership {
     #[default]
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -17,7 +17,7 @@
     Live,
 }
 
-/// What the store has told since the subscription, up to its first sign of life: all that stands comes before that.
+/// What the store has told since the subscription, up to its first heartbeat: all that stands comes before that.
 #[derive(Debug, Default)]
 pub struct Snapshot {
     /// When the news before it were last heard, if there were any.
