Tests wait until nothing is in flight before they take unanswered requests for read ones

Cause, from plays of many such ends beside 60 busy processes, with the system's table of sockets at each end and the listener's own counts logged after the close: of some 27,900 ends four had the burst still in the sender's queue when the stream ended, the listener's side closed, and the reset came after 207 to 215 ms, with the kernel's retransmission; where logged, the listener had read and answered all bursts but that one. A segment that meets the socket as it closes is dropped, and only its repetition is answered by the reset. The tests looked for it after 50 ms, and called the burst read. It was not: the product keeps its rule, the judge was wrong.

Change: unanswered requests count as read only once the system has nothing of that connection in flight; 50 ms more, as before, and no reset. What was read was acknowledged, so no loss is let off. The soak's clients had the same wait of their own and use the same function now. Tests: bytes in flight at the end of a stream (red before: taken for read), and what was read and dropped is still a loss.

--- a/crates/ravenspar/tests/platform/harness.rs
+++ b/crates/ravenspar/tests/platform/harness.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, ChildStderr, Command};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Long enough for a busy machine; a test that waits this long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -238,14 +238,39 @@
     while pongs(&said) < due {
         match peer.read_buf(&mut said).await {
             Err(_) => return Err(End::Kept),
-            Ok(0) => {
-                // What arrives after the close is answered by a reset.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                let is_unread = matches!(peer.take_error(), Ok(Some(_)) | Err(_));
-                return Err(if is_unread { End::Kept } else { End::Lost(due - pongs(&said)) });
-            }
+            Ok(0) if is_left_unread(peer).await => return Err(End::Kept),
+            Ok(0) => return Err(End::Lost(due - pongs(&said))),
             Ok(_) => {}
         }
     }
     Ok(())
 }
+
+/// Whether a stream that has ended tells by a reset that something was left unread. What was read is acknowledged by then; what
+/// is still in flight is sent again until a reset answers it.
+pub async fn is_left_unread(peer: &TcpStream) -> bool {
+    let is_reset = || !matches!(peer.take_error(), Ok(None));
+    let in_flight = async {
+        while !is_acknowledged(peer) {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    if timeout(PATIENCE, in_flight).await.is_err() {
+        return false;
+    }
+    if is_reset() {
+        return true;
+    }
+    // A close that comes after the end of the stream.
+    sleep(Duration::from_millis(50)).await;
+    is_reset()
+}
+
+/// Whether the system has nothing in hand that this end has sent and the other has not acknowledged.
+fn is_acknowledged(peer: &TcpStream) -> bool {
+    // The addresses of one that was reset can't be asked for.
+    let (Ok(local), Ok(remote)) = (peer.local_addr(), peer.peer_addr()) else { return true };
+    let sockets = procfs::net::tcp().expect("the system's table of sockets");
+    let mut ours = sockets.iter().filter(|of| of.local_address == local && of.remote_address == remote);
+    ours.all(|of| of.tx_queue == 0)
+}
--- a/crates/ravenspar/tests/platform/main.rs
+++ b/crates/ravenspar/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod end;
 mod flood;
 mod harness;
+mod harness_tests;
 mod list;
 mod listener;
 mod logs;
--- a/crates/ravenspar/tests/soak/clients.rs
+++ b/crates/ravenspar/tests/soak/clients.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::harness::frame;
+use crate::harness::{frame, is_left_unread};
 
 /// One life of a steward's process, as its clients know it.
 #[derive(Default)]
@@ -108,13 +108,6 @@
     heard.windows(word.len()).filter(|at| at == word).count()
 }
 
-/// Whether the end of a stream tells that something was left unread.
-async fn is_left_unread(peer: &TcpStream) -> bool {
-    // What arrives after the close is answered by a reset.
-    sleep(Duration::from_millis(50)).await;
-    !matches!(peer.take_error(), Ok(None))
-}
-
 /// Parties that are of no use, up to the end: silent, with half a message, with floods that read no answer.
 pub async fn crowd(address: Address, size: usize, mut chance: Rng) {
     let mut parties = Vec::new();
