--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -15,7 +15,7 @@
 use std::collections::VecDeque;
 
 use crate::{Health, Order, Settings, Time, SECOND};
-use channel::{Hearing, Missed, Turn};
+use channel::{ChannelEvidence, Missed, Turn};
 
 /// Long before any time on the clock.
 const NEVER: Time = Time::MIN / 2;
@@ -185,7 +185,7 @@
     /// The store's news are interrupted: proxies may have joined unheard.
     interrupted: bool,
     /// The store's news as far as they show what the channel holds.
-    hearing: Hearing,
+    evidence: ChannelEvidence,
     out: VecDeque<Order>,
     news: bool,
     /// What comes for the slices is to be worked out anew.
--- a/crates/steward/src/rebalance/channel.rs
+++ b/crates/steward/src/rebalance/channel.rs
@@ -28,7 +28,7 @@
 
 /// What the store's news show of the channel.
 #[derive(Default)]
-pub(super) struct Hearing {
+pub(super) struct ChannelEvidence {
     /// The highest mark that some proxy is told to have answered, with nothing missed before it.
     pub answered: u64,
     /// When that was first told.
@@ -47,6 +47,15 @@
 /// A channel sends up to so many times slower than the settings say, for a while (brief, 7.4).
 const SLOWEST: f64 = 5.0;
 
+/// The share of the lines that may wait which a message with lines that can't wait may fill.
+const URGENT_SHARE: f64 = 0.9;
+
+/// The same for all other messages: leaves enough for a drain behind them to land within its grace.
+const ORDINARY_SHARE: f64 = 0.65;
+
+/// The same for a probe, or for one line that can't wait in its place.
+const PROBE_SHARE: f64 = 1.0;
+
 impl Steward {
     /// What the ledger takes to wait in the channel.
     pub fn waiting(&self) -> Waiting {
@@ -69,7 +78,7 @@
         let pace = self.channel_rate() / SLOWEST / SECOND as f64;
         let receivers = self.receivers();
         let sent_by = |(level, at): (f64, Time), now: Time| (level - pace * (now - at) as f64).max(0.0);
-        let (answered, answered_at) = (self.hearing.answered, self.hearing.answered_at);
+        let (answered, answered_at) = (self.evidence.answered, self.evidence.answered_at);
         let may_wait = self.turns.iter().filter(|turn| turn.mark >= answered);
         let written = may_wait.fold((0.0, answered_at), |before, turn| {
             let at = turn.at.max(answered_at);
@@ -93,10 +102,10 @@
     /// they have left the channel, if it was there.
     fn empty_up_to(&self, proxy: &Proxy) -> u64 {
         let left = if proxy.joined {
-            let passed = self.hearing.answered.saturating_sub(1).max(self.hearing.emptied);
+            let passed = self.evidence.answered.saturating_sub(1).max(self.evidence.emptied);
             passed.min(proxy.maybe_before)
         } else {
-            self.hearing.answered.max(self.hearing.emptied)
+            self.evidence.answered.max(self.evidence.emptied)
         };
         left.max(proxy.empty).max(proxy.answered)
     }
@@ -112,9 +121,9 @@
         let mark = self.mark_of(number);
         let entry = self.proxy(proxy);
         entry.answered = entry.answered.max(mark);
-        self.hearing.quiet_since = now;
-        if !self.interrupted && mark > self.hearing.answered {
-            (self.hearing.answered, self.hearing.answered_at) = (mark, now);
+        self.evidence.quiet_since = now;
+        if !self.interrupted && mark > self.evidence.answered {
+            (self.evidence.answered, self.evidence.answered_at) = (mark, now);
         }
         match &mut self.missed {
             Some(missed) if mark > missed.mark => self.forget_missed(),
@@ -139,7 +148,7 @@
 
     /// The store's news go on, and tell whatever is answered from now on.
     pub fn news_resumed(&mut self, now: Time) {
-        (self.hearing.at, self.hearing.quiet_since) = (now, now);
+        (self.evidence.at, self.evidence.quiet_since) = (now, now);
         self.missed = Some(Missed { mark: self.mark, quiet_since: now });
     }
 
@@ -158,11 +167,11 @@
 
     /// Something of the store's news has been heard, so whatever was answered up to now has been told.
     pub fn news_heard(&mut self, now: Time) {
-        let was_silent = now - self.hearing.at >= HEARD_AT_LEAST;
-        self.hearing.at = now;
+        let was_silent = now - self.evidence.at >= HEARD_AT_LEAST;
+        self.evidence.at = now;
         if was_silent {
             // Guards against a silence, or a stop of this process, that is taken for a quiet channel: answers may follow.
-            self.hearing.quiet_since = now;
+            self.evidence.quiet_since = now;
             self.missed.iter_mut().for_each(|missed| missed.quiet_since = now);
         }
         if self.missed.as_ref().is_some_and(|missed| self.has_emptied(missed, now)) {
@@ -173,11 +182,11 @@
 
     /// Messages that nobody may ever answer, as no proxy may have been there to receive them, have left the channel.
     fn notice_empty_channel(&mut self, now: Time) {
-        let Some(last) = self.turns.back().filter(|turn| turn.mark > self.hearing.emptied) else { return };
-        let quiet_since = self.hearing.quiet_since.max(last.at);
+        let Some(last) = self.turns.back().filter(|turn| turn.mark > self.evidence.emptied) else { return };
+        let quiet_since = self.evidence.quiet_since.max(last.at);
         let all = Missed { mark: last.mark, quiet_since };
         if self.has_emptied(&all, now) {
-            self.hearing.emptied = all.mark;
+            self.evidence.emptied = all.mark;
         }
     }
 
@@ -249,7 +258,7 @@
         let probes = self.is_probe_due();
         let room = self.room(now, orders).0;
         let fits = orders.min(room);
-        let good_part = (self.empty_room(0.9) / 2.0).max(2.0) as usize;
+        let good_part = (self.empty_room(URGENT_SHARE) / 2.0).max(2.0) as usize;
         let is_enough = fits >= orders.min(good_part) && fits >= orders.min(2);
         let is_probe = probes && fits > 0;
         if !is_enough && !is_probe {
@@ -317,13 +326,10 @@
                 free.clamp(0.0, 65_535.0) as usize
             }
         };
-        // What can wait leaves a third: enough for a drain behind it to land within its grace. At a half, heads
-        // were two thirds of all lines; three quarters measured no better.
-        let rest = room(0.65, f64::INFINITY);
-        let all = if urgent > 0 { room(0.9, urgent as f64) } else { rest };
+        let rest = room(ORDINARY_SHARE, f64::INFINITY);
+        let all = if urgent > 0 { room(URGENT_SHARE, urgent as f64) } else { rest };
         if all == 0 && self.is_probe_due() {
-            // A probe, or one line that can't wait in its place, may use what is kept free.
-            let free = self.empty_room(1.0) - waiting;
+            let free = self.empty_room(PROBE_SHARE) - waiting;
             return (usize::from(free >= 1.0), 0);
         }
         (all, rest)
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -70,7 +70,7 @@
 
     pub fn joined(&mut self, proxy: usize, usual: f64) {
         self.news = true;
-        let (mark, empty) = (self.mark, self.hearing.answered);
+        let (mark, empty) = (self.mark, self.evidence.answered);
         let entry = self.proxy(proxy);
         if !entry.joined {
             entry.empty = entry.empty.max(empty);
