--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -64,7 +64,10 @@
     let kept = dir.path().join("kept");
     let output =
         lab(&["day", "examples/days/crawling-steward.yaml", "--keep", kept.to_str().expect("a path")]);
-    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stdout));
+    if output.status.code() != Some(0) {
+        let (said, why) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+        panic!("{said}{why}logs are kept in {}", dir.keep().display());
+    }
     let log = std::fs::read_to_string(kept.join("steward-1.log")).expect("a log");
     assert!(log.contains("\"resting\":true") && log.contains("gave slices"), "it rests and gives");
 }
