Where no answers can be missed a channel is taken for empty at its usual pace, as before

Messages that may wait for a forwarder that has never joined leave the ledger by quiet alone, so in service they counted five times longer, and grants waited for room.

Change: the slowest pace binds only where answers may be missed, after a gap or a call of unknown outcome, which a steward in service never has: for it the ledger is again what it was on.

--- a/crates/steward/src/rebalance/channel.rs
+++ b/crates/steward/src/rebalance/channel.rs
@@ -193,8 +193,8 @@
     /// Whether nothing waits any more of what was written up to that mark. Guards against waiting for answers that can't
     /// come. A channel that still held some of it would show that: at its
     /// slowest, the longest message leaves it and is answered within the time looked at. So that proxies which answer
-    /// nothing at all don't look like an empty channel, it must also have had the time for all of it at that pace. A
-    /// probe tells sooner, see [`Steward::is_probe_due`].
+    /// nothing at all don't look like an empty channel, it must also have had the time for all of it: at its slowest where
+    /// answers may be missed, as a probe tells sooner there, see [`Steward::is_probe_due`].
     fn has_emptied(&self, missed: &Missed, now: Time) -> bool {
         let before = || self.turns.iter().filter(|turn| turn.mark <= missed.mark);
         let Some(last) = before().map(|turn| turn.at).max() else { return true };
@@ -207,7 +207,8 @@
             return false;
         }
         let all: f64 = before().map(|turn| turn.lines * self.unanswered(turn.mark)).sum();
-        now - last >= span(all, slowest)
+        let rate = if self.missed.is_some() { slowest } else { self.channel_rate() };
+        now - last >= span(all, rate)
     }
 
     /// Whether a message would show what waits, with nothing in it but its mark if need be: answers may be missed,
