Review: no list is taken in while discovery's answers come in pieces (case 2)

Discovery's answers have 1.5 s as a whole, and a whole list that takes longer ends the watch for good. Done: the case with its claim; the stand-in's discovery delivers in pieces.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -19,6 +19,7 @@
 pub fn play(name: &str, trouble: bool, record: &str) -> i32 {
     let played = match name {
         "removed" => removed(trouble, record),
+        "pieces" => pieces(trouble, record),
         _ => Err(std::io::Error::other("no such case")),
     };
     played.unwrap_or_else(|error| {
@@ -309,3 +310,32 @@
     let valid = if told { Ok(()) } else { Err("discovery never wrote the list".to_owned()) };
     play.finish(&broken, valid)
 }
+
+/// Discovery's answers are delivered in pieces, each answer whole within 2 s; meanwhile a host drains and ends.
+fn pieces(trouble: bool, record: &str) -> std::io::Result<i32> {
+    let mut play = Play::new(fortaleza(), 11, record)?;
+    let known = play.agents[0].with(|list| list.body());
+    play.write_config(0, &known)?;
+    play.start_steward(0)?;
+    play.start_traffic();
+    pause(3.0);
+    if trouble {
+        play.agents[0].with(|list| list.pieces = Some((200, Duration::from_millis(225))));
+        play.world.note("from now on discovery's answers come in pieces of 200 bytes, 225 ms apart");
+    }
+    pause(15.0);
+    let from = Instant::now();
+    play.list_as("h10", "leaving");
+    pause(10.0);
+    play.running["h10"].end();
+    play.world.note("h10 has finished what it had, and its process ends");
+    pause(6.0);
+    let (delivered, cut_off) = play.agents[0].with(|list| (list.delivered, list.cut_off));
+    play.world.note(format!("answers delivered whole: {delivered}, cut off by the steward: {cut_off}"));
+    if play.agents[0].told("h10", from).is_none() {
+        // Told at the latest 6 s later, whether it arrived or not.
+        play.agents[0].with(|list| list.told.push(("h10".to_owned(), from + Duration::from_secs(6))));
+    }
+    let broken = play.late_tries("h10", 0, from);
+    play.finish(&broken, Ok(()))
+}
--- a/review/standin/discovery.rs
+++ b/review/standin/discovery.rs
@@ -33,6 +33,11 @@
     pub told: Vec<(String, Instant)>,
     /// Answers wait.
     pub silent: bool,
+    /// Answers are delivered in pieces: bytes of a piece, and the pause before the next one.
+    pub pieces: Option<(usize, Duration)>,
+    /// Answers delivered whole, and those whose connection the steward closed before.
+    pub delivered: usize,
+    pub cut_off: usize,
 }
 
 impl List {
@@ -153,14 +158,28 @@
                 changes.filter(|(_, host)| host.lifecycle != "active").map(|(_, host)| host.id.clone()).collect()
             }
         };
+        let pieces = list.pieces;
         drop(list);
-        write!(
-            writer,
+        let answer = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
-        )?;
+        );
+        let (size, pause) = pieces.unwrap_or((answer.len(), Duration::ZERO));
+        let mut written = Ok(());
+        for (n, piece) in answer.as_bytes().chunks(size).enumerate() {
+            if n > 0 {
+                std::thread::sleep(pause);
+            }
+            // A close is seen only where it is looked for.
+            written = written.and_then(|()| is_open(&writer)).and_then(|()| writer.write_all(piece));
+        }
         let now = Instant::now();
         let mut list = held.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if written.is_err() {
+            list.cut_off += 1;
+            return written;
+        }
+        list.delivered += 1;
         shown.into_iter().for_each(|id| list.told.push((id, now)));
         drop(list);
         if last != Some(generation) || since.is_none() {
@@ -170,3 +189,14 @@
         }
     }
 }
+
+/// Fails if the other end has closed the connection.
+fn is_open(socket: &TcpStream) -> std::io::Result<()> {
+    socket.set_nonblocking(true)?;
+    let ended = matches!(socket.peek(&mut [0]), Ok(0));
+    socket.set_nonblocking(false)?;
+    if ended {
+        return Err(std::io::Error::other("closed by the steward"));
+    }
+    Ok(())
+}
