Review: the stand-in picks a port below the ephemeral ones for a steward

Cause: the steward's port is free while it is away, and an outgoing connection could take it; a search with the same stand-in met that once. Done: ports from 20000 to 27999, which the system hands to nobody.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -32,8 +32,12 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-fn free_port() -> std::io::Result<String> {
-    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+/// A free address whose port the system gives to nobody else while the steward is away: below the ephemeral ones.
+fn free_port(number: usize) -> std::io::Result<String> {
+    let first = (std::process::id() as usize * 7 + number * 4_000) % 8_000;
+    let free = (0..8_000).map(|n| format!("127.0.0.1:{}", 20_000 + (first + n) % 8_000));
+    let mut free = free.filter(|address| std::net::TcpListener::bind(address).is_ok());
+    free.next().ok_or(std::io::Error::other("no free port"))
 }
 
 fn pause(seconds: f64) {
@@ -124,7 +128,7 @@
         for number in 0..world.site.stewards {
             play.agents.push(Agent::start(&world, &format!("n{number}"))?);
             play.relays.push(relay::start(&world, number)?.to_string());
-            play.stewards.push(Steward::new(number, free_port()?, &play.folder));
+            play.stewards.push(Steward::new(number, free_port(number)?, &play.folder));
         }
         (0..hosts).try_for_each(|n| play.add_host(&format!("h{n}"), 0))?;
         {
