Review: a drain is lost where two events of the list come out of order (case 2)

The follower drops every event below the last revision of any key, and reads nothing anew. Done: a stand-in of the list's store (range, watch, progress) and a forwarder of the plain stream, with the standard library alone; the case with its claim.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::discovery::{Agent, Host};
+use crate::forwarder;
+use crate::list_store::ListStore;
 use crate::proxies::{self, Directory, Running};
 use crate::steward::{collect, Steward};
 use crate::world::{run_events, Shared, Site, World};
@@ -20,6 +22,7 @@
     let played = match name {
         "removed" => removed(trouble, record),
         "pieces" => pieces(trouble, record),
+        "reordered" => reordered(trouble, record),
         _ => Err(std::io::Error::other("no such case")),
     };
     played.unwrap_or_else(|error| {
@@ -136,7 +139,7 @@
             for slice in 0..world.site.slices {
                 state.slices[slice].charge = Some(0);
                 state.slices[slice].given_at = Some(Instant::now());
-                state.slices[slice].line = Some(format!("h{}", slice % hosts));
+                state.slices[slice].line = (hosts > 0).then(|| format!("h{}", slice % hosts.max(1)));
                 let line = state.slices[slice].line.clone();
                 state.proxies.iter_mut().for_each(|proxy| proxy.held[slice].line = line.clone());
             }
@@ -343,3 +346,113 @@
     let broken = play.late_tries("h10", 0, from);
     play.finish(&broken, Ok(()))
 }
+
+/// The settings of a steward of one's own that follows its list in a store, with the figures of the site.
+fn own_settings(site: &Site, listen: &str, store: &str) -> String {
+    format!(
+        r#"listen: {listen}
+record: steward.redb
+list: {{source: etcd, endpoints: ["http://{store}"]}}
+forwarders: {forwarders}
+slices: {slices}
+lease: {lease}ms
+settle: {settle}ms
+hold: 500ms
+unserved_most: 9s
+silent_after: 2s
+channel: {{lines_per_s: {rate}, waiting_lines: {waiting}, message_cost: {head}, messages: {messages}, messages_within: 10s}}
+reports: {{every: 500ms, lines_per_s: 500}}
+cold: {{from: {cold_from}, for: {cold_s}s, fall_multiple: 2.5, fall_for: 1500ms}}
+drain: {{grace: {grace}s}}
+kinds:
+  - {{name: quote, response_target: 1s, client_timeout: 3s, credit: 1, repeats: replayable, writes: false}}
+  - {{name: commit, response_target: 800ms, client_timeout: 1200ms, credit: 2, repeats: non-replayable, writes: true}}
+"#,
+        forwarders = site.proxies,
+        slices = site.slices,
+        lease = site.lease_s * 1e3,
+        settle = site.settle_s * 1e3,
+        rate = site.rate,
+        waiting = site.rate * 2.0,
+        head = site.head,
+        messages = site.messages,
+        cold_from = site.cold_from,
+        cold_s = site.cold_s,
+        grace = site.grace_s,
+    )
+}
+
+/// The list's store is away for a moment; after the reconnect two events arrive out of order, one of them a drain.
+fn reordered(trouble: bool, record: &str) -> std::io::Result<i32> {
+    let mut play = Play::new(fortaleza(), 0, record)?;
+    let store = ListStore::start(&play.world)?;
+    let mut hosts = HashMap::new();
+    let value = |address: &str, state: &str| {
+        Some(format!(r#"{{"zone": "a", "address": "{address}", "state": "{state}", "boot": 100}}"#))
+    };
+    for n in 0..10 {
+        let running = Running::start()?;
+        store.set(&format!("h{n}"), value(&running.address, "ready"));
+        hosts.insert(n, running);
+    }
+    let settings = own_settings(&play.world.site, &play.stewards[0].listen, &store.address.to_string());
+    std::fs::write(&play.stewards[0].config, settings)?;
+    play.stewards[0].start_own(&play.world)?;
+    let end = Instant::now() + Duration::from_secs(10);
+    while std::net::TcpStream::connect(&play.stewards[0].listen).is_err() {
+        if Instant::now() > end {
+            return Err(std::io::Error::other("the steward does not listen"));
+        }
+        pause(0.02);
+    }
+    for proxy in 0..play.world.site.proxies {
+        let (world, listen) = (play.world.clone(), play.stewards[0].listen.clone());
+        std::thread::spawn(move || drop(forwarder::run(world, proxy, listen)));
+    }
+    // Without a record each slice waits a lease and a settling first.
+    pause(10.0);
+    store.set_away(true);
+    play.world.note("the list's store is away");
+    pause(1.0);
+    let drain = store.set("h9", value(&hosts[&9].address, "draining"));
+    let newcomer = Running::start()?;
+    store.set("h10", value(&newcomer.address, "ready"));
+    store.with(|keys| keys.reorder = trouble);
+    store.set_away(false);
+    play.world.note("the list's store is back");
+    let end = Instant::now() + Duration::from_secs(12);
+    let told = loop {
+        match store.written(drain) {
+            Some(told) => break told,
+            None if Instant::now() > end => return Err(std::io::Error::other("the watch did not come back")),
+            None => pause(0.02),
+        }
+    };
+    pause(8.0);
+    hosts[&9].end();
+    play.world.note("h9 has finished what it had, and its process ends");
+    pause(4.0);
+    store.set("h9", None);
+    pause(4.0);
+    let grace = Duration::from_secs_f64(play.world.site.grace_s + 0.3);
+    let mut broken = Vec::new();
+    let mut served = false;
+    {
+        let state = play.world.lock();
+        served |= state.tries.iter().any(|one| one.host == "h9" && one.at < told);
+        let late: Vec<_> = state.tries.iter().filter(|one| one.host == "h9" && one.at > told + grace).collect();
+        if let (Some(first), Some(last)) = (late.first(), late.last()) {
+            let lost = late.iter().filter(|one| !one.answered).count();
+            broken.push(format!(
+                "{} requests ({lost} of them never answered) went to h9 later than {:.1} s after its drain was written to the steward (at {:.3}; the first late one at {:.3}, the last at {:.3})",
+                late.len(),
+                grace.as_secs_f64(),
+                play.world.seconds(told),
+                play.world.seconds(first.at),
+                play.world.seconds(last.at),
+            ));
+        }
+    }
+    let valid = if served { Ok(()) } else { Err("h9 had no slice".to_owned()) };
+    play.finish(&broken, valid)
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,7 +4,9 @@
 
 mod cases;
 mod discovery;
+mod forwarder;
 mod json;
+mod list_store;
 mod proxies;
 mod relay;
 mod steward;
--- a/review/standin/proxies.rs
+++ b/review/standin/proxies.rs
@@ -56,7 +56,7 @@
     }
 }
 
-fn send(
+pub fn send(
     open: &mut HashMap<String, BufReader<TcpStream>>,
     host: &str,
     address: &str,
--- a/review/standin/steward.rs
+++ b/review/standin/steward.rs
@@ -51,6 +51,24 @@
         Ok(())
     }
 
+    /// Starts a steward of one's own with the settings at `config`, by the program that the deploy file builds and runs.
+    pub fn start_own(&mut self, world: &Shared) -> std::io::Result<()> {
+        let root = std::env::var("ROOT").unwrap_or_else(|_| ".".to_owned());
+        let run = run_line(&root).ok_or(std::io::Error::other("no line run"))?;
+        let run = run.replace(" platform", &format!(" serve {}", self.config.display()));
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let child = Command::new("/bin/sh")
+            .args(["-c", &run])
+            .current_dir(&root)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        world.note(format!("n{} starts", self.number));
+        self.child = Some(child);
+        Ok(())
+    }
+
     /// Waits until PING is answered; returns when it was.
     pub fn wait_ready(&self, world: &Shared) -> Option<Instant> {
         let end = Instant::now() + Duration::from_secs(30);
