Review: the cases' record lists each request, and their ends are safe

Cause: the record had sums only; a case that couldn't run left no record, or an old one; a steward that ended by itself counted as the rule broken; a script that was killed left its steward behind.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,5 +4,8 @@
 cd "$(dirname "$0")" || exit 2
 ROOT=$(cd ../.. && pwd)
 export ROOT
-[ -x "$ROOT/target/review/standin" ] && [ -x "$ROOT/target/release/ravenspar" ] || exit 2
+if [ ! -x "$ROOT/target/review/standin" ] || [ ! -x "$ROOT/target/release/ravenspar" ]; then
+    echo "could not run: not built" | tee record.txt
+    exit 2
+fi
 exec "$ROOT/target/review/standin" removed record.txt
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -26,7 +26,9 @@
         _ => Err(std::io::Error::other("no such case")),
     };
     played.unwrap_or_else(|error| {
-        eprintln!("the case couldn't run: {error}");
+        let text = format!("verdict:\nthe case couldn't run: {error}\ncould not run\n");
+        eprint!("{text}");
+        drop(std::fs::write(record, text));
         COULD_NOT_RUN
     })
 }
@@ -223,14 +225,30 @@
             text += &format!(" {host} {answered}/{not}");
         }
         text += &format!("\n\nrequests that found no server: {}\n", state.refused);
+        text += "\nrequests sent: time, proxy, slice, class, host, how it ended:\n";
+        for one in &state.tries {
+            text += &format!(
+                "{:8.3} p{} {} {} {} {}\n",
+                self.world.seconds(one.at),
+                one.proxy,
+                one.slice,
+                ["quote", "commit"][one.class],
+                one.host,
+                if one.answered { "answered" } else { "not answered" }
+            );
+        }
         text += "\nlog of the stewards:\n";
         for steward in &self.stewards {
             text += &std::fs::read_to_string(&steward.log).unwrap_or_default();
         }
         text += "\nverdict:\n";
         broken.iter().for_each(|line| text += &format!("BROKEN {line}\n"));
-        crashed.iter().for_each(|number| text += &format!("n{number} has ended by itself\n"));
-        let verdict = match (&valid, broken.is_empty() && crashed.is_empty()) {
+        // Another matter than the rule of the case: it can't be judged then.
+        let valid = match crashed.first() {
+            Some(number) => Err(format!("n{number} has ended by itself")),
+            None => valid,
+        };
+        let verdict = match (&valid, broken.is_empty()) {
             (Err(why), _) => {
                 text += &format!("the case couldn't run: {why}\n");
                 COULD_NOT_RUN
@@ -243,7 +261,6 @@
         let tail: Vec<&str> = text.lines().rev().take_while(|line| *line != "verdict:").collect();
         tail.iter().rev().for_each(|line| println!("{line}"));
         drop(state);
-        let _ = std::fs::remove_dir_all(&self.folder);
         Ok(verdict)
     }
 
@@ -280,6 +297,12 @@
     }
 }
 
+impl Drop for Play {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// A steward is killed and starts again with a known list that is older than one of the hosts; meanwhile that host has
 /// left the list.
 fn removed(trouble: bool, record: &str) -> std::io::Result<i32> {
@@ -440,7 +463,8 @@
     {
         let state = play.world.lock();
         served |= state.tries.iter().any(|one| one.host == "h9" && one.at < told);
-        let late: Vec<_> = state.tries.iter().filter(|one| one.host == "h9" && one.at > told + grace).collect();
+        let late: Vec<_> =
+            state.tries.iter().filter(|one| one.host == "h9" && one.at > told + grace).collect();
         if let (Some(first), Some(last)) = (late.first(), late.last()) {
             let lost = late.iter().filter(|one| !one.answered).count();
             broken.push(format!(
--- a/review/standin/discovery.rs
+++ b/review/standin/discovery.rs
@@ -148,14 +148,15 @@
             None => {
                 // A host absent from a complete list is removed.
                 let gone = list.changes.iter().map(|(_, host)| host.id.clone());
-                gone.filter(|id| {
-                    !list.hosts.iter().any(|host| host.id == *id && host.lifecycle == "active")
-                })
-                .collect()
+                gone.filter(|id| !list.hosts.iter().any(|host| host.id == *id && host.lifecycle == "active"))
+                    .collect()
             }
             Some(since) => {
                 let changes = list.changes.iter().filter(|(generation, _)| *generation > since);
-                changes.filter(|(_, host)| host.lifecycle != "active").map(|(_, host)| host.id.clone()).collect()
+                changes
+                    .filter(|(_, host)| host.lifecycle != "active")
+                    .map(|(_, host)| host.id.clone())
+                    .collect()
             }
         };
         let pieces = list.pieces;
--- a/review/standin/forwarder.rs
+++ b/review/standin/forwarder.rs
@@ -85,7 +85,8 @@
         match socket.read(&mut part) {
             Ok(0) => return Ok(()),
             Ok(read) => received.extend_from_slice(&part[..read]),
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(error)
+                if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
             Err(error) => return Err(error),
         }
         while received.len() >= 4 {
@@ -148,8 +149,10 @@
             (slice, 0)
         };
         *arrived.entry((slice as u64, class as u64)).or_default() += 1;
-        let Some((server, (host, address))) =
-            table.lines.get(&(slice as u64)).and_then(|server| Some((*server, table.servers.get(server)?.clone())))
+        let Some((server, (host, address))) = table
+            .lines
+            .get(&(slice as u64))
+            .and_then(|server| Some((*server, table.servers.get(server)?.clone())))
         else {
             world.lock().refused += 1;
             continue;
--- a/review/standin/list_store.rs
+++ b/review/standin/list_store.rs
@@ -257,13 +257,7 @@
     None
 }
 
-fn send(
-    writer: &Mutex<TcpStream>,
-    kind: u8,
-    flags: u8,
-    stream: u32,
-    payload: &[u8],
-) -> std::io::Result<()> {
+fn send(writer: &Mutex<TcpStream>, kind: u8, flags: u8, stream: u32, payload: &[u8]) -> std::io::Result<()> {
     let length = (payload.len() as u32).to_be_bytes();
     let head = [&length[1..], &[kind, flags], &stream.to_be_bytes()].concat();
     let mut socket = writer.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
--- a/review/standin/proxies.rs
+++ b/review/standin/proxies.rs
@@ -63,8 +63,7 @@
     text: &str,
 ) -> std::io::Result<()> {
     if !open.contains_key(host) {
-        let to: std::net::SocketAddr =
-            address.parse().map_err(|_| std::io::Error::other("no address"))?;
+        let to: std::net::SocketAddr = address.parse().map_err(|_| std::io::Error::other("no address"))?;
         let socket = TcpStream::connect_timeout(&to, Duration::from_millis(250))?;
         socket.set_nodelay(true)?;
         socket.set_read_timeout(Some(Duration::from_millis(1_200)))?;
@@ -111,7 +110,8 @@
         number += 1;
         let address = directory.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).get(&host).cloned();
         let at = Instant::now();
-        let sent = send(&mut open, &host, &address.unwrap_or_default(), &format!("{proxy}-{number} {slice}\n"));
+        let sent =
+            send(&mut open, &host, &address.unwrap_or_default(), &format!("{proxy}-{number} {slice}\n"));
         if sent.is_err() {
             open.remove(&host);
         }
--- a/review/standin/relay.rs
+++ b/review/standin/relay.rs
@@ -100,9 +100,8 @@
     let class = |name: &Json| ["quote", "commit"].iter().position(|class| name.text() == Some(class));
     for order in orders {
         let slice = order.get("cluster").number().map(|slice| slice as usize);
-        let held = slice.is_none_or(|slice| {
-            state.slices.get(slice).is_some_and(|entry| entry.charge == Some(steward))
-        });
+        let held = slice
+            .is_none_or(|slice| state.slices.get(slice).is_some_and(|entry| entry.charge == Some(steward)));
         match order.get("verb").text() {
             Some("share") => {
                 let (Some(slice), Some(host)) = (slice, order.get("target").text()) else { break };
--- a/review/standin/steward.rs
+++ b/review/standin/steward.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -17,6 +18,26 @@
     child: Option<Child>,
 }
 
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// The command of a steward, which ends with this process, however that ends.
+fn command(run: &str) -> Command {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: std::ffi::c_ulong = 9;
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", run]);
+    // SAFETY: prctl is a bare system call, and allowed between fork and exec.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        });
+    }
+    command
+}
+
 /// The line `run` of the deploy file.
 fn run_line(root: &str) -> Option<String> {
     let deploy = std::fs::read_to_string(format!("{root}/deploy/balancer.toml")).ok()?;
@@ -35,8 +56,7 @@
         let root = std::env::var("ROOT").unwrap_or_else(|_| ".".to_owned());
         let run = run_line(&root).ok_or(std::io::Error::other("no line run"))?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new("/bin/sh")
-            .args(["-c", &run])
+        let child = command(&run)
             .current_dir(&root)
             .env("RELAY_NAME", format!("n{}", self.number))
             .env("RELAY_LISTEN", &self.listen)
@@ -57,8 +77,7 @@
         let run = run_line(&root).ok_or(std::io::Error::other("no line run"))?;
         let run = run.replace(" platform", &format!(" serve {}", self.config.display()));
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new("/bin/sh")
-            .args(["-c", &run])
+        let child = command(&run)
             .current_dir(&root)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -322,7 +322,9 @@
                 self.schedule(at, Event::Read { proxy, steward, epoch, slice: None });
             }
             Event::Read { proxy, steward, epoch, slice } => {
-                if self.proxies[proxy].epoch[steward] != epoch || self.proxies[proxy].joined[steward].is_none() {
+                if self.proxies[proxy].epoch[steward] != epoch
+                    || self.proxies[proxy].joined[steward].is_none()
+                {
                     return;
                 }
                 for n in 0..site.slices {
@@ -333,7 +335,9 @@
                 }
             }
             Event::Apply { proxy, steward, epoch, changes, sent } => {
-                if self.proxies[proxy].epoch[steward] != epoch || self.proxies[proxy].joined[steward].is_none() {
+                if self.proxies[proxy].epoch[steward] != epoch
+                    || self.proxies[proxy].joined[steward].is_none()
+                {
                     return;
                 }
                 for change in changes {
