A host that has left is gone also when a record names it after the list

Cause: `line_recorded` presumed any host ready that no list had named, also where a complete list had come that lacks it. The steward did not remember that one had. Evidence: in the module, complete list and then record gives no revoke, the other order does; in the process test nothing was revoked within 60 s while the host's tries were reported as good.

Change: the steward remembers a complete list (`has_complete_list`), and a record names a gone host from then on; that is what the list's end does to one named before. A list without the names of some entries (`ListScope::Partial`) proves nothing by absence. A start from a record is applied by itself (`server_started`): in `serve` it went in as a list of changes, which would count as a list now.

`a_server_named_only_by_a_record_keeps_its_slices_until_it_is_missing_from_a_list` stated the fault: it had a complete list from its set-up. It has a stored one now, and the same assertions.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -122,7 +122,7 @@
         steward.list_begin(ListScope::Stored);
         for (server, health, boot) in list {
             let server = servers.learn(&server.id, &server.zone, &server.address);
-            servers.set_listed(server, *health, *boot);
+            servers.learn_start(server, *boot);
             steward.list_entry(server, *health, *boot);
         }
         steward.list_end(ListScope::Stored);
@@ -187,16 +187,13 @@
     /// Starts a server list; entries follow with `list_entry`, and `list_end` completes it.
     pub fn list_begin(&mut self, scope: ListScope) {
         self.decision_due = true;
-        if scope != ListScope::Changes {
-            self.servers.clear_listed();
-        }
         self.steward.list_begin(scope);
     }
 
     /// Adds one server to the list that was started.
     pub fn list_entry(&mut self, id: &str, zone: &str, address: &str, health: Health, boot: Time) {
         let server = self.servers.learn(id, zone, address);
-        self.servers.set_listed(server, health, boot);
+        self.servers.learn_start(server, boot);
         self.steward.list_entry(server, health, boot);
     }
 
--- a/crates/host/src/ownership.rs
+++ b/crates/host/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Assignment of slices to this steward and their release, where several stewards share the slices.
 
 use ravenspar_protocol::Frame;
-use ravenspar_steward::{Health, ListScope, Time};
+use ravenspar_steward::Time;
 
 use crate::proxy::NEVER;
 use crate::table::{write_assigned, write_left, Change};
@@ -99,13 +99,9 @@
     /// would seem to have been lost by it.
     fn apply_recorded_start(&mut self, id: &str, boot: Time) {
         let server = self.servers.index(id);
-        let Some(listed) = self.servers.record_start(server, boot) else { return };
-        self.steward.list_begin(ListScope::Changes);
-        self.steward.list_entry(server, listed.unwrap_or(Health::Ready), boot);
-        if listed.is_none() {
-            self.steward.list_entry(server, Health::Gone, boot);
+        if self.servers.learn_start(server, boot) {
+            self.steward.server_started(server, boot);
         }
-        self.steward.list_end(ListScope::Changes);
     }
 
     /// Publishes an update that has no routes to record; returns its number.
--- a/crates/host/src/servers.rs
+++ b/crates/host/src/servers.rs
@@ -1,6 +1,6 @@
 //! The servers known so far, by small indices that stay the same as long as the host runs.
 
-use ravenspar_steward::{Health, IdTable, Time};
+use ravenspar_steward::{IdTable, Time};
 
 /// What a proxy needs to know to send requests to a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -15,8 +15,8 @@
 pub struct Servers {
     index: IdTable<String>,
     all: Vec<Server>,
-    /// Per server: its health in the current list, and its newest start known from list or record.
-    listed: Vec<(Option<Health>, Time)>,
+    /// Per server: its newest start known from list or record, 0 if unknown.
+    boots: Vec<Time>,
 }
 
 impl Servers {
@@ -25,7 +25,7 @@
         let server = self.index.index(&id.to_owned());
         if server == self.all.len() {
             self.all.push(Server { id: id.to_owned(), ..Server::default() });
-            self.listed.push((None, 0));
+            self.boots.push(0);
         }
         server
     }
@@ -38,30 +38,17 @@
         index
     }
 
-    /// Forgets the listed health of all servers, as a complete list follows.
-    pub fn clear_listed(&mut self) {
-        self.listed.iter_mut().for_each(|entry| entry.0 = None);
-    }
-
-    /// Sets what the list has of a server.
-    pub fn set_listed(&mut self, server: usize, health: Health, boot: Time) {
-        let entry = &mut self.listed[server];
-        *entry = (Some(health), boot.max(entry.1));
-    }
-
-    /// Applies a start known from the record. Returns the server's listed health if the start is newer than the known
-    /// one, else `None`.
-    pub fn record_start(&mut self, server: usize, boot: Time) -> Option<Option<Health>> {
-        let entry = &mut self.listed[server];
-        (boot > entry.1).then(|| {
-            entry.1 = boot;
-            entry.0
-        })
+    /// Applies a start from the list or the record. Returns true if it is newer than the known one.
+    pub fn learn_start(&mut self, server: usize, boot: Time) -> bool {
+        let known = &mut self.boots[server];
+        let is_newer = boot > *known;
+        *known = boot.max(*known);
+        is_newer
     }
 
     /// Returns when a server last started, as far as known.
     pub fn boot(&self, server: usize) -> Time {
-        self.listed[server].1
+        self.boots[server]
     }
 
     pub fn get(&self, server: usize) -> &Server {
--- a/crates/host/tests/charges.rs
+++ b/crates/host/tests/charges.rs
@@ -130,6 +130,41 @@
     );
 }
 
+/// A removed server's slice is revoked where it is taken over, whether the list or the record comes first, and whether or
+/// not the record has a start of the server.
+#[test]
+fn a_slice_taken_over_at_a_server_that_the_list_lacks_is_revoked() {
+    for (boot, list_first) in [(0, true), (0, false), (77, true), (77, false)] {
+        let mut host = Host::without_slices(0, 7, settings(1, 1), 5, &[]).expect("settings are complete");
+        if list_first {
+            list(&mut host, &["a", "b"], Health::Ready);
+        }
+        join(&mut host, 0, 1, 0);
+        let owner = Some(("removed".to_owned(), 1.0, boot));
+        host.assign(0, &[AssignedSlice { slice: 0, term: 9, echoed_until: Some(0), owner }]);
+        let mut frames = run_for_span(&mut host, 0, SECOND / 2, &[1]);
+        if !list_first {
+            assert_eq!(numbers_with_tag(&frames, tag::DROP), [], "no list has come: start {boot}");
+            list(&mut host, &["a", "b"], Health::Ready);
+            frames = run_for_span(&mut host, SECOND / 2, SECOND, &[1]);
+        }
+        assert_eq!(numbers_with_tag(&frames, tag::DROP), [0], "start {boot}, list first: {list_first}");
+    }
+}
+
+/// The same for a steward that starts over with its record and its last list: the first list from the source tells.
+#[test]
+fn a_recorded_slice_at_a_server_that_the_list_lacks_is_revoked_after_a_restart() {
+    let record = [(0, "removed".to_owned(), 1.0)];
+    let mut host = Host::new(0, 7, settings(1, 1), 2, &[], &record).expect("settings are complete");
+    join(&mut host, 0, 1, 0);
+    let frames = run_for_span(&mut host, 0, SECOND / 2, &[1]);
+    assert_eq!(numbers_with_tag(&frames, tag::DROP), [], "no list has come");
+    list(&mut host, &["a", "b"], Health::Ready);
+    let frames = run_for_span(&mut host, SECOND / 2, SECOND, &[1]);
+    assert_eq!(numbers_with_tag(&frames, tag::DROP), [0]);
+}
+
 /// Guards against a list that lags behind the record: if a recorded start looked new once the list shows it, the
 /// slices that the server holds would count as lost.
 #[test]
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -96,13 +96,15 @@
                     first_error = first_error.and(Err(error));
                     match raw["instanceId"].as_str() {
                         Some(id) => kept.extend(self.find(id)),
-                        None => scope = if scope == ListScope::Complete { ListScope::Changes } else { scope },
+                        None if scope == ListScope::Complete => scope = ListScope::Partial,
+                        None => {}
                     }
                 }
             }
         }
         kept.retain(|&server| self.listed[server]);
-        let mut listed = if scope == ListScope::Changes { self.listed.clone() } else { Vec::new() };
+        let names_all = !matches!(scope, ListScope::Changes | ListScope::Partial);
+        let mut listed = if names_all { Vec::new() } else { self.listed.clone() };
         steward.list_begin(scope);
         for (id, health, listed_start) in read {
             // A gone host that is unknown needs no index.
@@ -118,7 +120,7 @@
             steward.list_entry(server, health, started);
         }
         listed.resize(self.listed.len(), false);
-        for server in kept.into_iter().filter(|_| scope != ListScope::Changes) {
+        for server in kept.into_iter().filter(|_| names_all) {
             listed[server] = true;
             steward.list_entry(server, self.last[server].health, self.last[server].started);
         }
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -1,6 +1,7 @@
 mod calls;
 mod gaps;
 mod lists;
+mod removed;
 mod reports;
 mod settling;
 
@@ -68,11 +69,21 @@
     }
 
     fn with(settings: &Value, hosts: &[Value]) -> Harness {
+        let mut harness = Harness::before_list(settings, hosts);
+        harness.receive_whole_list(1, hosts);
+        harness
+    }
+
+    /// A session that has only the list of its configuration.
+    fn before_list(settings: &Value, hosts: &[Value]) -> Harness {
         let known = list(1, true, hosts);
         let session = Session::new(START, 7, settings, &known).expect("valid settings");
-        let mut harness = Harness { session, now: START, call: None, live: false };
-        harness.session.handle_list(START, known.to_string().as_bytes(), true).expect("a valid list");
-        harness
+        Harness { session, now: START, call: None, live: false }
+    }
+
+    fn receive_whole_list(&mut self, version: u64, hosts: &[Value]) {
+        let list = list(version, true, hosts).to_string();
+        self.session.handle_list(self.now, list.as_bytes(), true).expect("a valid list");
     }
 
     fn notify(&mut self, method: &str, params: Value) {
--- a/crates/ravenspar/tests/platform/main.rs
+++ b/crates/ravenspar/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod moves;
 mod news;
 mod recovery;
+mod removed;
 mod reports;
 mod shape;
 mod stopped;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -41,6 +41,8 @@
     Changes,
     /// The complete list.
     Complete,
+    /// The complete list without entries whose server can't be told: nothing follows from a server's absence.
+    Partial,
     /// The complete list as it was stored before a restart; newer servers may be missing.
     Stored,
 }
--- a/crates/steward/src/rebalance.rs
+++ b/crates/steward/src/rebalance.rs
@@ -78,6 +78,8 @@
     peak_completed_rate: f64,
     /// Changes of the server list arrive without another request.
     list_subscribed: bool,
+    /// A complete list, or the changes since the stored one, came after the start: servers that it lacks are gone.
+    has_complete_list: bool,
     /// When the list is requested next if it isn't subscribed.
     next_subscribe_at: Time,
 }
--- a/crates/steward/src/rebalance/inputs.rs
+++ b/crates/steward/src/rebalance/inputs.rs
@@ -20,7 +20,7 @@
     pub fn list_begin(&mut self, scope: ListScope) {
         self.decision_due = true;
         // A server absent from a complete list is gone; the others are marked as listed again by their entries.
-        if scope != ListScope::Changes {
+        if matches!(scope, ListScope::Complete | ListScope::Stored) {
             self.servers.iter_mut().for_each(|server| server.listed = false);
         }
     }
@@ -32,9 +32,17 @@
         if !entry.listed {
             return; // `list_end` handles it, like servers absent from a complete list
         }
-        // A restarted server no longer serves its slices, even if no list showed it as gone.
+        self.server_started(server, boot);
+        let entry = &mut self.servers[server];
+        (entry.presumed_ready, entry.health) = (false, health);
+    }
+
+    /// Applies a start of a server, known from a list or a record. A restarted server no longer serves the slices that it
+    /// held, even if no list showed it as gone.
+    pub fn server_started(&mut self, server: usize, boot: Time) {
+        let entry = self.server(server);
         let restarted = boot > entry.boot && entry.health == Health::Ready;
-        (entry.presumed_ready, entry.health, entry.boot) = (false, health, boot.max(entry.boot));
+        entry.boot = boot.max(entry.boot);
         if restarted {
             let held = self.slices.iter_mut().filter(|slice| slice.owner() == Some(server));
             held.for_each(|slice| slice.state = State::Owned { server, restarted: true });
@@ -47,13 +55,21 @@
             return; // servers may have been added since
         }
         self.list_subscribed = true;
-        let only_draining_binds = self.cfg.flag("safety.only_draining_binds");
-        for server in self.servers.iter_mut().filter(|server| !server.listed) {
+        self.has_complete_list |= scope != ListScope::Partial;
+        let (has_complete_list, only_draining_binds) = (self.has_complete_list, self.only_draining_binds());
+        // A server that only a record names is absent from the list as well, once there is a complete one.
+        let dropped = |server: &&mut Server| !server.listed && (server.seen || has_complete_list);
+        for server in self.servers.iter_mut().filter(dropped) {
             server.presumed_ready = only_draining_binds && server.health == Health::Ready;
             server.health = if server.presumed_ready { Health::Ready } else { Health::Gone };
         }
     }
 
+    /// Returns true if a server that the list drops without a drain may stay in use.
+    fn only_draining_binds(&self) -> bool {
+        self.cfg.flag("safety.only_draining_binds")
+    }
+
     /// Forgets a server so that its index can be reused. Returns false if the server is still present or referred to.
     pub fn forget(&mut self, server: usize) -> bool {
         let gone = |server: &Server| server.health == Health::Gone && !server.listed && !server.withdrawn;
@@ -156,9 +172,11 @@
         self.decision_due = true;
         // A line below full weight was granted for reads only while the slice settled: it gives no ownership.
         let is_whole = weight >= FULL_WEIGHT;
+        // A server absent from a complete list is gone, whether its record comes before or after the list.
+        let may_be_ready = !self.has_complete_list || self.only_draining_binds();
         let entry = self.server(server);
         (entry.initial_slices, entry.last_recorded_at) = (entry.initial_slices + usize::from(is_whole), now);
-        if !entry.seen {
+        if !entry.seen && may_be_ready {
             (entry.presumed_ready, entry.health) = (true, Health::Ready);
         }
         if let Some(entry) = self.slices.get_mut(slice) {
--- a/crates/steward/src/rebalance/tests/mod.rs
+++ b/crates/steward/src/rebalance/tests/mod.rs
@@ -17,6 +17,11 @@
 
 /// Returns a steward with all slices owned by server 0 of `servers` ready ones, and with `proxies` joined.
 fn steward(slices: usize, servers: usize, proxies: usize) -> Steward {
+    steward_with_list(ListScope::Complete, slices, servers, proxies)
+}
+
+/// The same, with the servers known from a list of this scope.
+fn steward_with_list(scope: ListScope, slices: usize, servers: usize, proxies: usize) -> Steward {
     let mut cfg = Settings::default();
     for (name, value) in [
         ("family_info.write_lease_s", "4"),
@@ -38,9 +43,9 @@
     cfg.set("family_info.ranges", &slices.to_string());
     cfg.set("family_info.proxy_count", &proxies.to_string());
     let mut steward = Steward::new(0, 7, cfg).expect("all required settings are set");
-    steward.list_begin(ListScope::Complete);
+    steward.list_begin(scope);
     (0..servers).for_each(|server| steward.list_entry(server, Health::Ready, 0));
-    steward.list_end(ListScope::Complete);
+    steward.list_end(scope);
     (0..proxies).for_each(|proxy| steward.proxy_joined(proxy, 0.0));
     for slice in 0..slices {
         steward.slice_assigned(0, slice);
