Discovery's answers are read while they make progress, list and changes by themselves

Cause: an answer had 1.5 s in all, whether or not bytes arrived, where what discovery says counts as told after 6 s; and the whole list was asked for in the place of the watch until there was one, so the changes waited for it.

Change: `list_requests.rs`, pure, decides what is queried and how long each answer is waited for. The complete list and the changes are independent. A stalled answer stays open while the query is repeated on another connection, four at a time at most; one without a byte for 6 s is abandoned. A complete list that newer changes have overtaken is left out, and is no sign of a restarted discovery (`ListError`). `Observed` counts a socket's bytes; `PieceRelay` delivers a stand-in's bytes in pieces.

Tests: the process test `a_drain_is_followed_though_all_answers_come_in_pieces` fails on the code before (not within 60 s). Twelve tests of the queries in simulated time: seven paces of the list by two of the changes, a first list of 40 s, answers that stall, never end or fail. One of the session; one of `serve` with its list's store in pieces, which passed before as well.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,8 +1,10 @@
-//! The clock and the listening socket that the program's network fronts share.
+//! The clock and the sockets that the program's network fronts share.
 
 mod clock;
+mod progress;
 
 pub use clock::Clock;
+pub use progress::{Observed, Progress};
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Send buffer of an accepted stream, in bytes. It holds an update of some thousand lines, and is small
--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use ravenspar_platform::Addresses;
+use ravenspar_platform::{Addresses, ListError, Time};
 use serde_json::Value;
 use tokio::sync::{oneshot, watch};
 
@@ -30,8 +30,17 @@
     Answer(String),
     /// The call in progress failed: true if the relay may have received it, and the reason.
     CallLost(bool, String),
-    /// A host list, true if it is a full one, and where to send its version (`None` if it can't be used).
-    List(Bytes, bool, oneshot::Sender<Option<u64>>),
+    List(ListResponse),
+}
+
+/// A host list from discovery.
+struct ListResponse {
+    body: Bytes,
+    /// The complete list was requested, not changes.
+    is_complete: bool,
+    requested_at: Time,
+    /// Where to send the version of the list now held, or why this one was not accepted.
+    verdict: oneshot::Sender<Result<u64, ListError>>,
 }
 
 /// Events that may wait for the session loop. Sockets are not read further while the queue is full.
--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use ravenspar_net::{listen, Clock};
-use ravenspar_platform::{Addresses, Call, Config, Session, Time};
+use ravenspar_platform::{Addresses, Call, Config, ListError, Session, Time};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::listener::{self, Connections, Listener};
 use crate::tasks::Tasks;
-use crate::{discovery, process, relay, Event, EVENT_QUEUE_CAPACITY};
+use crate::{discovery, process, relay, Event, ListResponse, EVENT_QUEUE_CAPACITY};
 
 /// Why the steward could not start or go on.
 #[derive(Debug)]
@@ -90,7 +90,7 @@
     listener_task.spawn("listener", listener::accept_peers(listener_setup));
     tasks.spawn("relay's calls", relay::run_calls(address_updates.clone(), call_queue, events.clone()));
     tasks.spawn("relay's news", relay::run_subscriptions(address_updates.clone(), unusable, events.clone()));
-    tasks.spawn("list", discovery::watch_hosts(address_updates, events));
+    tasks.spawn("list", discovery::watch_hosts(address_updates, clock, events));
     tracing::info!(name = %config.name, listen = %address, relay = %config.addresses.relay,
         discovery = %config.addresses.discovery, "serving");
     let mut session_loop = SessionLoop {
@@ -225,15 +225,23 @@
                 tracing::info!(call = self.last_call, written, %why, "a call is lost");
                 self.session.handle_call_lost(now, written);
             }
-            Event::List(body, is_full, version_tx) => {
-                tracing::trace!(body = %String::from_utf8_lossy(&body), "list");
-                let accepted = self.session.handle_list(now, &body, is_full);
-                if let Err(why) = &accepted {
-                    tracing::warn!(%why, "a list that can't be used");
-                }
-                let _ = version_tx.send(accepted.ok());
-            }
+            Event::List(response) => self.handle_list(now, response),
+        }
+    }
+
+    fn handle_list(
+        &mut self,
+        now: Time,
+        ListResponse { body, is_complete, requested_at, verdict }: ListResponse,
+    ) {
+        tracing::trace!(body = %String::from_utf8_lossy(&body), "list");
+        let accepted = self.session.handle_list(now, &body, is_complete, requested_at);
+        match &accepted {
+            Ok(_) => {}
+            Err(why @ ListError::Overtaken { .. }) => tracing::debug!(%why, "a list that is not needed"),
+            Err(why) => tracing::warn!(%why, "a list that can't be used"),
         }
+        let _ = verdict.send(accepted);
     }
 
     /// Logs when a subscription's snapshot has been received completely.
--- /dev/null
+++ b/crates/platform/src/list_requests.rs
@@ -0,0 +1,276 @@
+//! Decides when discovery is queried, and how long each answer is waited for. No I/O, no clock.
+//!
+//! The complete list and the changes are queried independently, so that neither waits for the other's answer. An answer may
+//! be delivered in pieces and is read for as long as it makes progress. If it stalls, the query is repeated on another
+//! connection while the stalled one stays open (a hedged request): the first complete answer counts.
+
+use std::collections::VecDeque;
+
+use ravenspar_steward::{Time, SECOND};
+
+/// How long discovery may hold a query for changes. Short, so that a query that will never be answered is soon repeated.
+const LONG_POLL: Time = SECOND;
+
+/// The complete list is queried this often. Guards against a watch that is alive and reports no changes any more, or that
+/// has left one out.
+const COMPLETE_LIST_INTERVAL: Time = 10 * SECOND;
+
+/// A query is repeated if nothing has been received for this long: the longest hold of a query for changes, and a margin, as
+/// the agent is on this machine and answers at once.
+const STALL_TIMEOUT: Time = LONG_POLL + SECOND / 2;
+
+/// Whatever discovery reports arrives within this time: an attempt that has received nothing for this long is abandoned,
+/// and a query is repeated after this long even if its answer makes progress.
+const ANSWER_TIMEOUT: Time = 6 * SECOND;
+
+/// Attempts of one query at a time: a stalled answer may go on until [`ANSWER_TIMEOUT`] while the query is repeated at every
+/// [`STALL_TIMEOUT`].
+const MAX_ATTEMPTS: usize = (ANSWER_TIMEOUT / STALL_TIMEOUT) as usize;
+
+/// Pause before a query is repeated after the second failure in a row, and after each further one. The first is repeated at
+/// once: the watch goes on only if the next query comes soon.
+const RETRY_PAUSE: Time = SECOND / 10;
+
+/// Consecutive failures of queries for changes after which the complete list is queried.
+const FAILURES_BEFORE_COMPLETE_LIST: u32 = 4;
+
+/// What discovery is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListQuery {
+    /// The complete list.
+    Complete,
+    /// The changes since this version, as soon as there are any.
+    ChangesSince(u64),
+}
+
+impl ListQuery {
+    /// Returns the path and query string of the request.
+    pub fn path(self) -> String {
+        match self {
+            ListQuery::Complete => "/discovery/hosts".to_owned(),
+            ListQuery::ChangesSince(version) => {
+                format!("/discovery/hosts?since={version}&timeout_ms={}", LONG_POLL / (SECOND / 1_000))
+            }
+        }
+    }
+}
+
+/// An action for the caller to carry out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListAction {
+    /// Sends a query on a connection that carries no other one.
+    Send { id: u64, query: ListQuery },
+    /// Closes the connection of an attempt, whose answer is not needed any more.
+    Abandon { id: u64 },
+}
+
+/// A query that was sent and is not answered yet.
+#[derive(Debug)]
+struct Attempt {
+    id: u64,
+    /// Bytes of the answer so far.
+    received: u64,
+    /// When it was sent, or when it last received bytes.
+    progressed_at: Time,
+}
+
+/// One of the two queries: its attempts, or when it is sent next.
+#[derive(Debug)]
+struct Fetch {
+    attempts: Vec<Attempt>,
+    /// When it is sent next, if no attempt is in progress.
+    due_at: Time,
+    last_sent_at: Time,
+    /// Consecutive failures.
+    failures: u32,
+}
+
+impl Fetch {
+    fn new(due_at: Time) -> Fetch {
+        Fetch { attempts: Vec::new(), due_at, last_sent_at: due_at, failures: 0 }
+    }
+
+    /// Returns when it is sent next.
+    fn next_send_at(&self) -> Time {
+        let Some(progressed_at) = self.attempts.iter().map(|attempt| attempt.progressed_at).max() else {
+            return self.due_at;
+        };
+        let stalled_at = progressed_at.max(self.last_sent_at) + STALL_TIMEOUT;
+        stalled_at.min(self.last_sent_at + ANSWER_TIMEOUT)
+    }
+
+    /// Returns when the first of its attempts times out.
+    fn next_expiry(&self) -> Option<Time> {
+        self.attempts.iter().map(|attempt| attempt.progressed_at + ANSWER_TIMEOUT).min()
+    }
+
+    /// Removes an attempt that has timed out, if there is one, and returns its id.
+    fn take_expired(&mut self, now: Time) -> Option<u64> {
+        let expired = |attempt: &Attempt| now >= attempt.progressed_at + ANSWER_TIMEOUT;
+        let index = self.attempts.iter().position(expired)?;
+        Some(self.attempts.remove(index).id)
+    }
+
+    /// Removes the attempt that has received least if there are as many as may be, and returns its id. The one that has
+    /// received most goes on, so that a slow answer is read to its end.
+    fn take_surplus(&mut self) -> Option<u64> {
+        if self.attempts.len() < MAX_ATTEMPTS {
+            return None;
+        }
+        let least = (0..self.attempts.len()).min_by_key(|&index| self.attempts[index].received)?;
+        Some(self.attempts.remove(least).id)
+    }
+
+    /// Removes an attempt. Returns false if it is not one of this query.
+    fn remove(&mut self, id: u64) -> bool {
+        let index = self.attempts.iter().position(|attempt| attempt.id == id);
+        index.map(|index| self.attempts.remove(index)).is_some()
+    }
+
+    /// Records that an attempt has failed.
+    fn failed(&mut self, now: Time) {
+        self.failures += 1;
+        self.due_at = if self.failures == 1 { now } else { now + RETRY_PAUSE };
+    }
+
+    /// Records that the query needs no further answer and is sent again at `due_at`. Returns how to end its other attempts.
+    fn finish(&mut self, due_at: Time) -> impl Iterator<Item = ListAction> {
+        (self.due_at, self.failures) = (due_at, 0);
+        std::mem::take(&mut self.attempts).into_iter().map(|attempt| ListAction::Abandon { id: attempt.id })
+    }
+}
+
+/// The queries to discovery at one address.
+#[derive(Debug)]
+pub struct ListRequests {
+    /// The version of the list held, from which changes are queried.
+    version: Option<u64>,
+    complete: Fetch,
+    changes: Fetch,
+    next_id: u64,
+    actions: VecDeque<ListAction>,
+}
+
+impl ListRequests {
+    /// Creates the queries of a process that has received no list: the complete list is queried first.
+    pub fn new(now: Time) -> ListRequests {
+        ListRequests {
+            version: None,
+            complete: Fetch::new(now),
+            changes: Fetch::new(now),
+            next_id: 0,
+            actions: VecDeque::new(),
+        }
+    }
+
+    /// Abandons all attempts and starts over, as discovery is at another address. It may number its versions differently.
+    pub fn restart(&mut self, now: Time) {
+        self.version = None;
+        self.actions.extend(self.complete.finish(now));
+        self.actions.extend(self.changes.finish(now));
+    }
+
+    /// Records how many bytes an attempt has received, and when it received the last of them.
+    pub fn handle_progress(&mut self, id: u64, received: u64, at: Time) {
+        let mut attempts = self.complete.attempts.iter_mut().chain(&mut self.changes.attempts);
+        if let Some(attempt) = attempts.find(|attempt| attempt.id == id && received > attempt.received) {
+            (attempt.received, attempt.progressed_at) = (received, at.max(attempt.progressed_at));
+        }
+    }
+
+    /// Handles an answer that was accepted: the list is now of this version.
+    pub fn handle_accepted(&mut self, now: Time, id: u64, version: u64) {
+        // Discovery has started over: changes since a version of before may never come.
+        let is_renumbered = self.version.is_some_and(|known| version < known);
+        self.version = Some(version);
+        self.handle_answered(now, id);
+        if is_renumbered {
+            self.actions.extend(self.changes.finish(now));
+        }
+    }
+
+    /// Handles an answer that is not needed, as a newer list was received while it was on its way. Without a list from this
+    /// address, where the newer one came from another, it counts as a failure.
+    pub fn handle_overtaken(&mut self, now: Time, id: u64) {
+        match self.version {
+            Some(_) => self.handle_answered(now, id),
+            None => _ = self.handle_failed(now, id),
+        }
+    }
+
+    fn handle_answered(&mut self, now: Time, id: u64) {
+        let next_complete = now + COMPLETE_LIST_INTERVAL;
+        for (fetch, due_at) in [(&mut self.complete, next_complete), (&mut self.changes, now)] {
+            if fetch.remove(id) {
+                self.actions.extend(fetch.finish(due_at));
+            }
+        }
+    }
+
+    /// Handles an attempt that failed, or whose answer can't be used. Returns the number of consecutive failures.
+    pub fn handle_failed(&mut self, now: Time, id: u64) -> u32 {
+        for fetch in [&mut self.complete, &mut self.changes] {
+            if fetch.remove(id) {
+                fetch.failed(now);
+            }
+        }
+        self.query_complete_list_if_changes_fail(now);
+        self.failures()
+    }
+
+    /// Returns the number of consecutive failures of the query that failed more often.
+    pub fn failures(&self) -> u32 {
+        self.complete.failures.max(self.changes.failures)
+    }
+
+    fn query_complete_list_if_changes_fail(&mut self, now: Time) {
+        if self.changes.failures >= FAILURES_BEFORE_COMPLETE_LIST {
+            self.complete.due_at = self.complete.due_at.min(now + RETRY_PAUSE);
+        }
+    }
+
+    /// Returns the next action, or `None` if there is none for now.
+    pub fn poll(&mut self, now: Time) -> Option<ListAction> {
+        if self.actions.is_empty() {
+            self.abandon_expired(now);
+            self.send_due(now);
+        }
+        self.actions.pop_front()
+    }
+
+    fn abandon_expired(&mut self, now: Time) {
+        for fetch in [&mut self.complete, &mut self.changes] {
+            while let Some(id) = fetch.take_expired(now) {
+                fetch.failed(now);
+                self.actions.push_back(ListAction::Abandon { id });
+            }
+        }
+        self.query_complete_list_if_changes_fail(now);
+    }
+
+    fn send_due(&mut self, now: Time) {
+        let changes = self.version.map(ListQuery::ChangesSince);
+        for (fetch, query) in [(&mut self.complete, Some(ListQuery::Complete)), (&mut self.changes, changes)]
+        {
+            let Some(query) = query.filter(|_| now >= fetch.next_send_at()) else { continue };
+            let surplus = fetch.take_surplus();
+            self.actions.extend(surplus.map(|id| ListAction::Abandon { id }));
+            let id = self.next_id;
+            self.next_id += 1;
+            fetch.attempts.push(Attempt { id, received: 0, progressed_at: now });
+            fetch.last_sent_at = now;
+            self.actions.push_back(ListAction::Send { id, query });
+        }
+    }
+
+    /// Returns when [`ListRequests::poll`] has to be called next.
+    pub fn next_timeout(&self) -> Time {
+        let complete = self.complete.next_send_at();
+        let changes = self.version.map(|_| self.changes.next_send_at());
+        let expiries = [self.complete.next_expiry(), self.changes.next_expiry()];
+        expiries.into_iter().chain([changes]).flatten().fold(complete, Time::min)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/session/tests.rs
+++ b/crates/platform/src/session/tests.rs
@@ -83,7 +83,7 @@
 
     fn receive_whole_list(&mut self, version: u64, hosts: &[Value]) {
         let list = list(version, true, hosts).to_string();
-        self.session.handle_list(self.now, list.as_bytes(), true).expect("a valid list");
+        self.session.handle_list(self.now, list.as_bytes(), true, self.now).expect("a valid list");
     }
 
     fn notify(&mut self, method: &str, params: Value) {
@@ -129,7 +129,7 @@
 
     fn change_hosts(&mut self, version: u64, hosts: &[Value]) {
         let list = list(version, false, hosts).to_string();
-        self.session.handle_list(self.now, list.as_bytes(), false).expect("a valid list");
+        self.session.handle_list(self.now, list.as_bytes(), false, self.now).expect("a valid list");
     }
 
     fn advance(&mut self, span: Time) {
--- a/crates/platform/src/session/tests/lists.rs
+++ b/crates/platform/src/session/tests/lists.rs
@@ -80,7 +80,10 @@
     for body in
         [late.as_str(), "{}", "[", r#"{"generation":7,"reset":false}"#, r#"{"generation":7,"reset":1.5}"#, ""]
     {
-        assert!(harness.session.handle_list(harness.now, body.as_bytes(), false).is_err(), "{body}");
+        assert!(
+            harness.session.handle_list(harness.now, body.as_bytes(), false, harness.now).is_err(),
+            "{body}"
+        );
     }
     let metrics = harness.session.metrics();
     assert_eq!((metrics.hosts, metrics.list_version), (3, Some(5)));
@@ -93,7 +96,10 @@
     let hosts = |harness: &Harness| (harness.session.metrics().hosts, harness.session.metrics().list_version);
     // B is kept as known, A is drained by this list, C is gone from it.
     let invalid = list(6, true, &[host("A", "leaving", 0), json!({"instanceId": "B", "lifecycle": "?"})]);
-    assert!(harness.session.handle_list(harness.now, invalid.to_string().as_bytes(), true).is_err());
+    assert!(harness
+        .session
+        .handle_list(harness.now, invalid.to_string().as_bytes(), true, harness.now)
+        .is_err());
     assert_eq!(hosts(&harness), (2, Some(5)), "the version is unchanged, so the list is requested again");
     let revoke = harness.poll().expect("a revoke for the drain");
     assert_eq!(verbs(&revoke), ["clear", "mark"]);
@@ -102,12 +108,23 @@
     assert_eq!(grants(&harness.run_settled()), ["B"]);
     // An entry without a name may be any host, so none is gone by its absence.
     let unnamed = list(7, true, &[host("B", "active", 0), json!({"lifecycle": "active"})]);
-    assert!(harness.session.handle_list(harness.now, unnamed.to_string().as_bytes(), true).is_err());
+    assert!(harness
+        .session
+        .handle_list(harness.now, unnamed.to_string().as_bytes(), true, harness.now)
+        .is_err());
     assert_eq!(hosts(&harness), (2, Some(5)));
     let valid = list(7, true, &[host("B", "active", 0)]);
-    assert_eq!(harness.session.handle_list(harness.now, valid.to_string().as_bytes(), true), Ok(7));
+    assert_eq!(
+        harness.session.handle_list(harness.now, valid.to_string().as_bytes(), true, harness.now),
+        Ok(7)
+    );
     assert_eq!(hosts(&harness), (1, Some(7)));
-    let error = harness.session.handle_list(harness.now, list(8, false, &[]).to_string().as_bytes(), true);
+    let error = harness.session.handle_list(
+        harness.now,
+        list(8, false, &[]).to_string().as_bytes(),
+        true,
+        harness.now,
+    );
     assert!(error.is_err(), "changes instead of the whole list");
 }
 
@@ -119,7 +136,7 @@
     let changes = list(4, false, &[host("B", "left", 0)]).to_string();
     let mut apply = |span: Time, body: &str, whole: bool| {
         harness.advance(span);
-        harness.session.handle_list(harness.now, body.as_bytes(), whole)
+        harness.session.handle_list(harness.now, body.as_bytes(), whole, harness.now)
     };
     assert!(apply(0, &late, true).is_err());
     assert!(apply(5 * SECOND, &late, true).is_err());
@@ -132,6 +149,24 @@
     assert_eq!(verbs(&harness.poll().expect("a revoke for the drain")), ["clear", "mark"]);
 }
 
+/// A slow answer that was requested before the current list is no sign that discovery has restarted its versions.
+#[test]
+fn a_list_that_newer_changes_have_overtaken_is_never_accepted() {
+    let mut harness = Harness::new(1, 1);
+    let requested_at = harness.now;
+    harness.advance(SECOND);
+    harness.change_hosts(50, &[host("C", "active", 0)]);
+    let late = list(49, true, &[host("A", "leaving", 0), host("B", "active", 0)]).to_string();
+    for _ in 0..3 {
+        harness.advance(7 * SECOND);
+        let result = harness.session.handle_list(harness.now, late.as_bytes(), true, requested_at);
+        assert_eq!(result, Err(ListError::Overtaken { version: 49 }));
+    }
+    let result = harness.session.handle_list(harness.now, late.as_bytes(), true, harness.now);
+    assert_eq!(result, Err(ListError::Older { version: 49 }), "the first that counts");
+    assert_eq!(harness.session.metrics().hosts, 3);
+}
+
 #[test]
 fn thousands_of_short_lived_hosts_are_forgotten() {
     let mut harness = Harness::new(1, 1);
--- a/crates/platform/src/session/tests/removed.rs
+++ b/crates/platform/src/session/tests/removed.rs
@@ -100,7 +100,7 @@
         let mut harness = restarted();
         let receive = |harness: &mut Harness| {
             let body = unnamed.to_string();
-            assert!(harness.session.handle_list(harness.now, body.as_bytes(), true).is_err());
+            assert!(harness.session.handle_list(harness.now, body.as_bytes(), true, harness.now).is_err());
         };
         if list_first {
             receive(&mut harness);
--- a/crates/platform/src/session/tests/reports.rs
+++ b/crates/platform/src/session/tests/reports.rs
@@ -111,8 +111,8 @@
             let news = json!({"method": METHODS[method], "params": message});
             let _ = harness.session.handle_notification(harness.now, news.to_string().as_bytes());
             let _ = harness.session.handle_notification(harness.now, &bytes);
-            let _ = harness.session.handle_list(harness.now, message.to_string().as_bytes(), false);
-            let _ = harness.session.handle_list(harness.now, &bytes, true);
+            let _ = harness.session.handle_list(harness.now, message.to_string().as_bytes(), false, harness.now);
+            let _ = harness.session.handle_list(harness.now, &bytes, true, harness.now);
             let _ = crate::frames::decode(&bytes, true, harness.session.zones());
             let _ = harness.poll();
             harness.session.handle_answer(harness.now, &bytes);
--- a/crates/platform/tests/changes_of_hands/world/notifications.rs
+++ b/crates/platform/tests/changes_of_hands/world/notifications.rs
@@ -123,7 +123,7 @@
         let list = self.lists[version as usize - 1].to_string();
         // A list older than the current one is refused.
         let sessions = self.stewards[steward].session.iter_mut();
-        sessions.for_each(|session| _ = session.handle_list(now, list.as_bytes(), true));
+        sessions.for_each(|session| _ = session.handle_list(now, list.as_bytes(), true, now));
     }
 
     /// Sends the collectors' reports on servers and slices.
--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -144,7 +144,7 @@
         let hosts =
             hosts.map(|(id, out)| json!({"instanceId": id, "lifecycle": state(out), "startedAtMs": 0}));
         let list = json!({"generation": self.version, "reset": true, "instances": hosts.collect::<Vec<_>>()});
-        self.session.handle_list(self.now, list.to_string().as_bytes(), true).expect("a good list");
+        self.session.handle_list(self.now, list.to_string().as_bytes(), true, self.now).expect("a good list");
     }
 
     fn notify(&mut self, method: &str, params: Value) {
--- a/crates/platform/tests/liveness/world.rs
+++ b/crates/platform/tests/liveness/world.rs
@@ -498,7 +498,7 @@
         });
         let list =
             json!({"generation": self.version, "reset": true, "instances": servers.collect::<Vec<_>>()});
-        self.session.handle_list(self.now, list.to_string().as_bytes(), true).expect("a good list");
+        self.session.handle_list(self.now, list.to_string().as_bytes(), true, self.now).expect("a good list");
     }
 
     fn settle_call(&mut self, faults: &[Fault]) {
--- a/crates/ravenspar/tests/listed.rs
+++ b/crates/ravenspar/tests/listed.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 
 use common::*;
+use ravenspar_standin::pieces::PieceRelay;
 use ravenspar_standin::store::{Faults, Store};
 
 const PREFIX: &str = "/ravenspar/servers/";
@@ -62,6 +63,23 @@
     wait_until("a is used again", &mut [&mut proxy], |all| use_servers(all[0], &["a"]));
 }
 
+/// The same where the store's responses take long and make progress: the first read, and then changes.
+#[test]
+fn drains_are_followed_though_all_responses_come_in_pieces() {
+    let dir = Dir::new(4, 1, &[]);
+    let (store, address) = store(1);
+    (0..40).for_each(|n| put_server(&store, &format!("gone-{n}"), "gone", 100));
+    ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
+    let pieces = PieceRelay::start(address).expect("a relay of bytes");
+    pieces.deliver_in_pieces(200, std::time::Duration::from_millis(225));
+    settings(&dir, pieces.address);
+    let steward = dir.serve(&[]);
+    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
+    put_server(&store, "a", "draining", 100);
+    wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
+}
+
 #[test]
 fn changes_compacted_while_the_store_was_away_are_recovered() {
     let dir = Dir::new(4, 1, &[]);
--- a/crates/ravenspar/tests/platform/list.rs
+++ b/crates/ravenspar/tests/platform/list.rs
@@ -1,6 +1,9 @@
 //! Host lists that are cut off, stop changing, or restart their version numbers.
 
-use ravenspar_standin::platform::{Discovery, ListFault};
+use std::time::Duration;
+
+use ravenspar_standin::pieces::PieceRelay;
+use ravenspar_standin::platform::{Discovery, ListFault, Relay};
 use serde_json::json;
 
 use crate::harness::*;
@@ -15,6 +18,22 @@
     assert!(discovery.calls() > calls + 5, "the watch continued");
 }
 
+/// Guards against answers that are cut off in the middle: from the first list on each one takes longer than discovery may
+/// hold a query, and makes progress.
+#[tokio::test]
+async fn a_drain_is_followed_though_all_answers_come_in_pieces() {
+    let relay = Relay::start(2, "A", 2).await.expect("a relay");
+    let discovery = Discovery::start(&["A", "B"]).await.expect("discovery");
+    let pieces = PieceRelay::start(discovery.address).expect("a relay of bytes");
+    pieces.deliver_in_pieces(40, Duration::from_millis(300));
+    let mut config = config(&relay, &discovery);
+    config["discovery"] = json!(pieces.address.to_string());
+    let _steward = Steward::start(&config).await;
+    wait_until(&relay, |state| state.subscriptions == 1).await;
+    move_all_slices(&relay, &discovery, "A", "B").await;
+    move_all_slices(&relay, &discovery, "B", "A").await;
+}
+
 #[tokio::test]
 async fn lists_that_are_cut_off_are_requested_again() {
     let (relay, discovery, _, _steward) = start_serving().await;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clients;
 pub mod effects;
 pub mod forwarder;
+pub mod pieces;
 pub mod platform;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/pieces.rs
@@ -0,0 +1,84 @@
+//! A TCP relay that delivers what a server sends in pieces, as a slow or busy network does.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// How bytes are delivered to the client.
+#[derive(Clone, Copy, Debug)]
+struct Delivery {
+    /// Bytes of a piece.
+    size: usize,
+    /// Pause after each piece.
+    pause: Duration,
+}
+
+/// A relay in front of a server. Bytes to the server are passed on at once.
+pub struct PieceRelay {
+    pub address: SocketAddr,
+    delivery: Arc<Mutex<Option<Delivery>>>,
+}
+
+impl PieceRelay {
+    /// Starts a relay to this server on a free port, which passes on everything at once until told otherwise.
+    pub fn start(server: SocketAddr) -> std::io::Result<PieceRelay> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let delivery = Arc::new(Mutex::new(None));
+        let shared = delivery.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let shared = shared.clone();
+                thread::spawn(move || drop(relay(client, server, &shared)));
+            }
+        });
+        Ok(PieceRelay { address, delivery })
+    }
+
+    /// From here on bytes to the client are delivered in pieces of this many bytes, with a pause after each.
+    pub fn deliver_in_pieces(&self, size: usize, pause: Duration) {
+        *self.delivery.lock().unwrap_or_else(PoisonError::into_inner) = Some(Delivery { size, pause });
+    }
+}
+
+/// Relays one connection until either end closes it.
+fn relay(client: TcpStream, server: SocketAddr, delivery: &Mutex<Option<Delivery>>) -> std::io::Result<()> {
+    let server = TcpStream::connect(server)?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (mut from_client, mut to_server) = (client.try_clone()?, server.try_clone()?);
+    thread::spawn(move || {
+        let _ = std::io::copy(&mut from_client, &mut to_server);
+        let _ = to_server.shutdown(Shutdown::Both);
+    });
+    let result = deliver(&server, &client, delivery);
+    let _ = client.shutdown(Shutdown::Both);
+    let _ = server.shutdown(Shutdown::Both);
+    result
+}
+
+/// Passes on what the server sends.
+fn deliver(
+    mut server: &TcpStream,
+    mut client: &TcpStream,
+    delivery: &Mutex<Option<Delivery>>,
+) -> std::io::Result<()> {
+    let mut buffer = [0; 4_096];
+    loop {
+        let received = server.read(&mut buffer)?;
+        if received == 0 {
+            return Ok(());
+        }
+        let current = *delivery.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(Delivery { size, pause }) = current else {
+            client.write_all(&buffer[..received])?;
+            continue;
+        };
+        for piece in buffer[..received].chunks(size.max(1)) {
+            client.write_all(piece)?;
+            thread::sleep(pause);
+        }
+    }
+}
