A response of the list's store is read while it makes progress, in serve too

Seen: after a gap, 130 changes in one response that comes in pieces: the list never moves again, and a drain among them is not seen.

The watch was given up once no whole response had come for 6 s, and asked for the same changes again.

A response that comes whole counts as before.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,12 +1,14 @@
 //! Calls with deadlines, failover between endpoints, and retries where they are safe.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status};
 
+use ravenspar_net::{Clock, Progress, StallDetector};
+use ravenspar_steward::Time;
 use ravenspar_store::StoreError;
 
 use crate::api::kv_client::KvClient;
@@ -15,6 +17,7 @@
     LeaseGrantRequest, LeaseKeepAliveRequest, LeaseRevokeRequest, RangeRequest, RangeResponse, TxnRequest,
     TxnResponse,
 };
+use crate::connector::lazy_channel;
 
 /// Maps a status to an error. Some codes mean that the server did not carry out the call; any other may come after it took
 /// effect.
@@ -47,6 +50,9 @@
     current: AtomicUsize,
     deadline: Duration,
     rng: Mutex<fastrand::Rng>,
+    clock: Clock,
+    /// What all connections have received.
+    progress: Arc<Progress>,
 }
 
 /// Checks that a text is a valid endpoint; fails with what is wrong with it.
@@ -60,18 +66,20 @@
 }
 
 impl Client {
-    /// Creates a client that connects on first use. `deadline` bounds each single call. Fails if an endpoint is invalid.
+    /// Creates a client that connects on first use. `deadline` bounds the wait for the begin of each response. Fails if an
+    /// endpoint is invalid.
     pub fn new(endpoints: &[String], deadline: Duration, seed: u64) -> Result<Client, String> {
+        let (clock, progress) = (Clock::new(), Arc::new(Progress::default()));
         let channel = |text: &String| {
             let endpoint = Endpoint::from_shared(text.clone()).map_err(|e| format!("{text}: {e}"))?;
-            Ok(endpoint.connect_timeout(deadline).timeout(deadline).connect_lazy())
+            Ok(lazy_channel(&endpoint.timeout(deadline), deadline, clock, progress.clone()))
         };
         let endpoints: Vec<Channel> = endpoints.iter().map(channel).collect::<Result<_, String>>()?;
         if endpoints.is_empty() {
             return Err("expected one endpoint or more".to_owned());
         }
         let rng = Mutex::new(fastrand::Rng::with_seed(seed));
-        Ok(Client { endpoints, current: AtomicUsize::new(0), deadline, rng })
+        Ok(Client { endpoints, current: AtomicUsize::new(0), deadline, rng, clock, progress })
     }
 
     /// The number of endpoints.
@@ -84,7 +92,22 @@
         self.advance_endpoint();
     }
 
-    /// The deadline of a single call.
+    /// Returns a detector of responses that make no progress for this long.
+    pub fn stall_detector(&self, timeout: Time) -> StallDetector {
+        StallDetector::new(self.clock.now(), self.progress.get().0, timeout)
+    }
+
+    /// Records at a detector that a response was received.
+    pub fn record_response(&self, stall: &mut StallDetector) {
+        stall.progressed(self.clock.now());
+    }
+
+    /// Returns true if nothing has been received for the detector's timeout.
+    pub fn is_stalled(&self, stall: &mut StallDetector) -> bool {
+        stall.is_stalled(self.clock.now(), self.progress.get().0)
+    }
+
+    /// The deadline for the begin of a response.
     pub fn deadline(&self) -> Duration {
         self.deadline
     }
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod commit;
+mod connector;
 mod convert;
 mod watch;
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod clock;
 mod progress;
+mod stall;
 
 pub use clock::Clock;
 pub use progress::{Observed, Progress};
+pub use stall::StallDetector;
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Send buffer of an accepted stream, in bytes. It holds an update of some thousand lines, and is small
--- a/crates/ravenspar/src/list_store.rs
+++ b/crates/ravenspar/src/list_store.rs
@@ -8,7 +8,7 @@
 use ravenspar_etcd::{prefix_end, Client};
 use ravenspar_list::{FollowError, FollowState, Follower, ListedServer};
 use ravenspar_record::ServerRow;
-use ravenspar_steward::from_seconds;
+use ravenspar_steward::{from_seconds, Time, SECOND};
 use serde::Deserialize;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
@@ -151,22 +151,26 @@
         };
         /// Changes that arrive within this time are sent as one notification.
         const BATCH_WINDOW: Duration = Duration::from_millis(20);
-        /// How often the store is asked for its progress. It is given up after three intervals without a response.
+        /// How often the store is asked for its progress.
         const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
-        let (mut last_received, mut notify_at) = (Instant::now(), None::<Instant>);
+        /// The store is given up after three intervals in which nothing is received; a long response goes on for as long as
+        /// it makes progress.
+        const STALL_TIMEOUT: Time = 6 * SECOND;
+        let mut stall = self.client.stall_detector(STALL_TIMEOUT);
+        let mut notify_at = None::<Instant>;
         let mut progress_timer = tokio::time::interval(PROGRESS_INTERVAL);
         progress_timer.tick().await;
         loop {
             let notify_due = notify_at.unwrap_or_else(|| Instant::now() + PROGRESS_INTERVAL);
             tokio::select! {
                 response = watch.next() => {
-                    last_received = Instant::now();
+                    self.client.record_response(&mut stall);
                     match response {
                         Ok(Some(response)) => {
                             if let Err(interruption) = self.handle_response(response) {
                                 return if self.notify(false).await { interruption } else { Interruption::ReceiverClosed };
                             }
-                            notify_at = notify_at.or(Some(last_received + BATCH_WINDOW));
+                            notify_at = notify_at.or(Some(Instant::now() + BATCH_WINDOW));
                         }
                         Ok(None) => return Interruption::Failed("the store closed the watch without a reason".to_owned()),
                         Err(error) => return Interruption::Failed(error.to_string()),
@@ -179,7 +183,7 @@
                     }
                 }
                 _ = progress_timer.tick() => {
-                    if last_received.elapsed() > 3 * PROGRESS_INTERVAL {
+                    if self.client.is_stalled(&mut stall) {
                         self.client.skip_endpoint();
                         return Interruption::Failed("the store sends nothing on the watch".to_owned());
                     }
--- a/crates/ravenspar/tests/listed.rs
+++ b/crates/ravenspar/tests/listed.rs
@@ -80,6 +80,25 @@
     wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
 }
 
+/// The same for a response of many changes after a gap, which takes longer than the store may send nothing.
+#[test]
+fn many_changes_at_once_are_followed_though_they_come_in_pieces() {
+    let dir = Dir::new(4, 1, &[]);
+    let (store, address) = store(1);
+    ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
+    let pieces = PieceRelay::start(address).expect("a relay of bytes");
+    settings(&dir, pieces.address);
+    let steward = dir.serve(&[]);
+    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
+    store.set_faults(Faults { away: true, ..Faults::default() });
+    put_server(&store, "a", "draining", 100);
+    (0..130).for_each(|n| put_server(&store, &format!("gone-{n}"), "gone", 100));
+    pieces.deliver_in_pieces(400, std::time::Duration::from_millis(225));
+    store.set_faults(Faults::default());
+    wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
+}
+
 #[test]
 fn changes_compacted_while_the_store_was_away_are_recovered() {
     let dir = Dir::new(4, 1, &[]);
--- a/crates/standin/src/pieces.rs
+++ b/crates/standin/src/pieces.rs
@@ -1,7 +1,8 @@
-//! A TCP relay that delivers what a server sends in pieces, as a slow or busy network does.
+//! A TCP relay that delivers what a server sends in pieces, or not at all, as a slow or cut network does.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -15,10 +16,20 @@
     pause: Duration,
 }
 
+/// What the relay does with bytes to clients, shared by all its connections.
+#[derive(Debug, Default)]
+struct Shared {
+    delivery: Mutex<Option<Delivery>>,
+    /// Connections accepted so far.
+    accepted: AtomicUsize,
+    /// This number of connections, counted from the first, deliver nothing any more.
+    silenced: AtomicUsize,
+}
+
 /// A relay in front of a server. Bytes to the server are passed on at once.
 pub struct PieceRelay {
     pub address: SocketAddr,
-    delivery: Arc<Mutex<Option<Delivery>>>,
+    shared: Arc<Shared>,
 }
 
 impl PieceRelay {
@@ -26,25 +37,31 @@
     pub fn start(server: SocketAddr) -> std::io::Result<PieceRelay> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let delivery = Arc::new(Mutex::new(None));
-        let shared = delivery.clone();
+        let shared = Arc::new(Shared::default());
+        let of_connections = shared.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
-                let shared = shared.clone();
-                thread::spawn(move || drop(relay(client, server, &shared)));
+                let shared = of_connections.clone();
+                let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || drop(relay(client, server, number, &shared)));
             }
         });
-        Ok(PieceRelay { address, delivery })
+        Ok(PieceRelay { address, shared })
+    }
+
+    /// From here on nothing is delivered on the connections that are open now. They stay open.
+    pub fn silence_open_connections(&self) {
+        self.shared.silenced.store(self.shared.accepted.load(Ordering::SeqCst), Ordering::SeqCst);
     }
 
     /// From here on bytes to the client are delivered in pieces of this many bytes, with a pause after each.
     pub fn deliver_in_pieces(&self, size: usize, pause: Duration) {
-        *self.delivery.lock().unwrap_or_else(PoisonError::into_inner) = Some(Delivery { size, pause });
+        *self.shared.delivery.lock().unwrap_or_else(PoisonError::into_inner) = Some(Delivery { size, pause });
     }
 }
 
 /// Relays one connection until either end closes it.
-fn relay(client: TcpStream, server: SocketAddr, delivery: &Mutex<Option<Delivery>>) -> std::io::Result<()> {
+fn relay(client: TcpStream, server: SocketAddr, number: usize, shared: &Shared) -> std::io::Result<()> {
     let server = TcpStream::connect(server)?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
@@ -53,7 +70,7 @@
         let _ = std::io::copy(&mut from_client, &mut to_server);
         let _ = to_server.shutdown(Shutdown::Both);
     });
-    let result = deliver(&server, &client, delivery);
+    let result = deliver(&server, &client, number, shared);
     let _ = client.shutdown(Shutdown::Both);
     let _ = server.shutdown(Shutdown::Both);
     result
@@ -63,7 +80,8 @@
 fn deliver(
     mut server: &TcpStream,
     mut client: &TcpStream,
-    delivery: &Mutex<Option<Delivery>>,
+    number: usize,
+    shared: &Shared,
 ) -> std::io::Result<()> {
     let mut buffer = [0; 4_096];
     loop {
@@ -71,7 +89,10 @@
         if received == 0 {
             return Ok(());
         }
-        let current = *delivery.lock().unwrap_or_else(PoisonError::into_inner);
+        if number < shared.silenced.load(Ordering::SeqCst) {
+            continue;
+        }
+        let current = *shared.delivery.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(Delivery { size, pause }) = current else {
             client.write_all(&buffer[..received])?;
             continue;
