A connection to a store that goes silent and stays open is replaced

Drains are not seen.

Cause: asking again went over the same channel, whose connection stays as long as the system keeps it; `call_within` bounds only the begin of a response.

Change: what fails without an answer gives its connection up, and the endpoint's next call opens another; calls in progress go on. A repeated read is given up once its response makes no progress for 6 s.

Tests: `a_drain_is_followed_after_the_connection_to_the_store_goes_silent` fails on the code before, `a_first_read_whose_response_goes_silent_is_repeated` with the read's limit taken out (both: not within 30 s).

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,14 +1,14 @@
 //! Calls with deadlines, failover between endpoints, and retries where they are safe.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status};
 
 use ravenspar_net::{Clock, Progress, StallDetector};
-use ravenspar_steward::Time;
+use ravenspar_steward::{from_seconds, Time, SECOND};
 use ravenspar_store::StoreError;
 
 use crate::api::kv_client::KvClient;
@@ -43,9 +43,17 @@
     KvClient::new(channel).max_decoding_message_size(MAX_RESPONSE_BYTES)
 }
 
+/// A response that has begun is given up after this long without progress.
+const STALL_TIMEOUT: Time = 6 * SECOND;
+
+/// How often a response is checked for progress.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A client of an etcd cluster.
 pub struct Client {
-    endpoints: Vec<Channel>,
+    endpoints: Vec<Endpoint>,
+    /// A channel to each endpoint.
+    channels: Mutex<Vec<Channel>>,
     /// The endpoint that the next call goes to, modulo their number.
     current: AtomicUsize,
     deadline: Duration,
@@ -70,16 +78,18 @@
     /// endpoint is invalid.
     pub fn new(endpoints: &[String], deadline: Duration, seed: u64) -> Result<Client, String> {
         let (clock, progress) = (Clock::new(), Arc::new(Progress::default()));
-        let channel = |text: &String| {
+        let endpoint = |text: &String| {
             let endpoint = Endpoint::from_shared(text.clone()).map_err(|e| format!("{text}: {e}"))?;
-            Ok(lazy_channel(&endpoint.timeout(deadline), deadline, clock, progress.clone()))
+            Ok(endpoint.timeout(deadline))
         };
-        let endpoints: Vec<Channel> = endpoints.iter().map(channel).collect::<Result<_, String>>()?;
+        let endpoints: Vec<Endpoint> = endpoints.iter().map(endpoint).collect::<Result<_, String>>()?;
         if endpoints.is_empty() {
             return Err("expected one endpoint or more".to_owned());
         }
+        let channel = |endpoint| lazy_channel(endpoint, deadline, clock, progress.clone());
+        let channels = Mutex::new(endpoints.iter().map(channel).collect());
         let rng = Mutex::new(fastrand::Rng::with_seed(seed));
-        Ok(Client { endpoints, current: AtomicUsize::new(0), deadline, rng, clock, progress })
+        Ok(Client { endpoints, channels, current: AtomicUsize::new(0), deadline, rng, clock, progress })
     }
 
     /// The number of endpoints.
@@ -89,7 +99,7 @@
 
     /// Makes the next call go to the next endpoint, though this one answered.
     pub fn skip_endpoint(&self) {
-        self.advance_endpoint();
+        self.current.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Returns a detector of responses that make no progress for this long.
@@ -107,18 +117,50 @@
         stall.is_stalled(self.clock.now(), self.progress.get().0)
     }
 
+    /// Waits for a response for as long as it makes progress. Its begin is awaited until the deadline.
+    async fn complete<T>(
+        &self,
+        response: impl std::future::Future<Output = Result<T, Status>>,
+    ) -> Result<T, Status> {
+        let mut stall = self.stall_detector(from_seconds(self.deadline.as_secs_f64()) + STALL_TIMEOUT);
+        let mut check = tokio::time::interval(STALL_CHECK_INTERVAL);
+        tokio::pin!(response);
+        loop {
+            tokio::select! {
+                result = &mut response => return result,
+                _ = check.tick() => if self.is_stalled(&mut stall) {
+                    return Err(Status::deadline_exceeded("the response makes no progress"));
+                },
+            }
+        }
+    }
+
     /// The deadline for the begin of a response.
     pub fn deadline(&self) -> Duration {
         self.deadline
     }
 
+    /// The index of the endpoint that the next call goes to.
+    fn current(&self) -> usize {
+        self.current.load(Ordering::Relaxed) % self.endpoints.len()
+    }
+
+    fn channels(&self) -> MutexGuard<'_, Vec<Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn channel(&self) -> Channel {
-        self.endpoints[self.current.load(Ordering::Relaxed) % self.endpoints.len()].clone()
+        self.channels()[self.current()].clone()
     }
 
-    /// Makes the next call go to the next endpoint.
-    pub(crate) fn advance_endpoint(&self) {
-        self.current.fetch_add(1, Ordering::Relaxed);
+    /// Makes the next call go to the next endpoint, as this one did not answer. Its connection may be silent and stay open,
+    /// so later calls to it open another one; calls in progress go on.
+    pub fn give_up_connection(&self) {
+        let current = self.current();
+        let channel =
+            lazy_channel(&self.endpoints[current], self.deadline, self.clock, self.progress.clone());
+        self.channels()[current] = channel;
+        self.skip_endpoint();
     }
 
     /// Waits before a retry: exponential backoff from 50 ms to one second, with full jitter so that clients that failed
@@ -136,7 +178,7 @@
     {
         let mut attempt = 0;
         loop {
-            match call(self.channel()).await {
+            match self.complete(call(self.channel())).await {
                 Ok(response) => return Ok(response),
                 Err(status) => {
                     let error = store_error(&status);
@@ -144,7 +186,7 @@
                     if matches!(error, StoreError::Refused(_)) || attempt >= 2 * self.endpoints.len() as u32 {
                         return Err(error);
                     }
-                    self.advance_endpoint();
+                    self.give_up_connection();
                     self.back_off(attempt).await;
                 }
             }
@@ -165,7 +207,7 @@
         match kv(self.channel()).txn(request).await {
             Ok(response) => Ok(response.into_inner()),
             Err(status) => {
-                self.advance_endpoint();
+                self.give_up_connection();
                 Err(store_error(&status))
             }
         }
--- a/crates/etcd/src/watch.rs
+++ b/crates/etcd/src/watch.rs
@@ -36,11 +36,11 @@
         match opening.await {
             Ok(Ok(response)) => Ok(Watch { requests, responses: response.into_inner(), partial: None }),
             Ok(Err(status)) => {
-                self.advance_endpoint();
+                self.give_up_connection();
                 Err(store_error(&status))
             }
             Err(_) => {
-                self.advance_endpoint();
+                self.give_up_connection();
                 Err(StoreError::Unknown("the watch was not opened in time".to_owned()))
             }
         }
--- a/crates/ravenspar/src/list_store.rs
+++ b/crates/ravenspar/src/list_store.rs
@@ -184,7 +184,7 @@
                 }
                 _ = progress_timer.tick() => {
                     if self.client.is_stalled(&mut stall) {
-                        self.client.skip_endpoint();
+                        self.client.give_up_connection();
                         return Interruption::Failed("the store sends nothing on the watch".to_owned());
                     }
                     watch.ask_progress();
--- a/crates/ravenspar/tests/listed.rs
+++ b/crates/ravenspar/tests/listed.rs
@@ -99,6 +99,39 @@
     wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
 }
 
+/// A connection that goes silent and stays open is replaced, though there is no other endpoint.
+#[test]
+fn a_drain_is_followed_after_the_connection_to_the_store_goes_silent() {
+    let dir = Dir::new(4, 1, &[]);
+    let (store, address) = store(1);
+    ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
+    let relay = PieceRelay::start(address).expect("a relay of bytes");
+    settings(&dir, relay.address);
+    let steward = dir.serve(&[]);
+    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
+    relay.silence_open_connections();
+    put_server(&store, "a", "draining", 100);
+    wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
+}
+
+/// The same in the middle of the first read, whose response has begun.
+#[test]
+fn a_first_read_whose_response_goes_silent_is_repeated() {
+    let dir = Dir::new(4, 1, &[]);
+    let (store, address) = store(1);
+    (0..40).for_each(|n| put_server(&store, &format!("gone-{n}"), "gone", 100));
+    put_server(&store, "a", "ready", 100);
+    let relay = PieceRelay::start(address).expect("a relay of bytes");
+    relay.deliver_in_pieces(200, std::time::Duration::from_millis(100));
+    settings(&dir, relay.address);
+    let steward = dir.serve(&[]);
+    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    wait_until("the response has begun", &mut [&mut proxy], |_| relay.delivered() > 2_000);
+    relay.silence_open_connections();
+    wait_until("a is used", &mut [&mut proxy], |all| use_servers(all[0], &["a"]));
+}
+
 #[test]
 fn changes_compacted_while_the_store_was_away_are_recovered() {
     let dir = Dir::new(4, 1, &[]);
--- a/crates/standin/src/pieces.rs
+++ b/crates/standin/src/pieces.rs
@@ -22,6 +22,8 @@
     delivery: Mutex<Option<Delivery>>,
     /// Connections accepted so far.
     accepted: AtomicUsize,
+    /// Bytes delivered to clients.
+    delivered: AtomicUsize,
     /// This number of connections, counted from the first, deliver nothing any more.
     silenced: AtomicUsize,
 }
@@ -49,6 +51,11 @@
         Ok(PieceRelay { address, shared })
     }
 
+    /// Returns the number of bytes delivered to clients so far.
+    pub fn delivered(&self) -> usize {
+        self.shared.delivered.load(Ordering::SeqCst)
+    }
+
     /// From here on nothing is delivered on the connections that are open now. They stay open.
     pub fn silence_open_connections(&self) {
         self.shared.silenced.store(self.shared.accepted.load(Ordering::SeqCst), Ordering::SeqCst);
@@ -95,10 +102,15 @@
         let current = *shared.delivery.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(Delivery { size, pause }) = current else {
             client.write_all(&buffer[..received])?;
+            shared.delivered.fetch_add(received, Ordering::SeqCst);
             continue;
         };
         for piece in buffer[..received].chunks(size.max(1)) {
+            if number < shared.silenced.load(Ordering::SeqCst) {
+                break;
+            }
             client.write_all(piece)?;
+            shared.delivered.fetch_add(piece.len(), Ordering::SeqCst);
             thread::sleep(pause);
         }
     }
