--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -204,7 +204,8 @@
 
     /// Executes a transaction, without retries. See [`Client::commit`] if its outcome has to be known.
     pub async fn txn(&self, request: TxnRequest) -> Result<TxnResponse, StoreError> {
-        match kv(self.channel()).txn(request).await {
+        let mut client = kv(self.channel());
+        match self.complete(client.txn(request)).await {
             Ok(response) => Ok(response.into_inner()),
             Err(status) => {
                 self.give_up_connection();
--- a/crates/ravenspar/tests/listed.rs
+++ b/crates/ravenspar/tests/listed.rs
@@ -33,13 +33,19 @@
         && servers.iter().all(|server| owners.contains(&Some(*server)))
 }
 
+/// Starts a steward that follows the list of the store at this address, and a proxy of it.
+fn serve_from(dir: &Dir, store: SocketAddr) -> (Serving, Proxy) {
+    settings(dir, store);
+    let steward = dir.serve(&[]);
+    let proxy = Proxy::dial(steward.address, 0, 1);
+    (steward, proxy)
+}
+
 /// Starts a store that lists these servers as ready, and a steward and a proxy that use all of them.
 fn serve_from_store(dir: &Dir, cluster: u64, servers: &[&str]) -> (Store, Serving, Proxy) {
     let (store, address) = store(cluster);
     servers.iter().for_each(|server| put_server(&store, server, "ready", 100));
-    settings(dir, address);
-    let steward = dir.serve(&[]);
-    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    let (steward, mut proxy) = serve_from(dir, address);
     wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], servers));
     (store, steward, proxy)
 }
@@ -72,9 +78,7 @@
     ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
     let pieces = PieceRelay::start(address).expect("a relay of bytes");
     pieces.deliver_in_pieces(200, std::time::Duration::from_millis(225));
-    settings(&dir, pieces.address);
-    let steward = dir.serve(&[]);
-    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    let (_steward, mut proxy) = serve_from(&dir, pieces.address);
     wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
     put_server(&store, "a", "draining", 100);
     wait_until("all slices have left a", &mut [&mut proxy], |all| use_servers(all[0], &["b"]));
@@ -87,9 +91,7 @@
     let (store, address) = store(1);
     ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
     let pieces = PieceRelay::start(address).expect("a relay of bytes");
-    settings(&dir, pieces.address);
-    let steward = dir.serve(&[]);
-    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    let (_steward, mut proxy) = serve_from(&dir, pieces.address);
     wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
     store.set_faults(Faults { away: true, ..Faults::default() });
     put_server(&store, "a", "draining", 100);
@@ -106,9 +108,7 @@
     let (store, address) = store(1);
     ["a", "b"].iter().for_each(|server| put_server(&store, server, "ready", 100));
     let relay = PieceRelay::start(address).expect("a relay of bytes");
-    settings(&dir, relay.address);
-    let steward = dir.serve(&[]);
-    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    let (_steward, mut proxy) = serve_from(&dir, relay.address);
     wait_until("the listed servers are used", &mut [&mut proxy], |all| use_servers(all[0], &["a", "b"]));
     relay.silence_open_connections();
     put_server(&store, "a", "draining", 100);
@@ -124,9 +124,7 @@
     put_server(&store, "a", "ready", 100);
     let relay = PieceRelay::start(address).expect("a relay of bytes");
     relay.deliver_in_pieces(200, std::time::Duration::from_millis(100));
-    settings(&dir, relay.address);
-    let steward = dir.serve(&[]);
-    let mut proxy = Proxy::dial(steward.address, 0, 1);
+    let (_steward, mut proxy) = serve_from(&dir, relay.address);
     wait_until("the response has begun", &mut [&mut proxy], |_| relay.delivered() > 2_000);
     relay.silence_open_connections();
     wait_until("a is used", &mut [&mut proxy], |all| use_servers(all[0], &["a"]));
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -4,6 +4,7 @@
 
 use ravenspar_etcd::api::*;
 use ravenspar_etcd::{prefix_end, Client, CommitOutcome, FencedTransaction, StoreError};
+use ravenspar_standin::pieces::PieceRelay;
 use ravenspar_standin::store::{Faults, Mvcc, Store};
 use ravenspar_standin::SECOND;
 
@@ -167,3 +168,33 @@
         assert_eq!(client.lease_revoke(77).await, Ok(()));
     });
 }
+
+/// A call whose response has begun and then goes silent ends, and the next one finds another connection.
+#[tokio::test]
+async fn a_transaction_whose_response_goes_silent_has_an_unknown_outcome() {
+    let store = Store::new(7);
+    let address = store.listen().await.expect("the store listens");
+    let relay = PieceRelay::start(address).expect("a relay of bytes");
+    let client =
+        Client::new(&[format!("http://{}", relay.address)], Duration::from_secs(1), 7).expect("a client");
+    let large = "x".repeat(20_000);
+    client.txn(puts(vec![put("a/1", &large, 0)])).await.expect("the transaction is executed");
+    let read = RequestOp { request: Some(request_op::Request::RequestRange(all("a/"))) };
+    relay.deliver_in_pieces(1_000, Duration::from_millis(50));
+    let before = relay.delivered();
+    let silence = async {
+        while relay.delivered() < before + 2_000 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        relay.silence_open_connections();
+        std::future::pending::<()>().await;
+    };
+    let limit = tokio::time::timeout(Duration::from_secs(30), client.txn(puts(vec![read])));
+    let result = tokio::select! {
+        result = limit => result.expect("the call ends"),
+        () = silence => unreachable!(),
+    };
+    assert!(matches!(result, Err(StoreError::Unknown(_))), "{result:?}");
+    let found = client.range(all("a/")).await.expect("another connection is opened");
+    assert_eq!(found.kvs.len(), 1);
+}
