Discovery's two queries take turns on one connection while answers come at once

Change: a complete list that is due waits for the answer of the watch, at most until that stalls; the watch waits 0.1 s for the complete list's, which keeps it within the 200 ms in which it goes on.

--- a/crates/platform-net/src/discovery.rs
+++ b/crates/platform-net/src/discovery.rs
@@ -1,4 +1,5 @@
-//! Follows discovery: sends the queries of [`ListRequests`], each on a connection of its own, and passes the answers on.
+//! Follows discovery: sends the queries of [`ListRequests`], each on a connection that carries no other, and passes the
+//! answers on.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -147,11 +148,17 @@
     }
 }
 
+/// An attempt in progress.
+struct Running {
+    task: AbortHandle,
+    progress: Arc<Progress>,
+}
+
 /// The attempts in progress, and the connections that are idle.
 #[derive(Default)]
 struct Attempts {
     tasks: JoinSet<Finished>,
-    running: HashMap<u64, (AbortHandle, Arc<Progress>)>,
+    running: HashMap<u64, Running>,
     idle: Vec<Agent>,
 }
 
@@ -162,19 +169,19 @@
         let progress = idle.as_ref().map(|agent| agent.progress.clone()).unwrap_or_default();
         progress.reset();
         let task = self.tasks.spawn(context.attempt(id, query, idle, progress.clone()));
-        self.running.insert(id, (task, progress));
+        self.running.insert(id, Running { task, progress });
     }
 
     fn abandon(&mut self, id: u64) {
-        if let Some((task, _)) = self.running.remove(&id) {
-            task.abort();
+        if let Some(running) = self.running.remove(&id) {
+            running.task.abort();
         }
     }
 
     /// Reports what the attempts have received so far.
     fn report_progress(&self, requests: &mut ListRequests) {
-        for (id, (_, progress)) in &self.running {
-            let (received, at) = progress.get();
+        for (id, running) in &self.running {
+            let (received, at) = running.progress.get();
             requests.handle_progress(*id, received, at);
         }
     }
--- a/crates/platform/src/list_requests.rs
+++ b/crates/platform/src/list_requests.rs
@@ -1,8 +1,9 @@
 //! Decides when discovery is queried, and how long each answer is waited for. No I/O, no clock.
 //!
-//! The complete list and the changes are queried independently, so that neither waits for the other's answer. An answer may
-//! be delivered in pieces and is read for as long as it makes progress. If it stalls, the query is repeated on another
-//! connection while the stalled one stays open (a hedged request): the first complete answer counts.
+//! The complete list and the changes are two queries. While answers come at once they take turns on one connection; neither
+//! waits long for the other's answer. An answer may be delivered in pieces and is read for as long as it makes progress. If
+//! it stalls, the query is repeated on another connection while the stalled one stays open (a hedged request): the first
+//! complete answer counts.
 
 use std::collections::VecDeque;
 
@@ -31,6 +32,10 @@
 /// once: the watch goes on only if the next query comes soon.
 const RETRY_PAUSE: Time = SECOND / 10;
 
+/// How long changes are not queried after a query for the complete list, so that its answer can come first: the watch goes
+/// on if the next query comes within 200 ms.
+const COMPLETE_LIST_HEAD_START: Time = SECOND / 10;
+
 /// Consecutive failures of queries for changes after which the complete list is queried.
 const FAILURES_BEFORE_COMPLETE_LIST: u32 = 4;
 
@@ -90,13 +95,11 @@
         Fetch { attempts: Vec::new(), due_at, last_sent_at: due_at, failures: 0 }
     }
 
-    /// Returns when it is sent next.
-    fn next_send_at(&self) -> Time {
-        let Some(progressed_at) = self.attempts.iter().map(|attempt| attempt.progressed_at).max() else {
-            return self.due_at;
-        };
+    /// Returns when the query is repeated beside the attempts in progress, or `None` if there is none.
+    fn repeat_at(&self) -> Option<Time> {
+        let progressed_at = self.attempts.iter().map(|attempt| attempt.progressed_at).max()?;
         let stalled_at = progressed_at.max(self.last_sent_at) + STALL_TIMEOUT;
-        stalled_at.min(self.last_sent_at + ANSWER_TIMEOUT)
+        Some(stalled_at.min(self.last_sent_at + ANSWER_TIMEOUT))
     }
 
     /// Returns when the first of its attempts times out.
@@ -121,6 +124,14 @@
         Some(self.attempts.remove(least).id)
     }
 
+    /// Starts an attempt; returns how to send it, and how to end the one that makes room for it.
+    fn send(&mut self, now: Time, id: u64, query: ListQuery) -> impl Iterator<Item = ListAction> {
+        let surplus = self.take_surplus().map(|id| ListAction::Abandon { id });
+        self.attempts.push(Attempt { id, received: 0, progressed_at: now });
+        self.last_sent_at = now;
+        surplus.into_iter().chain([ListAction::Send { id, query }])
+    }
+
     /// Removes an attempt. Returns false if it is not one of this query.
     fn remove(&mut self, id: u64) -> bool {
         let index = self.attempts.iter().position(|attempt| attempt.id == id);
@@ -248,27 +259,43 @@
         self.query_complete_list_if_changes_fail(now);
     }
 
+    /// Returns when the complete list is queried next: once the query for changes is answered, or soon without that.
+    fn complete_at(&self) -> Time {
+        let due_at = self.complete.due_at;
+        let changes_stall_at = self.changes.repeat_at().unwrap_or(due_at);
+        let send_at = due_at.max(changes_stall_at.min(due_at + STALL_TIMEOUT));
+        self.complete.repeat_at().unwrap_or(send_at)
+    }
+
+    /// Returns when changes are queried next, or `None` if no list is held.
+    fn changes_at(&self) -> Option<Time> {
+        self.version?;
+        let awaits_complete = !self.complete.attempts.is_empty();
+        let head_start = if awaits_complete { COMPLETE_LIST_HEAD_START } else { 0 };
+        let send_at = self.changes.due_at.max(self.complete.last_sent_at + head_start);
+        Some(self.changes.repeat_at().unwrap_or(send_at))
+    }
+
     fn send_due(&mut self, now: Time) {
-        let changes = self.version.map(ListQuery::ChangesSince);
-        for (fetch, query) in [(&mut self.complete, Some(ListQuery::Complete)), (&mut self.changes, changes)]
-        {
-            let Some(query) = query.filter(|_| now >= fetch.next_send_at()) else { continue };
-            let surplus = fetch.take_surplus();
-            self.actions.extend(surplus.map(|id| ListAction::Abandon { id }));
-            let id = self.next_id;
-            self.next_id += 1;
-            fetch.attempts.push(Attempt { id, received: 0, progressed_at: now });
-            fetch.last_sent_at = now;
-            self.actions.push_back(ListAction::Send { id, query });
+        if now >= self.complete_at() {
+            let id = self.new_id();
+            self.actions.extend(self.complete.send(now, id, ListQuery::Complete));
+        }
+        if let Some(version) = self.version.filter(|_| self.changes_at().is_some_and(|at| now >= at)) {
+            let id = self.new_id();
+            self.actions.extend(self.changes.send(now, id, ListQuery::ChangesSince(version)));
         }
     }
 
+    fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
     /// Returns when [`ListRequests::poll`] has to be called next.
     pub fn next_timeout(&self) -> Time {
-        let complete = self.complete.next_send_at();
-        let changes = self.version.map(|_| self.changes.next_send_at());
-        let expiries = [self.complete.next_expiry(), self.changes.next_expiry()];
-        expiries.into_iter().chain([changes]).flatten().fold(complete, Time::min)
+        let others = [self.changes_at(), self.complete.next_expiry(), self.changes.next_expiry()];
+        others.into_iter().flatten().fold(self.complete_at(), Time::min)
     }
 }
 
