A change no longer waits for a slow answer of discovery that began before it

Seen, by the queries in simulated time with answers of 1 to 5.5 s: a change that comes while an answer is on its way is received only after that answer and one of its own.

Cause: an answer in progress was given 6 s before its query was repeated beside it, and its end abandoned all other attempts of the query, also those sent later, whose answers are newer. At a start the changes were not asked for before the complete list was there.

Change: the query for changes is repeated after 1.5 s, also while its answer makes progress, and an answer ends the attempts that were sent before it alone. Five attempts of a query at most: the one that has received most, and those of the last 6 s. At a start the changes since the stored list are asked for if the complete list is not there within 0.1 s.

Tests: `a_change_during_a_slow_answer_...` fails with the repeat after 6 s and with all attempts abandoned, `a_slow_answer_beside_answers_without_end_...` with the least advanced attempt removed, `changes_since_the_stored_list_...` without the stored version; one of the session. The stand-in answers `since=0` by the whole list, as no version is that old.

--- a/crates/platform-net/src/discovery.rs
+++ b/crates/platform-net/src/discovery.rs
@@ -199,13 +199,15 @@
     }
 }
 
-/// Queries discovery and passes the host lists to the session loop. Returns only when the session loop has ended.
+/// Queries discovery and passes the host lists to the session loop, which has a stored list of `stored_version` at first.
+/// Returns only when the session loop has ended.
 pub async fn watch_hosts(
     mut addresses: watch::Receiver<Addresses>,
+    stored_version: Option<u64>,
     clock: Clock,
     events: mpsc::Sender<Event>,
 ) {
-    let mut requests = ListRequests::new(clock.now());
+    let mut requests = ListRequests::new(clock.now(), stored_version);
     let mut attempts = Attempts::default();
     loop {
         let context = Context { at: addresses.borrow_and_update().discovery, clock, events: events.clone() };
--- a/crates/platform-net/src/serve.rs
+++ b/crates/platform-net/src/serve.rs
@@ -90,7 +90,7 @@
     listener_task.spawn("listener", listener::accept_peers(listener_setup));
     tasks.spawn("relay's calls", relay::run_calls(address_updates.clone(), call_queue, events.clone()));
     tasks.spawn("relay's news", relay::run_subscriptions(address_updates.clone(), unusable, events.clone()));
-    tasks.spawn("list", discovery::watch_hosts(address_updates, clock, events));
+    tasks.spawn("list", discovery::watch_hosts(address_updates, config.known_version(), clock, events));
     tracing::info!(name = %config.name, listen = %address, relay = %config.addresses.relay,
         discovery = %config.addresses.discovery, "serving");
     let mut session_loop = SessionLoop {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Returns the version of the last known list, if it has one.
+    pub fn known_version(&self) -> Option<u64> {
+        self.known["generation"].as_u64()
+    }
+
     /// Parses only the addresses, from a file that was replaced while the steward runs.
     pub fn read_addresses(bytes: &[u8]) -> Result<Addresses, String> {
         let config: Value =
@@ -93,7 +98,7 @@
         let config = Config::read(valid_config().to_string().as_bytes()).expect("a valid file");
         assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 256));
         assert_eq!(config.addresses.relay.port(), 6400);
-        assert_eq!(config.known["generation"], 41);
+        assert_eq!(config.known_version(), Some(41));
     }
 
     #[test]
--- a/crates/platform/src/list_requests.rs
+++ b/crates/platform/src/list_requests.rs
@@ -2,8 +2,9 @@
 //!
 //! The complete list and the changes are two queries. While answers come at once they take turns on one connection; neither
 //! waits long for the other's answer. An answer may be delivered in pieces and is read for as long as it makes progress. If
-//! it stalls, the query is repeated on another connection while the stalled one stays open (a hedged request): the first
-//! complete answer counts.
+//! it stalls, the query is repeated on another connection while the stalled one stays open (a hedged request). The same is
+//! done while an answer with changes takes long, as it can't have what has changed since it began. An answer ends the
+//! attempts that were sent before it.
 
 use std::collections::VecDeque;
 
@@ -20,13 +21,18 @@
 /// the agent is on this machine and answers at once.
 const STALL_TIMEOUT: Time = LONG_POLL + SECOND / 2;
 
-/// Whatever discovery reports arrives within this time: an attempt that has received nothing for this long is abandoned,
-/// and a query is repeated after this long even if its answer makes progress.
+/// Whatever discovery reports arrives within this time: an attempt that has received nothing for this long is abandoned.
 const ANSWER_TIMEOUT: Time = 6 * SECOND;
 
-/// Attempts of one query at a time: a stalled answer may go on until [`ANSWER_TIMEOUT`] while the query is repeated at every
-/// [`STALL_TIMEOUT`].
-const MAX_ATTEMPTS: usize = (ANSWER_TIMEOUT / STALL_TIMEOUT) as usize;
+/// The query for the complete list is repeated after this long even if its answer makes progress.
+const COMPLETE_LIST_REPEAT_INTERVAL: Time = ANSWER_TIMEOUT;
+
+/// The query for changes is repeated after this long even if its answer makes progress.
+const CHANGES_REPEAT_INTERVAL: Time = STALL_TIMEOUT;
+
+/// Attempts of one query at a time: one whose answer takes longer than [`ANSWER_TIMEOUT`], and beside it as many as are sent
+/// within that time, so that each of them gets it.
+const MAX_ATTEMPTS: usize = 1 + (ANSWER_TIMEOUT / STALL_TIMEOUT) as usize;
 
 /// Pause before a query is repeated after the second failure in a row, and after each further one. The first is repeated at
 /// once: the watch goes on only if the next query comes soon.
@@ -82,7 +88,10 @@
 /// One of the two queries: its attempts, or when it is sent next.
 #[derive(Debug)]
 struct Fetch {
+    /// In the order in which they were sent.
     attempts: Vec<Attempt>,
+    /// It is repeated after this long even if its answer makes progress.
+    repeat_interval: Time,
     /// When it is sent next, if no attempt is in progress.
     due_at: Time,
     last_sent_at: Time,
@@ -91,15 +100,15 @@
 }
 
 impl Fetch {
-    fn new(due_at: Time) -> Fetch {
-        Fetch { attempts: Vec::new(), due_at, last_sent_at: due_at, failures: 0 }
+    fn new(due_at: Time, repeat_interval: Time) -> Fetch {
+        Fetch { attempts: Vec::new(), repeat_interval, due_at, last_sent_at: due_at, failures: 0 }
     }
 
     /// Returns when the query is repeated beside the attempts in progress, or `None` if there is none.
     fn repeat_at(&self) -> Option<Time> {
         let progressed_at = self.attempts.iter().map(|attempt| attempt.progressed_at).max()?;
         let stalled_at = progressed_at.max(self.last_sent_at) + STALL_TIMEOUT;
-        Some(stalled_at.min(self.last_sent_at + ANSWER_TIMEOUT))
+        Some(stalled_at.min(self.last_sent_at + self.repeat_interval))
     }
 
     /// Returns when the first of its attempts times out.
@@ -114,14 +123,16 @@
         Some(self.attempts.remove(index).id)
     }
 
-    /// Removes the attempt that has received least if there are as many as may be, and returns its id. The one that has
-    /// received most goes on, so that a slow answer is read to its end.
+    /// Removes an attempt if there are as many as may be, and returns its id. The one that has received most goes on, so that
+    /// a slow answer is read to its end; of the others the oldest is removed.
     fn take_surplus(&mut self) -> Option<u64> {
         if self.attempts.len() < MAX_ATTEMPTS {
             return None;
         }
-        let least = (0..self.attempts.len()).min_by_key(|&index| self.attempts[index].received)?;
-        Some(self.attempts.remove(least).id)
+        let received: Vec<u64> = self.attempts.iter().map(|attempt| attempt.received).collect();
+        let most = received.iter().max()?;
+        let oldest_other = if received.first() == Some(most) { 1 } else { 0 };
+        Some(self.attempts.remove(oldest_other).id)
     }
 
     /// Starts an attempt; returns how to send it, and how to end the one that makes room for it.
@@ -144,17 +155,24 @@
         self.due_at = if self.failures == 1 { now } else { now + RETRY_PAUSE };
     }
 
-    /// Records that the query needs no further answer and is sent again at `due_at`. Returns how to end its other attempts.
+    /// Records that the query needs no further answer and is sent again at `due_at`. Returns how to end its attempts.
     fn finish(&mut self, due_at: Time) -> impl Iterator<Item = ListAction> {
+        self.finish_before(u64::MAX, due_at)
+    }
+
+    /// The same for the attempts that were sent before the one with this id. Those that were sent after it go on.
+    fn finish_before(&mut self, id: u64, due_at: Time) -> impl Iterator<Item = ListAction> {
         (self.due_at, self.failures) = (due_at, 0);
-        std::mem::take(&mut self.attempts).into_iter().map(|attempt| ListAction::Abandon { id: attempt.id })
+        let later = self.attempts.partition_point(|attempt| attempt.id < id);
+        let earlier: Vec<Attempt> = self.attempts.drain(..later).collect();
+        earlier.into_iter().map(|attempt| ListAction::Abandon { id: attempt.id })
     }
 }
 
 /// The queries to discovery at one address.
 #[derive(Debug)]
 pub struct ListRequests {
-    /// The version of the list held, from which changes are queried.
+    /// The version of the list that changes are queried since.
     version: Option<u64>,
     complete: Fetch,
     changes: Fetch,
@@ -163,12 +181,13 @@
 }
 
 impl ListRequests {
-    /// Creates the queries of a process that has received no list: the complete list is queried first.
-    pub fn new(now: Time) -> ListRequests {
+    /// Creates the queries of a process that has received no list. The complete list is queried first; if it is not there at
+    /// once, so are the changes since the version of the stored list, if there is one.
+    pub fn new(now: Time, stored_version: Option<u64>) -> ListRequests {
         ListRequests {
-            version: None,
-            complete: Fetch::new(now),
-            changes: Fetch::new(now),
+            version: stored_version,
+            complete: Fetch::new(now, COMPLETE_LIST_REPEAT_INTERVAL),
+            changes: Fetch::new(now, CHANGES_REPEAT_INTERVAL),
             next_id: 0,
             actions: VecDeque::new(),
         }
@@ -211,10 +230,11 @@
 
     fn handle_answered(&mut self, now: Time, id: u64) {
         let next_complete = now + COMPLETE_LIST_INTERVAL;
-        for (fetch, due_at) in [(&mut self.complete, next_complete), (&mut self.changes, now)] {
-            if fetch.remove(id) {
-                self.actions.extend(fetch.finish(due_at));
-            }
+        if self.complete.remove(id) {
+            self.actions.extend(self.complete.finish(next_complete));
+        }
+        if self.changes.remove(id) {
+            self.actions.extend(self.changes.finish_before(id, now));
         }
     }
 
--- a/crates/platform/src/list_requests/tests.rs
+++ b/crates/platform/src/list_requests/tests.rs
@@ -55,8 +55,13 @@
 
 impl World {
     fn new(complete: Delivery, changes: Delivery) -> World {
+        World::with_stored(None, complete, changes)
+    }
+
+    /// A world in which the process has a stored list of this version.
+    fn with_stored(version: Option<u64>, complete: Delivery, changes: Delivery) -> World {
         World {
-            requests: ListRequests::new(0),
+            requests: ListRequests::new(0, version),
             now: 0,
             version: 1,
             complete,
@@ -211,6 +216,55 @@
     }
 }
 
+/// Guards against a change that waits for an answer which began before it: each slow answer is followed by another one that
+/// began soon after it, and is not cut off by it.
+#[test]
+fn a_change_during_a_slow_answer_is_received_with_one_that_began_soon_after() {
+    for answer_ms in [1_000, 2_500, 4_000, 5_500] {
+        let pace = Delivery::Pieces { count: 11, interval: answer_ms * SECOND / 10_000 };
+        for complete in [AT_ONCE, pace] {
+            let mut world = World::serving(complete, pace);
+            let limit = STALL_TIMEOUT + answer_ms * SECOND / 1_000 + 2 * STEP;
+            for n in 0..200 {
+                world.run(SECOND / 20 + n % 37 * SECOND / 13);
+                let took = world.change(20 * SECOND);
+                assert!(took.is_some_and(|took| took <= limit), "{answer_ms} ms, {complete:?}: {took:?}");
+            }
+            assert!(world.most_attempts <= 2 * MAX_ATTEMPTS);
+        }
+    }
+}
+
+/// Answers without end beside them leave the others the time in which discovery has to have answered.
+#[test]
+fn a_slow_answer_beside_answers_without_end_is_read_to_its_end() {
+    let mut world = World::serving(AT_ONCE, Delivery::Endless { interval: SECOND / 10 });
+    world.complete = Delivery::Silent;
+    world.run(30 * SECOND);
+    world.changes = Delivery::Pieces { count: 6, interval: 11 * SECOND / 10 };
+    let took = world.change(20 * SECOND);
+    let limit = STALL_TIMEOUT + 55 * SECOND / 10 + 2 * STEP;
+    assert!(took.is_some_and(|took| took <= limit), "{took:?}");
+}
+
+/// Guards against a drain that is not seen at a start while the complete list is on its way.
+#[test]
+fn changes_since_the_stored_list_do_not_wait_for_a_slow_complete_list() {
+    let slow = Delivery::Pieces { count: 60, interval: SECOND / 10 };
+    let mut world = World::with_stored(Some(1), slow, AT_ONCE);
+    assert!(world.change(SECOND).is_some_and(|took| took <= COMPLETE_LIST_HEAD_START + 2 * STEP));
+    world.run(7 * SECOND);
+    assert!(world.last_complete_at.is_some(), "the complete list is still read to its end");
+    let mut world = World::with_stored(Some(1), AT_ONCE, AT_ONCE);
+    world.run(2 * STEP);
+    assert_eq!(world.sent[0].1, ListQuery::Complete);
+    assert_eq!(
+        (world.held, world.most_attempts),
+        (Some(1), 1),
+        "one query at a time while answers come at once"
+    );
+}
+
 /// The same at the start, where nothing else is known.
 #[test]
 fn a_first_list_in_pieces_is_read_to_its_end() {
--- a/crates/platform/src/session/tests/removed.rs
+++ b/crates/platform/src/session/tests/removed.rs
@@ -52,6 +52,22 @@
     assert_revoked(&mut harness, "before the heartbeat that ends the snapshot");
 }
 
+/// The changes since the stored list say it as well, where the complete list is still on its way.
+#[test]
+fn a_host_removed_during_a_restart_is_left_when_the_changes_since_the_stored_list_say_so() {
+    for removed in [vec![host("C", "left", 0)], vec![host("C", "leaving", 0)]] {
+        let mut harness = restarted();
+        harness.change_hosts(5, &removed);
+        harness.subscribe(&[0], &[Some("C"), Some("A")]);
+        assert_revoked(&mut harness, "the changes, then the lines");
+        let mut harness = restarted();
+        harness.subscribe(&[0], &[Some("C"), Some("A")]);
+        assert_eq!(harness.poll(), None, "no list has come");
+        harness.change_hosts(5, &removed);
+        assert_revoked(&mut harness, "the lines, then the changes");
+    }
+}
+
 /// A restriction needs no live subscription: neither here nor where the store gives the slice back later.
 #[test]
 fn a_slice_taken_over_in_service_leaves_a_host_that_the_list_lacks() {
--- a/crates/standin/src/platform/discovery.rs
+++ b/crates/standin/src/platform/discovery.rs
@@ -274,7 +274,8 @@
     let field = |name: &str| -> Option<u64> {
         query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
-    let Some(since) = field("since") else {
+    // No version is as old as 0: since then everything has changed.
+    let Some(since) = field("since").filter(|since| *since > 0) else {
         wait_while_silent(state, changed).await;
         let state = locked(state);
         let (version, hosts) = state.published();
