A call that failed on all its attempts leaves no silent connection to the next one

Seen: after a read that was answered on none of its attempts, the next call goes out on the connection of the last one. A transaction, which is not repeated, fails there though the store can be reached again.

Cause: the last attempt returned before it gave its connection up.

Change: an attempt without an answer gives up its connection first.

Test: `a_transaction_after_a_failed_read_uses_another_connection` fails on the code before.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -177,11 +177,11 @@
             if matches!(error, StoreError::Refused(_)) {
                 return Err(error);
             }
+            self.give_up_connection(&connection);
             attempt += 1;
             if attempt >= 2 * self.endpoints.len() as u32 {
                 return Err(error);
             }
-            self.give_up_connection(&connection);
             self.back_off(attempt).await;
         }
     }
--- a/crates/standin/src/pieces.rs
+++ b/crates/standin/src/pieces.rs
@@ -61,6 +61,12 @@
         self.shared.silenced.store(self.shared.accepted.load(Ordering::SeqCst), Ordering::SeqCst);
     }
 
+    /// From here on nothing is delivered on any connection, also on new ones, until
+    /// [`silence_open_connections`](PieceRelay::silence_open_connections) lets new ones deliver again.
+    pub fn silence_all_connections(&self) {
+        self.shared.silenced.store(usize::MAX, Ordering::SeqCst);
+    }
+
     /// From here on bytes to the client are delivered in pieces of this many bytes, with a pause after each.
     pub fn deliver_in_pieces(&self, size: usize, pause: Duration) {
         *self.shared.delivery.lock().unwrap_or_else(PoisonError::into_inner) = Some(Delivery { size, pause });
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -239,3 +239,17 @@
     let result = world.call(reads).await;
     assert!(matches!(result, Err(StoreError::Unknown(_))), "{result:?}");
 }
+
+/// A call that failed on all its attempts leaves no silent connection to the next one.
+#[tokio::test]
+async fn a_transaction_after_a_failed_read_uses_another_connection() {
+    let store = Store::new(7);
+    let relay = PieceRelay::start(store.listen().await.expect("the store listens")).expect("a relay");
+    let client =
+        Client::new(&[format!("http://{}", relay.address)], Duration::from_secs(1), 7).expect("a client");
+    client.range(all("a/")).await.expect("the range is read");
+    relay.silence_all_connections();
+    assert!(client.range(all("a/")).await.is_err(), "no attempt is answered");
+    relay.silence_open_connections();
+    client.txn(puts(vec![put("a/1", "x", 0)])).await.expect("a new connection");
+}
