The search over hand-overs has older stored lists, and asks for listed servers

Change: a fault `StoredListOld` starts a steward with the first list, without some servers, and delivers the current one later; at the end writes of every slice have to reach a server that is listed as active, where any server passed before.

--- a/crates/platform/tests/changes_of_hands/main.rs
+++ b/crates/platform/tests/changes_of_hands/main.rs
@@ -38,6 +38,8 @@
         2 => (0u8..3, 0u8..3, 1u8..60).prop_map(|(proxy, steward, duration)| StreamLost { proxy, steward, duration }),
         1 => (0u8..3, 1u8..30, any::<bool>())
             .prop_map(|(steward, duration, applied)| CallsLost { steward, duration, applied }),
+        2 => (0u8..3, 0u8..16, 0u16..2_000)
+            .prop_map(|(steward, without, delay)| StoredListOld { steward, without, delay }),
         8 => (0u8..4, lifecycle).prop_map(|(server, to)| ListChanged { server, to }),
         1 => (0u8..4, 10u8..60).prop_map(|(server, duration)| Fails { server, duration }),
         1 => (0u8..4, 10u8..60).prop_map(|(server, duration)| Strained { server, duration }),
@@ -55,10 +57,11 @@
     world.schedule(faults);
     world.run(last * SECOND / 10 + RECOVERY_TIME);
     let bound = world.now + MAX_UNSERVED;
-    while world.violation.is_none() && world.is_any_active() && !world.all_written_at(|_| true) {
+    let is_served = |world: &World| world.all_written_at(|server| world.is_active(server));
+    while world.violation.is_none() && world.is_any_active() && !is_served(&world) {
         world.run(SECOND);
         if world.now > bound {
-            world.violation = Some("writes of a slice reach no server".to_owned());
+            world.violation = Some("writes of a slice reach no server that is listed as active".to_owned());
         }
     }
     world
@@ -125,6 +128,26 @@
     }
 }
 
+/// Guards against a host that was removed while its steward was away and is kept in use, as the steward's stored list is
+/// older than the host: whether the current list comes before, between or after the lines.
+#[test]
+fn a_server_that_left_during_a_restart_with_an_older_stored_list_is_left() {
+    let faults = |delay| {
+        [
+            (0, Fault::StoredListOld { steward: 1, without: 1 << 1, delay }),
+            (1, Fault::Kill { steward: 1, duration: 20, reassign_after: 255, return_after: 255 }),
+            (10, Fault::ListChanged { server: 1, to: Lifecycle::Left }),
+        ]
+    };
+    for delay in [0, 49, 50, 51, 200, 1_500] {
+        for seed in 0..20 {
+            if let Err(violation) = check_history(seed, &faults(delay)) {
+                panic!("after {delay} ms: {violation}");
+            }
+        }
+    }
+}
+
 /// Checks that the search covers real moves: without faults, every slice leaves a draining server, and writes reach
 /// its next one.
 #[test]
--- a/crates/platform/tests/changes_of_hands/world.rs
+++ b/crates/platform/tests/changes_of_hands/world.rs
@@ -195,9 +195,14 @@
         (0..SLICES).all(writes)
     }
 
+    /// Returns true if a server is listed as active.
+    pub fn is_active(&self, server: usize) -> bool {
+        self.servers[server].lifecycle == Lifecycle::Active
+    }
+
     /// Returns true if any server can be granted slices.
     pub fn is_any_active(&self) -> bool {
-        self.servers.iter().any(|server| server.lifecycle == Lifecycle::Active)
+        (0..SERVERS).any(|server| self.is_active(server))
     }
 
     /// Returns the trace that led to the violation.
--- a/crates/platform/tests/changes_of_hands/world/faults.rs
+++ b/crates/platform/tests/changes_of_hands/world/faults.rs
@@ -20,6 +20,9 @@
     StreamLost { proxy: u8, steward: u8, duration: u8 },
     /// A steward's calls are not answered, whether applied or not.
     CallsLost { steward: u8, duration: u8, applied: bool },
+    /// At its next starts a steward has the first list as stored list, without these servers (one bit each), as from before
+    /// they came. It receives the current list after `delay`, in milliseconds.
+    StoredListOld { steward: u8, without: u8, delay: u16 },
     /// The listed state of a server changes.
     ListChanged { server: u8, to: Lifecycle },
     /// All tries at a server fail.
@@ -88,6 +91,11 @@
                 entry.calls_lost_until = self.now + tenths(duration);
                 entry.lost_calls_applied = applied;
             }
+            Fault::StoredListOld { steward, without, delay } => {
+                let entry = &mut self.stewards[usize::from(steward) % STEWARDS];
+                entry.stored_list_without = Some(without);
+                entry.list_delay = Time::from(delay) * MILLISECOND;
+            }
             Fault::ListChanged { server, to } => {
                 let server = &mut self.servers[usize::from(server) % SERVERS];
                 let is_back = matches!(server.lifecycle, Lifecycle::Left) && to == Lifecycle::Active;
--- a/crates/platform/tests/changes_of_hands/world/stewards.rs
+++ b/crates/platform/tests/changes_of_hands/world/stewards.rs
@@ -22,6 +22,10 @@
     pub(super) gap_until: Time,
     pub(super) calls_lost_until: Time,
     pub(super) lost_calls_applied: bool,
+    /// If the list that it has at a start is the first one, the servers that it lacks, one bit each.
+    pub(super) stored_list_without: Option<u8>,
+    /// How long after a start it receives the current list.
+    pub(super) list_delay: Time,
 }
 
 impl Steward {
@@ -39,6 +43,8 @@
             gap_until: START,
             calls_lost_until: START,
             lost_calls_applied: false,
+            stored_list_without: None,
+            list_delay: 0,
         }
     }
 }
@@ -57,14 +63,15 @@
 }
 
 impl World {
-    /// Starts a steward that knows only the list. The slices that are still its own are assigned to it again, which
+    /// Starts a steward that knows only a list. The slices that are still its own are assigned to it again, which
     /// resets their levels.
     pub(super) fn start(&mut self, steward: usize) {
         if self.stewards[steward].session.is_some() {
             return;
         }
         self.trace(|| format!("n{steward} starts"));
-        let known = self.lists.last().cloned().unwrap_or_default();
+        let known = self.stored_list(steward);
+        let list_delay = self.stewards[steward].list_delay;
         let session = Session::new(self.now, 7 + steward as u64, &settings(), &known).expect("good settings");
         let entry = &mut self.stewards[steward];
         entry.session = Some(session);
@@ -73,10 +80,25 @@
             stored.table.closed = false;
             stored.version += 1;
         }
-        self.after(0, Event::List { steward, version: self.lists.len() as u64 });
+        self.after(list_delay, Event::List { steward, version: self.lists.len() as u64 });
         self.after(RESUBSCRIBE_DELAY / 2, Event::Subscribe { steward, incarnation });
     }
 
+    /// Returns the list that a steward has at a start: the current one, or an older one.
+    fn stored_list(&self, steward: usize) -> Value {
+        let Some(without) = self.stewards[steward].stored_list_without else {
+            return self.lists.last().cloned().unwrap_or_default();
+        };
+        let mut list = self.lists.first().cloned().unwrap_or_default();
+        let lacks = |entry: &Value| {
+            (0..SERVERS).any(|server| without & (1 << server) != 0 && entry["instanceId"] == name(server))
+        };
+        if let Some(entries) = list["instances"].as_array_mut() {
+            entries.retain(|entry| !lacks(entry));
+        }
+        list
+    }
+
     pub(super) fn is_up(&self, steward: usize) -> bool {
         self.stewards[steward].session.is_some() && self.now >= self.stewards[steward].cut_until
     }
