--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -3,5 +3,5 @@
 mod discovery;
 mod relay;
 
-pub use discovery::{Discovery, ListFault};
+pub use discovery::{host, Discovery, ListFault};
 pub use relay::{Fault, Relay, RelayState};
