A steward that shares takes the list that it read before it joined for a complete one

Seen, by a process test: a steward of `serve` takes over slices at a server that its list lacks, and keeps them there for as long as reports show the server to work.

A steward that shares reads its list before it joins and gives it to its host as a stored list, which says nothing of absent servers; the list's source sends no other before a change. The host's own test gave it the list again.

Change: `Host::without_slices` is told what the list is, and `serve` passes a complete one. Harness: a proxy can report successful tries.

Tests: `a_slice_taken_over_at_a_server_that_the_list_lacks_moves_to_a_listed_one` fails on the code before (not within 30 s), one of the host with both kinds of list.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -91,7 +91,7 @@
         list: &[(Server, Health, Time)],
         record: &[(usize, String, f64)],
     ) -> Result<Host, &'static str> {
-        let mut host = Host::without_slices(now, seed, cfg, term, list)?;
+        let mut host = Host::without_slices(now, seed, cfg, term, ListScope::Stored, list)?;
         host.table = Table::new(host.limits.slices, term);
         host.terms = vec![term; host.limits.slices];
         (0..host.limits.slices).for_each(|slice| host.steward.slice_assigned(now, slice));
@@ -107,25 +107,27 @@
         Ok(host)
     }
 
-    /// Creates the host of a steward in a fleet, with no slices assigned yet; see [`Host::charged`].
+    /// Creates the host of a steward in a fleet, with no slices assigned yet; see [`Host::assign`]. The list is a stored one,
+    /// or the complete one that its source has sent last.
     pub fn without_slices(
         now: Time,
         seed: u64,
         cfg: Settings,
         term: u64,
+        scope: ListScope,
         list: &[(Server, Health, Time)],
     ) -> Result<Host, &'static str> {
         let limits = Limits::new(&cfg)?;
         let mut steward = Steward::new(now, seed, cfg)?;
         let mut servers = Servers::default();
         // The list comes first: it defines which start of a server the record refers to.
-        steward.list_begin(ListScope::Stored);
+        steward.list_begin(scope);
         for (server, health, boot) in list {
             let server = servers.learn(&server.id, &server.zone, &server.address);
             servers.learn_start(server, *boot);
             steward.list_entry(server, *health, *boot);
         }
-        steward.list_end(ListScope::Stored);
+        steward.list_end(scope);
         Ok(Host {
             steward,
             term,
--- a/crates/host/tests/charges.rs
+++ b/crates/host/tests/charges.rs
@@ -3,13 +3,13 @@
 mod common;
 
 use common::*;
-use ravenspar_host::{AssignedSlice, Host, Output};
+use ravenspar_host::{AssignedSlice, Host, Output, Server};
 use ravenspar_protocol::{kind, tag};
 use ravenspar_steward::{Health, ListScope, Time, SECOND};
 
 fn host_without_slices(now: Time, slices: usize, proxies: usize, servers: &[&str]) -> Host {
-    let mut host =
-        Host::without_slices(now, 7, settings(slices, proxies), 5, &[]).expect("settings are complete");
+    let mut host = Host::without_slices(now, 7, settings(slices, proxies), 5, ListScope::Stored, &[])
+        .expect("settings are complete");
     list(&mut host, servers, Health::Ready);
     host
 }
@@ -135,7 +135,8 @@
 #[test]
 fn a_slice_taken_over_at_a_server_that_the_list_lacks_is_revoked() {
     for (boot, list_first) in [(0, true), (0, false), (77, true), (77, false)] {
-        let mut host = Host::without_slices(0, 7, settings(1, 1), 5, &[]).expect("settings are complete");
+        let mut host = Host::without_slices(0, 7, settings(1, 1), 5, ListScope::Stored, &[])
+            .expect("settings are complete");
         if list_first {
             list(&mut host, &["a", "b"], Health::Ready);
         }
@@ -152,6 +153,22 @@
     }
 }
 
+/// The same for a steward that read the complete list before it joined.
+#[test]
+fn a_slice_taken_over_after_the_list_was_read_is_revoked_at_a_server_that_it_lacks() {
+    let listed = |id: &str| (Server { id: id.to_owned(), ..Server::default() }, Health::Ready, 0);
+    let list = [listed("a"), listed("b")];
+    for (scope, expected) in [(ListScope::Complete, vec![0]), (ListScope::Stored, vec![])] {
+        let mut host =
+            Host::without_slices(0, 7, settings(1, 1), 5, scope, &list).expect("settings are complete");
+        join(&mut host, 0, 1, 0);
+        let owner = Some(("removed".to_owned(), 1.0, 0));
+        host.assign(0, &[AssignedSlice { slice: 0, term: 9, echoed_until: Some(0), owner }]);
+        let frames = run_for_span(&mut host, 0, SECOND / 2, &[1]);
+        assert_eq!(numbers_with_tag(&frames, tag::DROP), expected, "{scope:?}");
+    }
+}
+
 /// The same for a steward that starts over with its record and its last list: the first list from the source tells.
 #[test]
 fn a_recorded_slice_at_a_server_that_the_list_lacks_is_revoked_after_a_restart() {
--- a/crates/ravenspar/src/serve.rs
+++ b/crates/ravenspar/src/serve.rs
@@ -6,7 +6,7 @@
 use ravenspar_host::{Host, Server};
 use ravenspar_record::{Record, ServerRow, SliceRow};
 use ravenspar_sharing::steward_count::StewardCount;
-use ravenspar_steward::{Health, LiveNumber, Time};
+use ravenspar_steward::{Health, ListScope, LiveNumber, Time};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
@@ -201,7 +201,10 @@
                 failures = 0;
                 let term = session.term;
                 let last = last_seen(&process.last_list);
-                let host = Host::without_slices(process.clock.now(), cfg.seed, cfg.map.clone(), term, &last);
+                // Read from its source before the first incarnation, and sent again only once it changes.
+                let scope = ListScope::Complete;
+                let now = process.clock.now();
+                let host = Host::without_slices(now, cfg.seed, cfg.map.clone(), term, scope, &last);
                 let host = host.map_err(unusable)?;
                 tracing::info!(%address, life = %format_args!("{number:016x}"), term, servers = last.len(), "a member");
                 let mut core = Core::new(process, host, Some(Shared::new(session, seen)));
--- a/crates/ravenspar/tests/common/mod.rs
+++ b/crates/ravenspar/tests/common/mod.rs
@@ -192,6 +192,20 @@
         self.send(&Frame::new(kind::PING).numbers(tag::SENT, &[sent]).finish());
     }
 
+    /// Reports that tries at this server succeed, if its number is known.
+    pub fn report_success(&mut self, server: &str) {
+        const WINDOW: u64 = 5_000;
+        const TRIES: u64 = 50;
+        const MEAN_TIME: u64 = 50;
+        let Some(number) = self.names.iter().find_map(|(number, name)| (name == server).then_some(*number))
+        else {
+            return;
+        };
+        let mut report = Frame::new(kind::REPORT);
+        report.numbers(tag::WINDOW, &[WINDOW]).numbers(tag::MET, &[number, TRIES, 0, MEAN_TIME]);
+        self.send(&report.finish());
+    }
+
     /// Pings, and handles and answers what arrives within 100 ms.
     pub fn step(&mut self) {
         self.ping();
--- a/crates/ravenspar/tests/shared.rs
+++ b/crates/ravenspar/tests/shared.rs
@@ -76,6 +76,30 @@
     assert_eq!(second.wait_exit().code(), Some(0));
 }
 
+/// Guards against requests to a removed server that still works: the shared record names it, the list of the steward that
+/// takes the slices over lacks it, and no other list follows.
+#[test]
+fn a_slice_taken_over_at_a_server_that_the_list_lacks_moves_to_a_listed_one() {
+    let dir = Dir::new(6, 2, &["removed"]);
+    let (_store, at) = store(1);
+    let (one, two) = (settings(&dir, "one", at, ""), settings(&dir, "two", at, ""));
+    let first = start(&one, &[]);
+    let mut proxy = Proxy::dial(first.address, 0, 1);
+    let are_all_at_removed = |proxy: &Proxy| (0..6).all(|slice| proxy.owner(slice) == Some("removed"));
+    wait_until("all are at the only server", &mut [&mut proxy], |all| are_all_at_removed(all[0]));
+    // The first steward is gone before it can see the next list.
+    drop(first);
+    dir.list(&["a", "b"]);
+    let second = start(&two, &[]);
+    let mut other = Proxy::dial(second.address, 0, 1);
+    let is_listed = |owner: Option<&str>| owner.is_some_and(|owner| owner != "removed");
+    wait_for("all are at listed servers", || {
+        other.report_success("removed");
+        other.step();
+        (0..6).all(|slice| is_listed(other.owner(slice)))
+    });
+}
+
 /// At shutdown the transaction that hands slices over may be carried out and its answer lost, carried out
 /// after its caller was told that the outcome is unknown, or not be possible: the steward exits all the same,
 /// and each slice ends up at the other one, once.
