--- a/crates/platform-net/src/listener.rs
+++ b/crates/platform-net/src/listener.rs
@@ -31,6 +31,12 @@
 /// the backlog. Guards the descriptors against peers that don't read their answers.
 const MAX_CLOSING: usize = 32;
 
+/// Pause after a connection that ended before it was accepted.
+const CONNECTION_ERROR_PAUSE: Duration = Duration::from_millis(1);
+
+/// Pause after another error, such as being out of descriptors, for which unidentified peers are closed.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+
 /// The listening socket and what the tasks of its connections need.
 pub struct Listener {
     pub listener: TcpListener,
@@ -232,39 +238,54 @@
     let shared = Shared { zones, events, joined, started: Instant::now() };
     loop {
         tokio::select! {
-                    biased;
-                    Some(Joined { task, zone, last_report }) = joining.recv() => {
-                        let index = unidentified.iter().position(|peer: &Connection| peer.task.id() == task);
-                        // A peer that was asked to close meanwhile isn't counted as a collector.
-                        if let Some(collector) = index.and_then(|index| unidentified.remove(index)) {
-                            collectors[zone].push((collector, last_report));
-                            limit_collectors(&mut collectors[zone]);
-                        }
-                    }
-                    accepted = accept(&listener, &permits) => match accepted {
-                        Ok((socket, permit)) => {
-                            let closing = connections.closing.child_token();
-                            let serving = serve_unidentified(Peer::new(socket, closing.clone()), shared.clone());
-                            let task = connections.spawn(async move {
-        serving.await;
-                                drop(permit);
-                            });
-                            unidentified.push_back(Connection { task, closing });
-                            limit_unidentified(&mut unidentified, max);
-                        }
-                        Err(error) if is_connection_error(&error) => {
-                            tracing::debug!(%error, "a connection was closed before it was accepted");
-                            tokio::time::sleep(Duration::from_millis(1)).await;
-                        }
-                        Err(error) => {
-                            // For one, out of descriptors: close unidentified peers and pause before the next
-                            // accept.
-                            tracing::warn!(%error, "no connection can be taken");
-                            limit_unidentified(&mut unidentified, max / 2);
-                            tokio::time::sleep(Duration::from_millis(20)).await;
-                        }
-                    },
+            biased;
+            Some(joined) = joining.recv() => move_to_collectors(joined, &mut unidentified, &mut collectors),
+            accepted = accept(&listener, &permits) => match accepted {
+                Ok((socket, permit)) => {
+                    unidentified.push_back(start_serving(socket, permit, &connections, &shared));
+                    limit_unidentified(&mut unidentified, max);
                 }
+                Err(error) if is_connection_error(&error) => {
+                    tracing::debug!(%error, "a connection was closed before it was accepted");
+                    tokio::time::sleep(CONNECTION_ERROR_PAUSE).await;
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "no connection can be taken");
+                    limit_unidentified(&mut unidentified, max / 2);
+                    tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+                }
+            },
+        }
+    }
+}
+
+/// Serves a new connection in a task of its own, which holds the permit until it ends.
+fn start_serving(
+    socket: TcpStream,
+    permit: OwnedSemaphorePermit,
+    connections: &Connections,
+    shared: &Shared,
+) -> Connection {
+    let closing = connections.closing.child_token();
+    let serving = serve_unidentified(Peer::new(socket, closing.clone()), shared.clone());
+    let task = connections.spawn(async move {
+        serving.await;
+        drop(permit);
+    });
+    Connection { task, closing }
+}
+
+/// Counts a peer as a collector of its zone, unless it was asked to close meanwhile.
+fn move_to_collectors(
+    joined: Joined,
+    unidentified: &mut VecDeque<Connection>,
+    collectors: &mut [Vec<(Connection, Arc<LastReport>)>],
+) {
+    let Joined { task, zone, last_report } = joined;
+    let index = unidentified.iter().position(|peer| peer.task.id() == task);
+    if let Some(collector) = index.and_then(|index| unidentified.remove(index)) {
+        collectors[zone].push((collector, last_report));
+        limit_collectors(&mut collectors[zone]);
     }
 }
 
