Changes at another address of discovery do not wait for a slow complete list

Seen, by the queries in simulated time: after a SIGHUP that names another discovery, changes are asked for only once its complete list is there, however long that takes.

The version held was forgotten with the address, as the new one may number its versions differently.

Changes conclude nothing from absence, and the complete list has the last word on versions.

Test: `changes_at_another_address_do_not_wait_for_a_slow_complete_list` fails with the version forgotten.

--- a/crates/platform/src/list_requests.rs
+++ b/crates/platform/src/list_requests.rs
@@ -143,6 +143,11 @@
         surplus.into_iter().chain([ListAction::Send { id, query }])
     }
 
+    /// Returns true if an attempt with this id is in progress.
+    fn has(&self, id: u64) -> bool {
+        self.attempts.iter().any(|attempt| attempt.id == id)
+    }
+
     /// Removes an attempt. Returns false if it is not one of this query.
     fn remove(&mut self, id: u64) -> bool {
         let index = self.attempts.iter().position(|attempt| attempt.id == id);
@@ -174,6 +179,8 @@
 pub struct ListRequests {
     /// The version of the list that changes are queried since.
     version: Option<u64>,
+    /// A complete list was received from this address, so that its versions are numbered as this one is.
+    has_complete_list: bool,
     complete: Fetch,
     changes: Fetch,
     next_id: u64,
@@ -186,6 +193,7 @@
     pub fn new(now: Time, stored_version: Option<u64>) -> ListRequests {
         ListRequests {
             version: stored_version,
+            has_complete_list: false,
             complete: Fetch::new(now, COMPLETE_LIST_REPEAT_INTERVAL),
             changes: Fetch::new(now, CHANGES_REPEAT_INTERVAL),
             next_id: 0,
@@ -193,9 +201,10 @@
         }
     }
 
-    /// Abandons all attempts and starts over, as discovery is at another address. It may number its versions differently.
+    /// Abandons all attempts and starts over, as discovery is at another address. It may number its versions differently, so
+    /// the complete list is queried first; if it is not there at once, so are the changes since the version held.
     pub fn restart(&mut self, now: Time) {
-        self.version = None;
+        self.has_complete_list = false;
         self.actions.extend(self.complete.finish(now));
         self.actions.extend(self.changes.finish(now));
     }
@@ -213,18 +222,20 @@
         // Discovery has started over: changes since a version of before may never come.
         let is_renumbered = self.version.is_some_and(|known| version < known);
         self.version = Some(version);
+        self.has_complete_list |= self.complete.has(id);
         self.handle_answered(now, id);
         if is_renumbered {
             self.actions.extend(self.changes.finish(now));
         }
     }
 
-    /// Handles an answer that is not needed, as a newer list was received while it was on its way. Without a list from this
-    /// address, where the newer one came from another, it counts as a failure.
+    /// Handles an answer that is not needed, as a newer list was received while it was on its way. For the first complete
+    /// list from this address that counts as a failure: the newer one may be from another.
     pub fn handle_overtaken(&mut self, now: Time, id: u64) {
-        match self.version {
-            Some(_) => self.handle_answered(now, id),
-            None => _ = self.handle_failed(now, id),
+        if self.complete.has(id) && !self.has_complete_list {
+            self.handle_failed(now, id);
+        } else {
+            self.handle_answered(now, id);
         }
     }
 
--- a/crates/platform/src/list_requests/tests.rs
+++ b/crates/platform/src/list_requests/tests.rs
@@ -265,6 +265,23 @@
     );
 }
 
+/// The same at another address. There the first complete list is asked for again until it is accepted, as versions may be
+/// numbered differently.
+#[test]
+fn changes_at_another_address_do_not_wait_for_a_slow_complete_list() {
+    let mut world = World::serving(Delivery::Pieces { count: 100, interval: SECOND / 10 }, AT_ONCE);
+    world.requests.restart(world.now);
+    world.served.clear();
+    for _ in 0..5 {
+        assert!(world.change(SECOND).is_some_and(|took| took <= COMPLETE_LIST_HEAD_START + 2 * STEP));
+        world.run(SECOND);
+    }
+    let began = world.now;
+    world.run(25 * SECOND);
+    // The first one was overtaken; the one after it is asked for at once.
+    assert!(world.last_complete_at.is_some_and(|at| at > began && at < began + 17 * SECOND));
+}
+
 /// The same at the start, where nothing else is known.
 #[test]
 fn a_first_list_in_pieces_is_read_to_its_end() {
