--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -46,6 +46,9 @@
 /// A response that has begun is given up after this long without progress, as is a watch.
 pub(crate) const STALL_TIMEOUT: Time = 6 * SECOND;
 
+/// Attempts of a call that may be repeated, per endpoint.
+const ATTEMPTS_PER_ENDPOINT: u32 = 2;
+
 /// How often a response is checked for progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -162,7 +165,7 @@
         tokio::time::sleep(Duration::from_millis(wait)).await;
     }
 
-    /// Makes a call that may be repeated, at most twice per endpoint.
+    /// Makes a call that may be repeated, up to [`ATTEMPTS_PER_ENDPOINT`].
     async fn with_retries<T, F>(&self, call: impl Fn(Channel) -> F) -> Result<T, StoreError>
     where
         F: std::future::Future<Output = Result<T, Status>>,
@@ -179,7 +182,7 @@
             }
             self.give_up_connection(&connection);
             attempt += 1;
-            if attempt >= 2 * self.endpoints.len() as u32 {
+            if attempt >= ATTEMPTS_PER_ENDPOINT * self.endpoints.len() as u32 {
                 return Err(error);
             }
             self.back_off(attempt).await;
