--- a/review/standin-2/src/etcd.rs
+++ b/review/standin-2/src/etcd.rs
@@ -1,5 +1,5 @@
-//! Members of a store with etcd's public API, on the project's stand-in: a member can be stopped and started again at its
-//! address, and a watch can deliver two events in the wrong order after a reconnect.
+//! A store with etcd's public API, on the project's stand-in, whose watch can deliver two events in the wrong order after a
+//! reconnect.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -13,9 +13,8 @@
 use ravenspar_etcd::api::watch_server::{Watch, WatchServer};
 use ravenspar_etcd::api::{Event, KeyValue, ResponseHeader, WatchCreateRequest, WatchRequest, WatchResponse};
 use ravenspar_standin::store::{Change, Store};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::{spawn_local, AbortHandle};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tokio_stream::Stream;
 use tonic::{Request, Response, Status, Streaming};
@@ -23,54 +22,6 @@
 pub const PREFIX: &str = "/ravenspar/servers/";
 pub const CLUSTER: u64 = 0x1f2e;
 
-/// A member of the store behind an address of its own, which can be stopped as a process that died: its connections
-/// are reset and new ones refused.
-pub struct Member {
-    pub address: SocketAddr,
-    backend: SocketAddr,
-    tasks: Arc<Mutex<Vec<AbortHandle>>>,
-}
-
-impl Member {
-    pub async fn start(backend: SocketAddr) -> std::io::Result<Member> {
-        let mut member = Member { address: crate::stage::free_address()?, backend, tasks: Arc::default() };
-        member.up().await?;
-        Ok(member)
-    }
-
-    pub async fn up(&mut self) -> std::io::Result<()> {
-        let socket = tokio::net::TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(self.address)?;
-        let listener = socket.listen(64)?;
-        let (backend, tasks) = (self.backend, self.tasks.clone());
-        let accept = spawn_local(accept(listener, backend, tasks.clone())).abort_handle();
-        self.lock().push(accept);
-        Ok(())
-    }
-
-    pub fn down(&mut self) {
-        self.lock().drain(..).for_each(|task| task.abort());
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<AbortHandle>> {
-        self.tasks.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
-
-async fn accept(listener: TcpListener, backend: SocketAddr, tasks: Arc<Mutex<Vec<AbortHandle>>>) {
-    while let Ok((mut client, _)) = listener.accept().await {
-        let task = spawn_local(async move {
-            let _ = client.set_nodelay(true);
-            if let Ok(mut server) = TcpStream::connect(backend).await {
-                let _ = server.set_nodelay(true);
-                let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
-            }
-        });
-        tasks.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push(task.abort_handle());
-    }
-}
-
 /// The watch service of a store whose streams can be broken off once. On the streams after that, the first two events are
 /// delivered in the wrong order if that is asked for, each in a response of its own.
 #[derive(Clone)]
--- a/review/standin-2/src/list_cases.rs
+++ b/review/standin-2/src/list_cases.rs
@@ -7,9 +7,10 @@
 use ravenspar_standin::{Clock, SECOND};
 use tokio::task::spawn_local;
 
-use crate::etcd::{Member, ReorderingWatch, CLUSTER, PREFIX};
+use crate::etcd::{ReorderingWatch, CLUSTER, PREFIX};
+use crate::gate::Gate;
 use crate::observer::{self, Published};
-use crate::stage::{Stage, FORWARDERS, GRACE, SLACK};
+use crate::stage::{self, Settings, Stage, FORWARDERS, GRACE, SLACK, SLICES};
 use crate::{Place, Unplayed, Verdict};
 
 fn key(server: usize) -> String {
@@ -18,12 +19,12 @@
 
 /// Starts everything around a steward whose list is at these endpoints, until all slices are served.
 async fn begin(stage: &mut Stage, endpoints: &[std::net::SocketAddr]) -> Result<Published, Unplayed> {
-    stage.write_settings(endpoints)?;
+    stage.write_settings(&Settings::of_list(endpoints))?;
     stage.start_steward().await?;
-    stage.start_forwarders().await?;
+    stage.start_forwarders(&[stage.address; FORWARDERS]).await?;
     let published: Published = Rc::new(RefCell::new(Vec::new()));
     spawn_local(observer::follow(stage.address, FORWARDERS as u64, Clock::default(), published.clone()));
-    stage.warm_up().await?;
+    stage.warm_up(SLICES).await?;
     Ok(published)
 }
 
@@ -41,7 +42,7 @@
 
 /// Two events in the wrong order after a reconnect: a drain behind the coming of another server.
 pub async fn order(place: &Place) -> Result<Verdict, Unplayed> {
-    let mut stage = Stage::new(place, 5).await?;
+    let mut stage = Stage::new(place, 5, stage::load()).await?;
     let store = Store::new(CLUSTER);
     (0..4).for_each(|server| store.put_key(&key(server), &stage.value(server, "ready")));
     let watch = ReorderingWatch::new(store.clone());
@@ -83,7 +84,7 @@
 /// A planned restart of the steward between a server's drain and the end of its key, and a late write of the start that
 /// has left.
 pub async fn restart(place: &Place) -> Result<Verdict, Unplayed> {
-    let mut stage = Stage::new(place, 4).await?;
+    let mut stage = Stage::new(place, 4, stage::load()).await?;
     let store = Store::new(CLUSTER);
     (0..4).for_each(|server| store.put_key(&key(server), &stage.value(server, "ready")));
     let at = store.listen().await?;
@@ -129,13 +130,13 @@
 
 /// The member of the store that the steward follows is away for a while, and the one that is left lags by one write.
 pub async fn lag(place: &Place) -> Result<Verdict, Unplayed> {
-    let mut stage = Stage::new(place, 5).await?;
+    let mut stage = Stage::new(place, 5, stage::load()).await?;
     let (first, second) = (Store::new(CLUSTER), Store::new(CLUSTER));
     for store in [&first, &second] {
         (0..4).for_each(|server| store.put_key(&key(server), &stage.value(server, "ready")));
     }
-    let mut leader = Member::start(first.listen().await?).await?;
-    let follower = Member::start(second.listen().await?).await?;
+    let mut leader = Gate::start(first.listen().await?).await?;
+    let follower = Gate::start(second.listen().await?).await?;
     let published = begin(&mut stage, &[leader.address, follower.address]).await?;
     stage.send_load(75);
     stage.note("plan-4 comes; the second member has not got that yet");
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,8 @@
 //! on loopback, and exits with 0 if the rule held, 1 if it was broken and 2 if the case couldn't run.
 
 mod etcd;
+mod gate;
+mod lease_cases;
 mod list_cases;
 mod observer;
 mod stage;
@@ -58,6 +60,7 @@
                 "list-order" => list_cases::order(&place).await,
                 "list-restart" => list_cases::restart(&place).await,
                 "list-lag" => list_cases::lag(&place).await,
+                "lease-change" => lease_cases::change(&place).await,
                 _ => Err("no such case".into()),
             }
         };
--- a/review/standin-2/src/stage.rs
+++ b/review/standin-2/src/stage.rs
@@ -59,8 +59,49 @@
     }
 }
 
+/// What differs between the settings of the cases, as text of the file.
+pub struct Settings {
+    pub list: String,
+    pub slices: u64,
+    pub lease: &'static str,
+    pub settle: &'static str,
+    pub grace: &'static str,
+    pub quote: &'static str,
+    pub commit: &'static str,
+}
+
+impl Settings {
+    /// Those of recife-main, with the list in a store at these endpoints.
+    pub fn of_list(endpoints: &[SocketAddr]) -> Settings {
+        let endpoints: Vec<String> = endpoints.iter().map(|at| format!("\"http://{at}\"")).collect();
+        Settings {
+            list: format!("{{source: etcd, endpoints: [{}]}}", endpoints.join(", ")),
+            slices: SLICES,
+            lease: "4s",
+            settle: "5s",
+            grace: "3.5s",
+            quote: "response_target: 1500ms, client_timeout: 5s",
+            commit: "response_target: 3s, client_timeout: 5s",
+        }
+    }
+}
+
+/// The load of recife-main.
+pub fn load() -> Load {
+    let kind = |share, work, replayable| Kind { share, work, client_timeout: 5 * SECOND, replayable };
+    Load {
+        rate: RATE,
+        kinds: vec![kind(0.73, 0.3, true), kind(0.27, 0.5, false)],
+        keys: SLICES,
+        skew: 0.0,
+        retries: 1,
+        retry_after: SECOND / 4,
+        seed: 5,
+    }
+}
+
 impl Stage {
-    pub async fn new(place: &Place, servers: usize) -> Result<Stage, Unplayed> {
+    pub async fn new(place: &Place, servers: usize, load: Load) -> Result<Stage, Unplayed> {
         let clock = Clock::default();
         let capture_file = place.dir.join("capture.jsonl");
         let capture = Capture::create(&capture_file, clock)?;
@@ -81,16 +122,6 @@
                     .await?,
             );
         }
-        let kind = |share, work, replayable| Kind { share, work, client_timeout: 5 * SECOND, replayable };
-        let load = Load {
-            rate: RATE,
-            kinds: vec![kind(0.73, 0.3, true), kind(0.27, 0.5, false)],
-            keys: SLICES,
-            skew: 0.0,
-            retries: 1,
-            retry_after: SECOND / 4,
-            seed: 5,
-        };
         Ok(Stage {
             place: place.clone(),
             clients: Clients::new(load, FORWARDERS, capture.clone()),
@@ -127,24 +158,35 @@
         format!(r#"{{"zone": "recife-1", "address": "{address}", "state": "{state}", "boot": 1796126400}}"#)
     }
 
-    /// Writes the steward's settings: the list comes from a store at these endpoints.
-    pub fn write_settings(&self, endpoints: &[SocketAddr]) -> std::io::Result<()> {
-        let endpoints: Vec<String> = endpoints.iter().map(|at| format!("\"http://{at}\"")).collect();
+    /// Writes the steward's settings.
+    pub fn write_settings(&self, settings: &Settings) -> std::io::Result<()> {
+        let Settings { list, slices, lease, settle, grace, quote, commit } = settings;
         let text = format!(
-            "listen: {}\nrecord: steward.redb\nlist: {{source: etcd, endpoints: [{}]}}\nforwarders: {}\nslices: {SLICES}\n\
-             lease: 4s\nsettle: 5s\nhold: 500ms\nunserved_most: 20s\nsilent_after: 3s\n\
+            "listen: {}\nrecord: steward.redb\nlist: {list}\nforwarders: {}\nslices: {slices}\n\
+             lease: {lease}\nsettle: {settle}\nhold: 500ms\nunserved_most: 20s\nsilent_after: 3s\n\
              channel: {{lines_per_s: 3300, waiting_lines: 6600, message_cost: 12, messages: 20, messages_within: 10s}}\n\
              reports: {{every: 500ms, lines_per_s: 250}}\n\
-             cold: {{from: 0.15, for: 16s, fall_multiple: 2.5, fall_for: 1500ms}}\ndrain: {{grace: 3.5s}}\nkinds:\n  \
-             - {{name: quote, response_target: 1500ms, client_timeout: 5s, credit: 1, repeats: replayable, writes: false}}\n  \
-             - {{name: commit, response_target: 3s, client_timeout: 5s, credit: 2, repeats: non-replayable, writes: true}}\n",
+             cold: {{from: 0.15, for: 16s, fall_multiple: 2.5, fall_for: 1500ms}}\ndrain: {{grace: {grace}}}\nkinds:\n  \
+             - {{name: quote, {quote}, credit: 1, repeats: replayable, writes: false}}\n  \
+             - {{name: commit, {commit}, credit: 2, repeats: non-replayable, writes: true}}\n",
             self.address,
-            endpoints.join(", "),
             FORWARDERS + 1,
         );
         std::fs::write(self.place.dir.join("steward.yaml"), text)
     }
 
+    /// Replaces the list of a steward that reads it from a file; each server with its state.
+    pub fn write_list(&self, states: &[&str]) -> std::io::Result<()> {
+        let line = |(server, state): (&Rc<Server>, &&str)| {
+            let (id, at) = (&server.id, server.address);
+            format!("  - {{id: {id}, zone: aldeota, address: \"{at}\", state: {state}}}\n")
+        };
+        let lines: String = self.servers.iter().zip(states).map(line).collect();
+        let draft = self.place.dir.join("draft");
+        std::fs::write(&draft, format!("servers:\n{lines}"))?;
+        std::fs::rename(draft, self.place.dir.join("servers.yaml"))
+    }
+
     /// Starts the steward and waits until it listens.
     pub async fn start_steward(&mut self) -> Result<(), Unplayed> {
         let log =
@@ -183,12 +225,13 @@
     }
 
     /// Starts the forwarders, each with a stream to the steward.
-    pub async fn start_forwarders(&self) -> Result<(), Unplayed> {
-        for number in 0..FORWARDERS {
+    /// `stewards`: the address at which each of them reaches it.
+    pub async fn start_forwarders(&self, stewards: &[SocketAddr]) -> Result<(), Unplayed> {
+        for (number, steward) in stewards.iter().enumerate() {
             let options = forwarder::Options {
                 number: number as u64,
                 zone: "recife-1".to_owned(),
-                stewards: vec![self.address],
+                stewards: vec![*steward],
                 seed: number as u64,
                 usual: RATE / FORWARDERS as f64,
                 stall_us: 30,
@@ -206,9 +249,9 @@
     }
 
     /// Waits until every forwarder serves a write of every slice.
-    pub async fn warm_up(&self) -> Result<(), Unplayed> {
+    pub async fn warm_up(&self, slices: u64) -> Result<(), Unplayed> {
         let until = self.now() + 2 * (LEASE + SETTLE) + 10 * SECOND;
-        for slice in 0..SLICES {
+        for slice in 0..slices {
             for number in 0..FORWARDERS {
                 while !self.clients.probe(number, slice, 1).await {
                     if self.now() > until {
@@ -241,6 +284,12 @@
         Ok(tries.count())
     }
 
+    /// Returns what the servers have read and ended, and all else that the stand-ins have noted.
+    pub fn events(&self) -> Result<Vec<Event>, Unplayed> {
+        self.capture.finish()?;
+        Ok(capture::read(&self.capture_file)?)
+    }
+
     /// Writes the record: what was sent, answered and run, and the case's notes, by time.
     pub fn write_record(&self) -> Result<(), Unplayed> {
         self.capture.finish()?;
