--- a/review/standin-2/src/list_cases.rs
+++ b/review/standin-2/src/list_cases.rs
@@ -7,12 +7,16 @@
 use ravenspar_standin::{Clock, SECOND};
 use tokio::task::spawn_local;
 
-use crate::etcd::{ReorderingWatch, CLUSTER, PREFIX};
 use crate::gate::Gate;
 use crate::observer::{self, Published};
 use crate::stage::{self, Settings, Stage, FORWARDERS, GRACE, SLACK, SLICES};
 use crate::{Place, Unplayed, Verdict};
 
+/// Before the ids of servers, in the list's store.
+const PREFIX: &str = "/ravenspar/servers/";
+/// The id of each store.
+pub const CLUSTER: u64 = 0x1f2e;
+
 fn key(server: usize) -> String {
     format!("{PREFIX}plan-{server}")
 }
@@ -40,47 +44,6 @@
     }
 }
 
-/// Two events in the wrong order after a reconnect: a drain behind the coming of another server.
-pub async fn order(place: &Place) -> Result<Verdict, Unplayed> {
-    let mut stage = Stage::new(place, 5, stage::load()).await?;
-    let store = Store::new(CLUSTER);
-    (0..4).for_each(|server| store.put_key(&key(server), &stage.value(server, "ready")));
-    let watch = ReorderingWatch::new(store.clone());
-    let at = watch.listen().await?;
-    let published = begin(&mut stage, &[at]).await?;
-    stage.send_load(45);
-    stage.wait(30).await;
-    stage.note("the watch is broken off");
-    watch.break_off();
-    stage.wait(3).await;
-    // The server finishes what it has; it goes on answering what it should not be sent any more.
-    store.put_key(&key(0), &stage.value(0, "draining"));
-    store.put_key(&key(4), &stage.value(4, "ready"));
-    watch.open(place.trouble);
-    let until = stage.now() + 10 * SECOND;
-    while watch.delivered().len() < 2 {
-        if stage.now() > until {
-            return Err("the watch was not opened again".into());
-        }
-        stage.wait(1).await;
-    }
-    let told = stage.now();
-    stage.note(format!("the watch has delivered {:?}: plan-0 drains, plan-4 is ready", watch.delivered()));
-    stage.wait(300).await;
-    let deadline = told + GRACE + SLACK;
-    let late = stage.tries_at(0, deadline, stage.now())?;
-    note_published(&stage, &published);
-    stage.note(format!(
-        "{late} tries reached plan-0 later than {:.1} s after the steward was told",
-        (deadline - told) as f64 / SECOND as f64
-    ));
-    stage.write_record()?;
-    Ok(match late {
-        0 => Verdict::Held,
-        _ => Verdict::Broken(format!("{late} tries reached a draining server after the grace")),
-    })
-}
-
 /// A planned restart of the steward between a server's drain and the end of its key, and a late write of the start that
 /// has left.
 pub async fn restart(place: &Place) -> Result<Verdict, Unplayed> {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,8 +1,9 @@
 //! Drivers of the review's cases 6 to 10: each starts the program as separate processes, plays one case against stand-ins
 //! on loopback, and exits with 0 if the rule held, 1 if it was broken and 2 if the case couldn't run.
 
-mod etcd;
+mod agent;
 mod gate;
+mod job_cases;
 mod lease_cases;
 mod list_cases;
 mod observer;
@@ -57,10 +58,10 @@
         let limit = std::time::Duration::from_secs(115);
         let played = async {
             match name.as_str() {
-                "list-order" => list_cases::order(&place).await,
                 "list-restart" => list_cases::restart(&place).await,
                 "list-lag" => list_cases::lag(&place).await,
                 "lease-change" => lease_cases::change(&place).await,
+                "job-lease" => job_cases::lease(&place).await,
                 _ => Err("no such case".into()),
             }
         };
