--- a/review/standin-2/src/agent.rs
+++ b/review/standin-2/src/agent.rs
@@ -66,7 +66,8 @@
         self.notes.borrow_mut().push((self.clock.now(), format!("{}: {text}", self.name)));
     }
 
-    fn may_work(&self) -> bool {
+    /// Returns true if this life was renewed and not for too long ago.
+    pub fn may_work(&self) -> bool {
         self.until.is_some_and(|until| self.clock.now() < until)
     }
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -62,6 +62,7 @@
                 "list-lag" => list_cases::lag(&place).await,
                 "lease-change" => lease_cases::change(&place).await,
                 "job-lease" => job_cases::lease(&place).await,
+                "job-registration" => job_cases::registration(&place).await,
                 _ => Err("no such case".into()),
             }
         };
